--- /dev/null
+++ b/hemlockgrade/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Functions behind the commands of hemlockctl, a module a command group."""
--- /dev/null
+++ b/hemlockgrade/config/__init__.py
@@ -0,0 +1,1 @@
+"""Typed settings of the daemon and the command-line tool."""
--- /dev/null
+++ b/hemlockgrade/plugins/__init__.py
@@ -0,0 +1,1 @@
+"""Plug-ins that ship with hemlockgrade and register by entry point."""
--- /dev/null
+++ b/hemlockgrade/serialization.py
@@ -0,0 +1,56 @@
+"""JSON encoding of the model, for the platform and the wire."""
+
+from typing import Any
+from typing import TypeVar
+
+import attrs
+import cattrs
+import cattrs.preconf.orjson
+import orjson
+
+T = TypeVar('T')
+
+_converter = cattrs.preconf.orjson.make_converter(forbid_extra_keys=True)
+
+
+def to_json(value: Any) -> bytes:
+    """Encodes a model object or plain data as JSON."""
+    return orjson.dumps(_converter.unstructure(value))
+
+
+def to_plain(value: Any) -> Any:
+    """Turns a model object into dictionaries, lists and scalars."""
+    return _converter.unstructure(value)
+
+
+def from_json(data: bytes, kind: type[T]) -> T:
+    """Decodes JSON into an object of a model class.
+
+    Args:
+        data: The JSON text.
+        kind: An attrs class.
+
+    Raises:
+        cattrs.BaseValidationError: A field is missing, unknown or mistyped.
+        orjson.JSONDecodeError: The text is not JSON.
+    """
+    return _converter.structure(orjson.loads(data), kind)
+
+
+def from_plain(data: Any, kind: type[T]) -> T:
+    """Builds an object of a model class from plain data.
+
+    Raises:
+        cattrs.BaseValidationError: A field is missing, unknown or mistyped.
+    """
+    return _converter.structure(data, kind)
+
+
+def field_errors(error: cattrs.BaseValidationError) -> list[str]:
+    """Lists the problems of a validation error, one line each."""
+    return cattrs.transform_error(error, path='')
+
+
+def field_names(kind: type) -> list[str]:
+    """Names the fields of an attrs class in their order."""
+    return [field.name for field in attrs.fields(kind)]
--- /dev/null
+++ b/hemlockgrade/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between daemons; the generated modules are committed."""
