Add settings, kernel, administration API, command-line tool and user docs

Settings errors are collected per key instead of per class, because attrs stops at the first failing validator.

The daemon itself does not run yet.

--- /dev/null
+++ b/features/steps/product_steps.py
@@ -0,0 +1,277 @@
+"""Steps on settings, files, plug-ins, the time line and the log."""
+
+import contextlib
+import io
+import json
+import pathlib
+import re
+import subprocess
+import sys
+import tempfile
+
+import attrs
+from behave import given
+from behave import then
+from behave import when
+from loguru import logger
+
+from hemlockgrade import configuration
+from hemlockgrade import exceptions
+from hemlockgrade import kernel
+from hemlockgrade import logs
+from hemlockgrade import model
+from hemlockgrade import timeline
+from hemlockgrade.config import base
+from hemlockgrade.config import client as client_settings
+from hemlockgrade.config import daemon as daemon_settings
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+SECRET = 'short'
+TOKEN = 'a-token-that-is-long-enough'
+
+
+@given(
+    'settings with an unknown key, a bad address, a short token and no failure domain'
+)
+def bad_settings(context):
+    context.settings = {
+        'daemon_id': 'host-1',
+        'proxy_address': 'localhost',
+        'admission_address': '127.0.0.1:2',
+        'control_address': '127.0.0.1:3',
+        'administration_address': '127.0.0.1:4',
+        'local_address': '127.0.0.1:5',
+        'administration_token': SECRET,
+        'platform_url': 'http://127.0.0.1:6',
+        'color': 'red',
+    }
+
+
+@when('the settings are loaded')
+def load_settings(context):
+    try:
+        base.structure(context.settings, daemon_settings.DaemonSettings)
+    except exceptions.InvalidSettingsError as error:
+        context.error = error
+
+
+@then('the settings are refused by the keys {keys}')
+def settings_refused(context, keys):
+    found = [part.args[0].split()[0] for part in context.error.parts()]
+    assert found == keys.split(', '), found
+
+
+@then('no settings error shows the token')
+def token_hidden(context):
+    assert SECRET not in str(context.error)
+
+
+@when('the settings page is read')
+def read_settings_page(context):
+    page = (ROOT / 'docs/user/settings.md').read_text()
+    context.documented = re.findall(r'^\| `(\w+)` \| (.+?) \|', page, re.M)
+
+
+@then('it lists the keys of the daemon and of the client with their defaults')
+def settings_documented(context):
+    expected = [
+        (field.name, _default_text(field))
+        for kind in (
+            daemon_settings.DaemonSettings,
+            client_settings.ClientSettings,
+        )
+        for field in attrs.fields(kind)
+    ]
+    assert context.documented == expected, context.documented
+
+
+def _default_text(field):
+    if field.default is attrs.NOTHING:
+        return 'required'
+    default = field.default
+    if isinstance(default, tuple):
+        default = list(default)
+    return f'`{json.dumps(default)}`'
+
+
+@given(
+    'a file with an unknown label, shares of 90 percent and an agreed time in the past'
+)
+def bad_file(context):
+    context.directory = _directory(context)
+    context.file = context.directory / 'booking.json'
+    context.file.write_text(
+        json.dumps(
+            {
+                'labels': [{'name': 'edge', 'kind': 'proxy', 'members': ['*']}],
+                'selectors': [
+                    {
+                        'name': 'booking',
+                        'proxies': 'edge',
+                        'targets': 'no-such-label',
+                        'service': 'booking',
+                        'routes': [{'path_prefix': '/booking'}],
+                        'shares_by_version': {'v1': 90},
+                        'agreed_by': 1.0,
+                    }
+                ],
+            }
+        )
+    )
+
+
+@when('hemlockctl checks the file')
+def check_file(context):
+    _hemlockctl(context, 'check', str(context.file))
+
+
+@given('client settings that name a daemon that does not run')
+def unreachable_daemon(context):
+    context.directory = _directory(context)
+    (context.directory / 'hemlockctl.json').write_text(
+        json.dumps(
+            {
+                'daemon_addresses': ['127.0.0.1:1'],
+                'administration_token': TOKEN,
+            }
+        )
+    )
+
+
+@when('hemlockctl runs "{command}"')
+def run_hemlockctl(context, command):
+    _hemlockctl(
+        context,
+        '--settings',
+        str(context.directory / 'hemlockctl.json'),
+        command,
+    )
+
+
+def _hemlockctl(context, *arguments):
+    context.result = subprocess.run(
+        [sys.executable, '-m', 'hemlockgrade.ctl', *arguments],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=60,
+    )
+
+
+@then('hemlockctl exits with {code:d}')
+def exit_code(context, code):
+    assert context.result.returncode == code, context.result
+
+
+@then('its output names {names}')
+def output_names(context, names):
+    for name in names.split(', '):
+        assert f'  {name}: ' in context.result.stderr, context.result.stderr
+
+
+@then('its output is one error line')
+def one_error_line(context):
+    lines = context.result.stderr.splitlines()
+    assert len(lines) == 1, lines
+    assert lines[0].startswith('error: daemon 127.0.0.1:1'), lines
+
+
+@given('the example plug-in of the documentation and a plug-in that raises')
+def example_plugin(context):
+    page = (ROOT / 'docs/dev/plug-ins.md').read_text()
+    code = re.search(r'```python\n(.*?)```', page, re.S)[1]
+    namespace = {}
+    exec(code, namespace)  # noqa: S102
+    context.plugin = namespace['ChangesByAuthor'](time_line=None)
+
+    class Failing:
+        def on_configuration_applied(self, applied, changes):
+            raise RuntimeError('fails')
+
+    context.events = kernel.Events()
+    context.events.register(Failing())
+    context.events.register(context.plugin)
+
+
+@when('a configuration change by "{author}" is applied')
+def apply_change(context, author):
+    change = model.Change(
+        number=1,
+        change_id='c1',
+        kind=model.ChangeKind.PUT_LABEL,
+        name='edge',
+        author=author,
+    )
+    logger.remove()
+    context.events.emit(
+        'configuration_applied',
+        applied=configuration.Configuration(version=1),
+        changes=[change],
+    )
+
+
+@then('the example plug-in has counted {count:d} change by "{author}"')
+def counted(context, count, author):
+    assert context.plugin.counts_by_author[author] == count
+
+
+@when('the balancer "{name}" is loaded')
+def load_balancer(context, name):
+    try:
+        kernel.load_plugin('balancers', name)
+    except exceptions.PluginError as error:
+        context.error = error
+
+
+@then('the plug-in error names "{name}"')
+def plugin_error_names(context, name):
+    assert name in context.error.remedy, context.error
+
+
+@given('a process whose clock is {seconds:d} seconds behind another')
+def two_clocks(context, seconds):
+    context.ahead = timeline.Timeline(
+        'ahead', timeline.LogicalClock(lambda: 1000.0 + seconds)
+    )
+    context.behind = timeline.Timeline(
+        'behind', timeline.LogicalClock(lambda: 1000.0)
+    )
+
+
+@when('the first sends a message to the second, which answers')
+def exchange_messages(context):
+    context.ahead.record('send')
+    context.behind.clock.observe(context.ahead.clock.tick())
+    context.behind.record('receive')
+    context.behind.record('answer')
+
+
+@then('the merged time line shows {kinds}')
+def merged_shows(context, kinds):
+    merged = timeline.merge([*context.behind.events(), *context.ahead.events()])
+    assert [event.kind for event in merged] == kinds.split(', ')
+
+
+@given('a log that hides the token')
+def hiding_log(context):
+    context.log = io.StringIO()
+    with contextlib.redirect_stderr(context.log):
+        logs.configure('host-1', 'info', secrets=(TOKEN,))
+
+
+@when('a line with the token is logged')
+def log_token(context):
+    logger.info('event=call header={!r}', f'Bearer {TOKEN}')
+    logger.remove()
+
+
+@then('the log shows a placeholder')
+def log_hides(context):
+    text = context.log.getvalue()
+    assert TOKEN not in text and logs.HIDDEN in text, text
+
+
+def _directory(context) -> pathlib.Path:
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    return pathlib.Path(directory.name)
--- /dev/null
+++ b/hemlockgrade/commands/files.py
@@ -0,0 +1,106 @@
+"""Files of labels and selectors, and their check without a daemon."""
+
+import pathlib
+import time
+from typing import Any
+
+import attrs
+import orjson
+
+from hemlockgrade import configuration
+from hemlockgrade import exceptions
+from hemlockgrade import model
+
+
+@attrs.frozen(kw_only=True)
+class FileContent:
+    """The objects of a file, not yet checked."""
+
+    labels: list[dict[str, Any]]
+    selectors: list[dict[str, Any]]
+
+
+def read(path: str) -> FileContent:
+    """Reads a file of the form `{"labels": [...], "selectors": [...]}`.
+
+    Raises:
+        exceptions.InvalidChangeError: The file is missing or has another form.
+    """
+    try:
+        data = orjson.loads(pathlib.Path(path).read_bytes())
+    except OSError as error:
+        raise _invalid(path, error.strerror or 'cannot be read') from error
+    except orjson.JSONDecodeError as error:
+        raise _invalid(path, f'is not JSON: {error}') from error
+    if not isinstance(data, dict) or not set(data) <= {'labels', 'selectors'}:
+        raise _invalid(path, 'has other keys than labels and selectors')
+    content = FileContent(
+        labels=data.get('labels', []), selectors=data.get('selectors', [])
+    )
+    objects = [*content.labels, *content.selectors]
+    if not all(isinstance(item, dict) for item in objects):
+        raise _invalid(path, 'lists something that is not an object')
+    return content
+
+
+def check_file(path: str) -> int:
+    """Checks every object of a file against the others; sends nothing.
+
+    Returns:
+        The number of objects.
+
+    Raises:
+        exceptions.InvalidChangeError: Holds every error of the file.
+    """
+    content = read(path)
+    current = configuration.Configuration()
+    errors: list[exceptions.InvalidFieldError] = []
+    for kind, objects in (
+        (model.ChangeKind.PUT_LABEL, content.labels),
+        (model.ChangeKind.PUT_SELECTOR, content.selectors),
+    ):
+        for body in objects:
+            change = _change(current, kind, body)
+            try:
+                configuration.validate(current, change, time.time())
+                current = configuration.apply(current, change)
+            except exceptions.InvalidChangeError as error:
+                errors.extend(_located(error, change.name))
+    if errors:
+        raise exceptions.InvalidChangeError(path, errors)
+    return len(content.labels) + len(content.selectors)
+
+
+def _change(
+    current: configuration.Configuration,
+    kind: model.ChangeKind,
+    body: dict[str, Any],
+) -> model.Change:
+    return model.Change(
+        number=current.version + 1,
+        change_id='',
+        kind=kind,
+        name=str(body.get('name', '')),
+        body=body,
+    )
+
+
+def _located(error: exceptions.InvalidChangeError, name: str):
+    for part in error.parts():
+        if isinstance(part, exceptions.InvalidFieldError):
+            yield exceptions.InvalidFieldError(
+                f'{name}.{part.field}', part.problem, remedy=part.remedy
+            )
+
+
+def _invalid(path: str, problem: str) -> exceptions.InvalidChangeError:
+    return exceptions.InvalidChangeError(
+        'not sent',
+        [
+            exceptions.InvalidFieldError(
+                path,
+                problem,
+                remedy='write {"labels": [...], "selectors": [...]}',
+            )
+        ],
+    )
--- /dev/null
+++ b/hemlockgrade/commands/labels.py
@@ -0,0 +1,27 @@
+"""Commands on labels."""
+
+from typing import Any
+
+from hemlockgrade.commands import client
+
+
+async def set_label(
+    api: client.AdministrationClient, name: str, kind: str, members: list[str]
+) -> dict[str, Any]:
+    """Creates or replaces a label."""
+    body = {'name': name, 'kind': kind, 'members': members}
+    return await api.put(f'/v1/labels/{name}', body)
+
+
+async def remove_label(
+    api: client.AdministrationClient, name: str
+) -> dict[str, Any]:
+    """Removes a label that no selector uses."""
+    return await api.delete(f'/v1/labels/{name}')
+
+
+async def list_labels(
+    api: client.AdministrationClient,
+) -> list[dict[str, Any]]:
+    """Returns all labels."""
+    return (await api.get('/v1/labels'))['labels']
--- /dev/null
+++ b/hemlockgrade/commands/overview.py
@@ -0,0 +1,50 @@
+"""Commands that look at the whole system: status, explain, time line."""
+
+from typing import Any
+
+from hemlockgrade import exceptions
+from hemlockgrade import serialization
+from hemlockgrade import timeline
+from hemlockgrade.commands import client
+
+
+async def status(api: client.AdministrationClient) -> dict[str, Any]:
+    """Returns the state of every daemon, target and lease."""
+    answers = await api.get_from_all('/v1/status')
+    daemons = [
+        {'address': address, 'error': str(answer)}
+        if isinstance(answer, exceptions.HemlockError)
+        else {'address': address, **answer}
+        for address, answer in answers.items()
+    ]
+    versions = [d['version'] for d in daemons if 'version' in d]
+    targets = (await api.get('/v1/targets'))['targets']
+    return {
+        'daemons': daemons,
+        'targets': targets,
+        'lowest_version': min(versions, default=0),
+        'highest_version': max(versions, default=0),
+        'unreachable': [d['address'] for d in daemons if 'error' in d],
+    }
+
+
+async def explain(
+    api: client.AdministrationClient, path: str
+) -> dict[str, Any]:
+    """Tells which route, selector and versions would serve a request."""
+    return await api.get('/v1/explain', {'path': path})
+
+
+async def merged_timeline(
+    api: client.AdministrationClient, about: str | None
+) -> list[timeline.Event]:
+    """Returns the events of all daemons in causal order."""
+    path = '/v1/events' if about is None else f'/v1/events?about={about}'
+    answers = await api.get_from_all(path)
+    events = [
+        serialization.from_plain(event, timeline.Event)
+        for answer in answers.values()
+        if isinstance(answer, dict)
+        for event in answer['events']
+    ]
+    return timeline.merge(events)
--- /dev/null
+++ b/hemlockgrade/commands/selectors.py
@@ -0,0 +1,140 @@
+"""Commands on selectors."""
+
+import datetime
+import re
+import time
+from typing import Any
+
+from hemlockgrade import exceptions
+from hemlockgrade.commands import client
+from hemlockgrade.commands import files
+
+_RELATIVE_TIME = re.compile(r'^\+(\d+(?:\.\d+)?)([smh])$')
+_SECONDS_BY_UNIT = {'s': 1, 'm': 60, 'h': 3600}
+
+
+async def apply_file(
+    api: client.AdministrationClient, path: str
+) -> list[dict[str, Any]]:
+    """Sends the labels, then the selectors of a file.
+
+    Returns:
+        The name and the configuration version of each object.
+    """
+    content = files.read(path)
+    results = []
+    for group, objects in (
+        ('labels', content.labels),
+        ('selectors', content.selectors),
+    ):
+        for body in objects:
+            name = str(body.get('name', ''))
+            answer = await api.put(f'/v1/{group}/{name}', body)
+            results.append(
+                {'object': f'{group}/{name}', 'version': answer['accepted']}
+            )
+    return results
+
+
+async def set_shares(
+    api: client.AdministrationClient,
+    name: str,
+    shares: str,
+    agreed_by: str | None,
+) -> dict[str, Any]:
+    """Changes the traffic shares of a selector.
+
+    Args:
+        api: The client.
+        name: Name of the selector.
+        shares: For example `v1=90,v2=10`.
+        agreed_by: Agreed time of a new version; see `parse_time`.
+    """
+    version, body = await _find(api, name)
+    body['shares_by_version'] = parse_shares(shares)
+    body['agreed_by'] = None if agreed_by is None else parse_time(agreed_by)
+    return await api.put(f'/v1/selectors/{name}', body, based_on=version)
+
+
+async def show_selector(
+    api: client.AdministrationClient, name: str
+) -> dict[str, Any]:
+    """Returns one selector."""
+    return (await _find(api, name))[1]
+
+
+async def remove_selector(
+    api: client.AdministrationClient, name: str
+) -> dict[str, Any]:
+    """Removes a selector and with it its routes."""
+    return await api.delete(f'/v1/selectors/{name}')
+
+
+async def list_selectors(
+    api: client.AdministrationClient,
+) -> list[dict[str, Any]]:
+    """Returns all selectors."""
+    return (await api.get('/v1/selectors'))['selectors']
+
+
+def parse_shares(text: str) -> dict[str, int]:
+    """Parses `v1=90,v2=10`.
+
+    Raises:
+        exceptions.InvalidChangeError: The text has another form.
+    """
+    shares = {}
+    for part in text.split(','):
+        version, _, share = part.partition('=')
+        if not version or not share.isdigit():
+            raise _invalid('shares', part, 'use VERSION=PERCENT,...')
+        shares[version] = int(share)
+    return shares
+
+
+def parse_time(text: str) -> float:
+    """Parses `+90s`, `+10m`, `+2h` or an ISO 8601 time with its zone.
+
+    Returns:
+        Seconds of Unix time.
+
+    Raises:
+        exceptions.InvalidChangeError: The text has another form.
+    """
+    match = _RELATIVE_TIME.match(text)
+    if match is not None:
+        return time.time() + float(match[1]) * _SECONDS_BY_UNIT[match[2]]
+    try:
+        parsed = datetime.datetime.fromisoformat(text)
+    except ValueError:
+        parsed = None
+    if parsed is None or parsed.tzinfo is None:
+        raise _invalid(
+            'agreed_by', text, 'use +90s, +10m, +2h or 2027-01-31T18:00+01:00'
+        )
+    return parsed.timestamp()
+
+
+async def _find(
+    api: client.AdministrationClient, name: str
+) -> tuple[int, dict[str, Any]]:
+    answer = await api.get('/v1/selectors')
+    for body in answer['selectors']:
+        if body['name'] == name:
+            return answer['version'], body
+    raise exceptions.NotFoundError(
+        f'no selector {name!r}', remedy='list them with: selectors list'
+    )
+
+
+def _invalid(
+    field: str, value: str, remedy: str
+) -> exceptions.InvalidChangeError:
+    return exceptions.InvalidChangeError(
+        'not sent',
+        [
+            exceptions.InvalidFieldError(
+                field, f'{value!r} cannot be read', remedy=remedy
+            )
+        ],
+    )
--- /dev/null
+++ b/hemlockgrade/config/base.py
@@ -0,0 +1,152 @@
+"""Loading of JSON settings; all errors of a file are reported at once."""
+
+import ipaddress
+import pathlib
+from typing import Any
+from typing import TypeVar
+
+import attrs
+import cattrs
+import orjson
+
+from hemlockgrade import addresses
+from hemlockgrade import exceptions
+from hemlockgrade import serialization
+
+T = TypeVar('T')
+
+
+def load(path: str | pathlib.Path, kind: type[T]) -> T:
+    """Reads a settings file.
+
+    Args:
+        path: The JSON file.
+        kind: The attrs class of the settings.
+
+    Raises:
+        exceptions.InvalidSettingsError: Holds an error for each key.
+    """
+    try:
+        data = orjson.loads(pathlib.Path(path).read_bytes())
+    except OSError as error:
+        raise _group(
+            path,
+            [_error('file', error.strerror or str(error), 'check the path')],
+        ) from error
+    except orjson.JSONDecodeError as error:
+        raise _group(
+            path, [_error('file', f'is not JSON: {error}', 'correct the text')]
+        ) from error
+    if not isinstance(data, dict):
+        raise _group(
+            path, [_error('file', 'holds no JSON object', 'write {...}')]
+        )
+    return structure(data, kind, path)
+
+
+def structure(data: dict[str, Any], kind: type[T], source: Any = '') -> T:
+    """Builds settings from plain data; checks every key.
+
+    Raises:
+        exceptions.InvalidSettingsError: Holds an error for each key.
+    """
+    fields_by_name = {field.name: field for field in attrs.fields(kind)}
+    errors = [
+        _error(
+            name,
+            'is not a known key',
+            f'use one of {", ".join(fields_by_name)}',
+        )
+        for name in data
+        if name not in fields_by_name
+    ]
+    values = {}
+    for name, field in fields_by_name.items():
+        if name not in data:
+            if field.default is attrs.NOTHING:
+                errors.append(_error(name, 'is missing', 'add the key'))
+            continue
+        try:
+            values[name] = _structure_value(data[name], field)
+        except (ValueError, TypeError, cattrs.BaseValidationError) as error:
+            shown = '(hidden)' if 'token' in name else repr(data[name])
+            errors.append(
+                _error(name, f'has the value {shown}', _remedy(field, error))
+            )
+    if errors:
+        raise _group(source, errors)
+    return kind(**values)
+
+
+def _structure_value(value: Any, field: attrs.Attribute) -> Any:
+    if field.type in (str, int, bool) and type(value) is not field.type:
+        raise TypeError(f'must be {field.type.__name__}')
+    structured = serialization.from_plain(value, field.type)
+    if field.validator is not None:
+        field.validator(None, field, structured)
+    return structured
+
+
+def _remedy(field: attrs.Attribute, error: Exception) -> str:
+    return field.metadata.get('remedy') or str(error)
+
+
+def _error(key: str, problem: str, remedy: str) -> exceptions.SettingsError:
+    return exceptions.SettingsError(f'{key} {problem}', remedy=remedy)
+
+
+def _group(
+    source: Any, errors: list[exceptions.SettingsError]
+) -> exceptions.InvalidSettingsError:
+    return exceptions.InvalidSettingsError(f'settings {source}', errors)
+
+
+def address(**options) -> Any:
+    """Declares a setting of the form `ip:port`."""
+    return attrs.field(
+        validator=_check_address,
+        metadata={'remedy': 'use ip:port, for example 10.0.0.7:7001'},
+        **options,
+    )
+
+
+def address_list(**options) -> Any:
+    """Declares a setting that lists values of the form `ip:port`."""
+    return attrs.field(
+        validator=attrs.validators.deep_iterable(_check_address),
+        metadata={'remedy': 'use a list of ip:port'},
+        **options,
+    )
+
+
+def positive(**options) -> Any:
+    """Declares a number above zero."""
+    return attrs.field(
+        validator=attrs.validators.gt(0),
+        metadata={'remedy': 'use a number above 0'},
+        **options,
+    )
+
+
+def text(**options) -> Any:
+    """Declares a text that is not empty."""
+    return attrs.field(
+        validator=attrs.validators.min_len(1),
+        metadata={'remedy': 'use a text that is not empty'},
+        **options,
+    )
+
+
+def token(**options) -> Any:
+    """Declares a secret of at least 16 characters, hidden in `repr`."""
+    return attrs.field(
+        validator=attrs.validators.min_len(16),
+        metadata={'remedy': 'use a secret of at least 16 characters'},
+        repr=False,
+        **options,
+    )
+
+
+def _check_address(instance, attribute, value: str):
+    host, _ = addresses.split(value)
+    ipaddress.ip_address(host.strip('[]'))
--- a/hemlockgrade/configuration.py
+++ b/hemlockgrade/configuration.py
@@ -15,6 +15,13 @@
 MAX_NAME_LENGTH = 63
 MAX_TIMEOUT_MS = 600_000
 
+_OBJECT_KINDS = {
+    model.ChangeKind.PUT_LABEL: 'label',
+    model.ChangeKind.DELETE_LABEL: 'label',
+    model.ChangeKind.PUT_SELECTOR: 'selector',
+    model.ChangeKind.DELETE_SELECTOR: 'selector',
+}
+
 
 @attrs.frozen(kw_only=True)
 class Configuration:
@@ -26,6 +33,8 @@
         selectors_by_name: All selectors as operators wrote them.
         rollouts_by_selector: The last rollout of each selector.
         epochs_by_lease: Highest epoch seen for each lease.
+        numbers_by_object: Number of the last operator's change of each
+            label and selector, by `kind/name`.
     """
 
     version: int = 0
@@ -33,6 +42,7 @@
     selectors_by_name: dict[str, model.Selector] = attrs.field(factory=dict)
     rollouts_by_selector: dict[str, model.Rollout] = attrs.field(factory=dict)
     epochs_by_lease: dict[str, int] = attrs.field(factory=dict)
+    numbers_by_object: dict[str, int] = attrs.field(factory=dict)
 
     def shares(self, selector_name: str) -> dict[str, float]:
         """Returns the traffic shares in force, as fractions of 1."""
@@ -123,9 +133,19 @@
         model.ChangeKind.END_ROLLOUT: _end_rollout,
     }
     fields = handlers[change.kind](configuration, change)
+    key = object_key(change)
+    if key is not None:
+        numbers = {**configuration.numbers_by_object, key: change.number}
+        fields['numbers_by_object'] = numbers
     return attrs.evolve(configuration, version=change.number, **fields)
 
 
+def object_key(change: model.Change) -> str | None:
+    """Returns `kind/name` of the object that an operator's change is about."""
+    kind = _OBJECT_KINDS.get(change.kind)
+    return None if kind is None else f'{kind}/{change.name}'
+
+
 def _put_label(
     configuration: Configuration, change: model.Change
 ) -> dict[str, Any]:
--- a/hemlockgrade/exceptions.py
+++ b/hemlockgrade/exceptions.py
@@ -1,5 +1,7 @@
 """Every expected failure of hemlockgrade, as a typed error with a remedy."""
 
+from collections.abc import Sequence
+
 
 class HemlockError(Exception):
     """Base of all expected errors.
@@ -18,6 +20,10 @@
     def __str__(self) -> str:
         return f'{self.args[0]} ({self.remedy})'
 
+    def parts(self) -> list['HemlockError']:
+        """Returns the single errors: itself, or the members of a group."""
+        return [self]
+
 
 class SettingsError(HemlockError):
     """A settings file has a missing, unknown or malformed key."""
@@ -31,27 +37,43 @@
     def __init__(self, field: str, problem: str, *, remedy: str):
         super().__init__(f'{field}: {problem}', remedy=remedy)
         self.field = field
+        self.problem = problem
 
 
-class InvalidChangeError(ExceptionGroup, HemlockError):
-    """A change of configuration was refused; holds one error a field."""
+class _GroupError(ExceptionGroup, HemlockError):
+    """Several errors of one cause, reported together."""
 
-    exit_code = 3
-    remedy = 'correct the fields named and send the change again'
-
-    def __new__(cls, message: str, errors: list[InvalidFieldError]):
+    def __new__(cls, message: str, errors: Sequence[HemlockError]):
         """Builds the group; an exception group is made in `__new__`."""
         return super().__new__(cls, message, errors)
 
-    def __init__(self, message: str, errors: list[InvalidFieldError]):
+    def __init__(self, message: str, errors: Sequence[HemlockError]):
         Exception.__init__(self, message, errors)
 
     def __str__(self) -> str:
         return '; '.join([self.message, *map(str, self.exceptions)])
 
+    def parts(self) -> list[HemlockError]:
+        """Returns the members of the group."""
+        return [e for e in self.exceptions if isinstance(e, HemlockError)]
+
     def derive(self, excs):
         """Keeps the type when the group is split."""
-        return InvalidChangeError(self.message, excs)
+        return type(self)(self.message, excs)
+
+
+class InvalidChangeError(_GroupError):
+    """A change of configuration was refused; holds one error a field."""
+
+    exit_code = 3
+    remedy = 'correct the fields named and send the change again'
+
+
+class InvalidSettingsError(_GroupError):
+    """A settings file was refused; holds one error a key."""
+
+    exit_code = 2
+    remedy = 'correct the keys named'
 
 
 class ConflictError(HemlockError):
@@ -83,10 +105,18 @@
 
 
 class DaemonUnavailableError(HemlockError):
-    """No daemon answered on its administration address."""
+    """No daemon answered on its administration address.
+
+    Attributes:
+        not_sent: True if the call was certainly not received.
+    """
 
     exit_code = 7
 
+    def __init__(self, message: str, *, remedy: str, not_sent: bool = True):
+        super().__init__(message, remedy=remedy)
+        self.not_sent = not_sent
+
 
 class UnauthorizedError(HemlockError):
     """The administration API refused the token."""
@@ -142,3 +172,13 @@
 
 class DeadlineExceededError(OutcomeUnknownError):
     """The deadline of a request passed before its answer came."""
+
+
+class RolledBackError(HemlockError):
+    """A rollout that a command waited for was rolled back."""
+
+    exit_code = 9
+
+
+class RunInterruptedError(HemlockError):
+    """A command was stopped before it ended."""
--- a/hemlockgrade/model.py
+++ b/hemlockgrade/model.py
@@ -94,6 +94,8 @@
         daemon_id: Identifier of the daemon in its host.
         boot_id: Identifier of that daemon's process; it changes when the
             daemon restarts and so loses its ledger of requests.
+        administration_address: `host:port` of that daemon's administration
+            API, so that the command-line tool finds every daemon.
     """
 
     target_id: str
@@ -106,6 +108,7 @@
     state: MemberState = MemberState.ALIVE
     daemon_id: str = ''
     boot_id: str = ''
+    administration_address: str = ''
 
 
 class ChangeKind(enum.StrEnum):
--- /dev/null
+++ b/hemlockgrade/timeline.py
@@ -0,0 +1,106 @@
+"""The events of a process, in an order that holds across processes.
+
+Timestamps are hybrid logical clocks: milliseconds of Unix time above a
+16-bit counter (Kulkarni et al., "Logical Physical Clocks", OPODIS 2014).
+"""
+
+import collections
+from collections.abc import Callable
+from collections.abc import Iterable
+from typing import Any
+
+import attrs
+
+COUNTER_BITS = 16
+MAX_EVENTS = 5000
+
+
+@attrs.frozen(kw_only=True)
+class Event:
+    """Something that happened in one process.
+
+    Attributes:
+        time: Hybrid logical timestamp.
+        process: Identifier of the process.
+        sequence: Position among the events of the process.
+        kind: What happened.
+        fields: Details, by name.
+    """
+
+    time: int
+    process: str
+    sequence: int
+    kind: str
+    fields: dict[str, Any] = attrs.field(factory=dict)
+
+
+class LogicalClock:
+    """A hybrid logical clock.
+
+    Args:
+        now: Returns seconds of Unix time.
+    """
+
+    def __init__(self, now: Callable[[], float]):
+        self._now = now
+        self._last = 0
+
+    def tick(self) -> int:
+        """Returns a timestamp above all that were returned or observed."""
+        physical = int(self._now() * 1000) << COUNTER_BITS
+        self._last = max(self._last + 1, physical)
+        return self._last
+
+    def observe(self, timestamp: int):
+        """Takes note of a timestamp that came with a message."""
+        self._last = max(self._last, timestamp)
+
+
+class Timeline:
+    """Keeps the last events of one process in memory.
+
+    Args:
+        process: Identifier of the process.
+        clock: The logical clock of the process.
+    """
+
+    def __init__(self, process: str, clock: LogicalClock):
+        self._process = process
+        self.clock = clock
+        self._sequence = 0
+        self._events: collections.deque[Event] = collections.deque(
+            maxlen=MAX_EVENTS
+        )
+
+    def record(self, kind: str, **fields: Any):
+        """Adds an event."""
+        self._sequence += 1
+        self._events.append(
+            Event(
+                time=self.clock.tick(),
+                process=self._process,
+                sequence=self._sequence,
+                kind=kind,
+                fields=fields,
+            )
+        )
+
+    def events(self, about: str | None = None) -> list[Event]:
+        """Returns the events kept, or those that mention an object."""
+        if about is None:
+            return list(self._events)
+        return [
+            event
+            for event in self._events
+            if about in map(str, event.fields.values())
+        ]
+
+
+def merge(events: Iterable[Event]) -> list[Event]:
+    """Orders the events of several processes causally."""
+    return sorted(events, key=lambda e: (e.time, e.process, e.sequence))
+
+
+def unix_time(timestamp: int) -> float:
+    """Returns the seconds of Unix time in a timestamp."""
+    return (timestamp >> COUNTER_BITS) / 1000
--- /dev/null
+++ b/standins/cluster.py
@@ -0,0 +1,262 @@
+"""Starts a small system of separate processes on loopback, for trials."""
+
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import time
+from typing import Any
+from urllib import request
+
+import attrs
+
+ROOT = pathlib.Path(__file__).resolve().parent.parent
+TOKEN = 'a-token-for-loopback-trials'
+START_TIMEOUT_S = 30.0
+
+
+@attrs.define
+class Process:
+    """A started process and the addresses it listens on."""
+
+    name: str
+    popen: subprocess.Popen
+    addresses: dict[str, str] = attrs.field(factory=dict)
+    failure_domain: str = ''
+
+    def signal(self, number: signal.Signals):
+        """Sends a signal, unless the process has ended."""
+        if self.popen.poll() is None:
+            self.popen.send_signal(number)
+
+    def kill(self):
+        """Ends the process at once and waits for it."""
+        self.signal(signal.SIGKILL)
+        self.popen.wait()
+
+    def stop(self, timeout_s: float = 20.0) -> int:
+        """Asks for a graceful shutdown and returns the exit code."""
+        self.signal(signal.SIGTERM)
+        return self.popen.wait(timeout_s)
+
+
+class Cluster:
+    """The processes of one trial; ends only those it started.
+
+    Args:
+        directory: Where settings and logs are written.
+    """
+
+    def __init__(self, directory: pathlib.Path):
+        self.directory = directory
+        self.daemons_by_name: dict[str, Process] = {}
+        self.targets_by_id: dict[str, Process] = {}
+        self.platform: Process | None = None
+        directory.mkdir(parents=True, exist_ok=True)
+
+    def __enter__(self) -> 'Cluster':
+        return self
+
+    def __exit__(self, *_):
+        for process in self._all():
+            process.signal(signal.SIGCONT)
+            process.signal(signal.SIGKILL)
+        for process in self._all():
+            process.popen.wait()
+
+    def start_platform(self, *options: str) -> Process:
+        """Starts the stand-in of the platform."""
+        address = free_address()
+        self.platform = self._start(
+            'platform',
+            ['-m', 'standins.platform_server', '--port', _port(address)]
+            + list(options),
+            {'http': address},
+        )
+        wait_until(lambda: _listens(address), 'platform listens')
+        return self.platform
+
+    def start_daemon(
+        self, name: str, failure_domain: str, **settings: Any
+    ) -> Process:
+        """Starts a daemon; restarts one of the same name on its addresses."""
+        before = self.daemons_by_name.get(name)
+        addresses = (
+            before.addresses
+            if before
+            else {
+                key: free_address()
+                for key in (
+                    'proxy_address',
+                    'admission_address',
+                    'control_address',
+                    'administration_address',
+                    'local_address',
+                )
+            }
+        )
+        path = self.directory / f'{name}.json'
+        path.write_text(
+            json.dumps(
+                {
+                    'daemon_id': name,
+                    'failure_domain': failure_domain,
+                    'administration_token': TOKEN,
+                    'platform_url': f'http://{self.platform.addresses["http"]}',
+                    **addresses,
+                    **settings,
+                }
+            )
+        )
+        process = self._start(
+            name, ['-m', 'hemlockgrade', 'run', str(path)], addresses
+        )
+        process.failure_domain = failure_domain
+        self.daemons_by_name[name] = process
+        return process
+
+    def start_target(
+        self, target_id: str, service: str, version: str, daemon: str, *options
+    ) -> Process:
+        """Starts a target in the host of a daemon."""
+        address = free_address()
+        announce = self.daemons_by_name[daemon].addresses['local_address']
+        process = self._start(
+            target_id,
+            ['-m', 'standins.target_server', '--port', _port(address)]
+            + ['--target-id', target_id, '--service', service]
+            + ['--version', version]
+            + ['--announce', f'http://{announce}/v1/announcements']
+            + list(options),
+            {'http': address},
+        )
+        self.targets_by_id[target_id] = process
+        return process
+
+    def wait_for_daemons(self):
+        """Waits until every living daemon answers."""
+        for process in self.living_daemons():
+            address = process.addresses['administration_address']
+            wait_until(lambda a=address: _listens(a), f'{process.name} listens')
+
+    def living_daemons(self) -> list[Process]:
+        """Returns the daemons that run."""
+        return [
+            p for p in self.daemons_by_name.values() if p.popen.poll() is None
+        ]
+
+    def ctl(self, *arguments: str) -> subprocess.CompletedProcess:
+        """Runs hemlockctl with JSON output."""
+        path = self.directory / 'hemlockctl.json'
+        path.write_text(
+            json.dumps(
+                {
+                    'daemon_addresses': [
+                        p.addresses['administration_address']
+                        for p in self.living_daemons()
+                    ],
+                    'administration_token': TOKEN,
+                }
+            )
+        )
+        return subprocess.run(
+            [sys.executable, '-m', 'hemlockgrade.ctl', '--json']
+            + ['--settings', str(path), *arguments],
+            cwd=ROOT,
+            env=_environment(),
+            capture_output=True,
+            text=True,
+            timeout=60,
+        )
+
+    def ctl_json(self, *arguments: str) -> Any:
+        """Runs hemlockctl, which has to succeed, and returns its result."""
+        result = self.ctl(*arguments)
+        if result.returncode:
+            raise RuntimeError(
+                f'hemlockctl {arguments}: {result.stdout} {result.stderr}'
+            )
+        return json.loads(result.stdout.splitlines()[-1])
+
+    def administration(self, daemon: str, path: str) -> Any:
+        """Reads a page of a daemon's administration API."""
+        address = self.daemons_by_name[daemon].addresses[
+            'administration_address'
+        ]
+        return get_json(f'http://{address}{path}')
+
+    def _start(self, name, arguments, addresses) -> Process:
+        with (self.directory / f'{name}.log').open('ab') as log:
+            popen = subprocess.Popen(
+                [sys.executable, *arguments],
+                cwd=ROOT,
+                env=_environment(),
+                stdout=log,
+                stderr=log,
+            )
+        return Process(name, popen, addresses)
+
+    def _all(self) -> list[Process]:
+        processes = [
+            *self.targets_by_id.values(),
+            *self.daemons_by_name.values(),
+        ]
+        if self.platform is not None:
+            processes.append(self.platform)
+        return processes
+
+
+def free_address() -> str:
+    """Returns a loopback address that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(('127.0.0.1', 0))
+        return f'127.0.0.1:{probe.getsockname()[1]}'
+
+
+def get_json(url: str) -> Any:
+    """Reads JSON with the token of the trials."""
+    call = request.Request(url, headers={'authorization': f'Bearer {TOKEN}'})
+    with request.urlopen(call, timeout=10) as response:
+        return json.load(response)
+
+
+def post_json(url: str, body: Any) -> Any:
+    """Posts JSON and returns the JSON answer, if there is one."""
+    call = request.Request(url, data=json.dumps(body).encode(), method='POST')
+    with request.urlopen(call, timeout=10) as response:
+        content = response.read()
+    return json.loads(content) if content else None
+
+
+def wait_until(condition, what: str, timeout_s: float = START_TIMEOUT_S):
+    """Waits for a condition.
+
+    Raises:
+        TimeoutError: The condition did not hold in time.
+    """
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        if condition():
+            return
+        time.sleep(0.05)
+    raise TimeoutError(f'not reached in {timeout_s} s: {what}')
+
+
+def _listens(address: str) -> bool:
+    host, _, port = address.partition(':')
+    try:
+        with socket.create_connection((host, int(port)), timeout=1):
+            return True
+    except OSError:
+        return False
+
+
+def _port(address: str) -> str:
+    return address.rpartition(':')[2]
+
+
+def _environment() -> dict[str, str]:
+    return {**os.environ, 'PYTHONPATH': str(ROOT), 'PYTHONUNBUFFERED': '1'}
