--- a/hemlockgrade/http_codec.py
+++ b/hemlockgrade/http_codec.py
@@ -13,6 +13,9 @@
 
 Headers = list[tuple[bytes, bytes]]
 
+# Prefix of the headers that only daemons set.
+INTERNAL = b'x-hemlock-'
+
 # Headers that belong to one connection and are not passed on (RFC 9110, 7.6.1).
 HOP_BY_HOP = frozenset(
     {
@@ -71,6 +74,11 @@
     return None
 
 
+def without_internal(headers: Headers) -> Headers:
+    """Drops the headers that daemons use among themselves."""
+    return [item for item in headers if not item[0].startswith(INTERNAL)]
+
+
 def encode_request(request: Request, host: str) -> bytes:
     """Serializes a request with its content length."""
     lines = [f'{request.method} {request.target} HTTP/1.1\r\n'.encode()]
--- /dev/null
+++ b/hemlockgrade/plugins/slot_limiter.py
@@ -0,0 +1,93 @@
+"""Limiter plug-in: waits for the slots that `limits.SlotQueue` hands out."""
+
+import asyncio
+import time
+
+from hemlockgrade import limits
+
+
+class SlotLimiter:
+    """Admits work to one target by its slots."""
+
+    def __init__(self, slots: int):
+        self._queue = limits.SlotQueue(slots)
+        self._future_by_ticket: dict[limits.Ticket, asyncio.Future] = {}
+
+    @property
+    def in_use(self) -> int:
+        """Slots in use."""
+        return self._queue.in_use
+
+    @property
+    def queued(self) -> int:
+        """Requests that wait for a slot."""
+        return self._queue.queued
+
+    async def acquire(self, deadline: float) -> None:
+        """Waits for a slot.
+
+        Args:
+            deadline: Time by which the work has to be finished, in seconds
+                on the monotonic clock.
+
+        Raises:
+            exceptions.RequestNotRunError: The work is refused.
+        """
+        now = time.monotonic()
+        ticket = limits.Ticket(deadline=deadline)
+        if self._queue.admit(ticket, now):
+            return
+        loop = asyncio.get_running_loop()
+        future = loop.create_future()
+        self._future_by_ticket[ticket] = future
+        timer = loop.call_later(deadline - now, self._give_up, ticket)
+        try:
+            await future
+        except asyncio.CancelledError:
+            self._queue.abandon(ticket)
+            if future.done() and not future.cancelled():
+                self._give_back_unused(future)
+            raise
+        finally:
+            timer.cancel()
+            self._future_by_ticket.pop(ticket, None)
+
+    def release(self, service_s: float | None) -> None:
+        """Gives a slot back.
+
+        Args:
+            service_s: How long the target worked, in seconds; None if that
+                says nothing about the target.
+        """
+        granted, refused = self._queue.release(service_s, time.monotonic())
+        if granted is not None:
+            self._resolve(granted)
+        for ticket in refused:
+            self._refuse(ticket, 'it waited too long for a slot')
+
+    def drain(self) -> None:
+        """Refuses new and queued work from now on."""
+        for ticket in self._queue.drain():
+            self._refuse(ticket, 'the target is draining')
+
+    def _give_up(self, ticket: limits.Ticket):
+        self._queue.abandon(ticket)
+        self._refuse(ticket, 'its deadline passed in the queue')
+
+    def _give_back_unused(self, future: asyncio.Future):
+        # The slot was granted in the same turn in which the wait was
+        # cancelled; without this it would never be free again.
+        if future.exception() is None:
+            self.release(None)
+
+    def _resolve(self, ticket: limits.Ticket):
+        future = self._future_by_ticket[ticket]
+        if future.done():
+            self.release(None)
+            return
+        future.set_result(None)
+
+    def _refuse(self, ticket: limits.Ticket, reason: str):
+        future = self._future_by_ticket.get(ticket)
+        if future is not None and not future.done():
+            future.set_exception(limits.refusal(reason))
--- /dev/null
+++ b/hemlockgrade/proxy.py
@@ -0,0 +1,407 @@
+"""Caller side of the request path: route, send, retry, account."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Mapping
+from collections.abc import Sequence
+import itertools
+import random as random_module
+import time
+from typing import Any
+from typing import Protocol
+import uuid
+
+import attrs
+from loguru import logger
+import orjson
+
+from hemlockgrade import exceptions
+from hemlockgrade import http_codec
+from hemlockgrade import ledger
+from hemlockgrade import model
+from hemlockgrade import retries
+from hemlockgrade import upstream
+
+# Longest time a caller may ask for; the ledgers' retention is twice this.
+MAX_TIMEOUT_S = 60.0
+# The admission side is told a little less than what remains, so that its
+# refusal arrives before the proxy gives up and has to call it unknown.
+HOP_MARGIN_S = 0.005
+HOP_MARGIN_SHARE = 0.1
+# Limit of a fence call, in seconds.
+FENCE_TIMEOUT_S = 0.5
+# Statuses with which a target or what is before it sheds load.
+SHEDDING_STATUSES = frozenset({502, 503, 504})
+RESERVED_PREFIX = '/.hemlock/'
+
+
+class RouteEntry(Protocol):
+    """A route of the routing view."""
+
+    selector: str
+    route: model.Route
+    targets_by_version: Mapping[str, Sequence[model.Target]]
+
+    def choose_version(
+        self, random: random_module.Random, stopped_versions: Collection[str]
+    ) -> str | None:
+        """Chooses a version by its traffic share."""
+
+
+class RoutingView(Protocol):
+    """What the proxy knows of the configuration and the targets."""
+
+    def match(self, path: str) -> RouteEntry | None:
+        """Finds the route of a path."""
+
+
+class Balancer(Protocol):
+    """Chooses among the targets of one version."""
+
+    def choose(
+        self,
+        candidates: Sequence[model.Target],
+        loads: Any,
+        now: float,
+        random: random_module.Random,
+    ) -> model.Target | None:
+        """Chooses a target, or None if none may be used."""
+
+
+class LoadTable(Protocol):
+    """Live evidence on targets."""
+
+    def started(self, target_id: str, now: float) -> Any:
+        """Counts a request that was sent."""
+
+    def finished(
+        self, target_id: str, latency_s: float, outcome: Any, now: float
+    ) -> Any:
+        """Counts the end of a request."""
+
+
+class EvidenceRecorder(Protocol):
+    """Collects evidence on versions."""
+
+    def record(
+        self,
+        selector: str,
+        version: str,
+        route: str,
+        ok: bool,
+        latency_s: float,
+        now: float,
+    ) -> Any:
+        """Counts one answered or failed request."""
+
+
+@attrs.define
+class _Call:
+    """A caller's request on its way through the attempts."""
+
+    request: http_codec.Request
+    entry: RouteEntry
+    version: str
+    deadline: float
+    idempotent: bool
+    request_id: str
+    count: int = 0
+    maybe_run: bool = False
+    tried: set[str] = attrs.field(factory=set)
+    answer: http_codec.Response | None = None
+
+    def facts(self) -> retries.Attempts:
+        return retries.Attempts(
+            idempotent=self.idempotent,
+            count=self.count,
+            maybe_run=self.maybe_run,
+            deadline=self.deadline,
+        )
+
+
+@attrs.define(kw_only=True)
+class Proxy:
+    """Sends each caller's request to a target and returns its answer.
+
+    Attributes:
+        proxy_id: Identifier of this proxy.
+        pool: Connections to the admission sides.
+        loads: Live evidence on targets.
+        evidence: Evidence on versions.
+        balancer: Chooses among targets.
+        random: Source of random numbers.
+        routing: Current routing view; None before the first configuration.
+        stopped_versions: Versions of a selector stopped by this proxy.
+        budget: Budget for retries.
+    """
+
+    proxy_id: str
+    pool: upstream.ConnectionPool
+    loads: LoadTable
+    evidence: EvidenceRecorder
+    balancer: Balancer
+    random: random_module.Random
+    routing: RoutingView | None = None
+    stopped_versions: Callable[[str], Collection[str]] = lambda _: ()
+    budget: retries.RetryBudget = attrs.field(factory=retries.RetryBudget)
+    clock: Callable[[], float] = time.monotonic
+    draining: bool = False
+    _in_flight: int = 0
+    _idle: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _id_prefix: str = attrs.field(init=False)
+    _numbers: itertools.count = attrs.field(factory=itertools.count)
+
+    def __attrs_post_init__(self):
+        # A restarted proxy must not repeat identifiers of its predecessor.
+        self._id_prefix = f'{self.proxy_id}.{uuid.uuid4().hex[:12]}'
+
+    async def handle(self, request: http_codec.Request) -> http_codec.Response:
+        """Answers a caller's request.
+
+        Returns:
+            The target's answer, or 404, 502 or 503 of the proxy's own.
+        """
+        if self.draining:
+            return refused('this proxy is draining')
+        if self.routing is None:
+            return refused('this proxy has no configuration yet')
+        if request.path.startswith(RESERVED_PREFIX):
+            return plain(404, 'no route for this path', b'not-run')
+        entry = self.routing.match(request.path)
+        if entry is None:
+            return plain(404, 'no route for this path', b'not-run')
+        version = entry.choose_version(
+            self.random, self.stopped_versions(entry.selector)
+        )
+        if version is None:
+            return refused('no version of the service may be used')
+        call = self._start(request, entry, version)
+        self._in_flight += 1
+        try:
+            return await self._run(call)
+        finally:
+            self._in_flight -= 1
+            if not self._in_flight:
+                self._idle.set()
+
+    async def drain(self, deadline: float) -> None:
+        """Refuses new requests and waits for those in flight.
+
+        Args:
+            deadline: Gives up waiting at this time, in monotonic seconds.
+        """
+        self.draining = True
+        while self._in_flight:
+            self._idle.clear()
+            try:
+                async with asyncio.timeout(deadline - self.clock()):
+                    await self._idle.wait()
+            except TimeoutError:
+                logger.warning(
+                    'event=proxy_drain_cut in_flight={}', self._in_flight
+                )
+                return
+
+    def _start(
+        self, request: http_codec.Request, entry: RouteEntry, version: str
+    ) -> _Call:
+        timeout_s = _timeout_s(request.headers, entry.route.timeout_ms / 1000)
+        request.headers = http_codec.without_internal(request.headers)
+        self.budget.count_request()
+        return _Call(
+            request=request,
+            entry=entry,
+            version=version,
+            deadline=self.clock() + timeout_s,
+            idempotent=retries.is_idempotent(request.method),
+            request_id=self._new_id(),
+        )
+
+    def _new_id(self) -> str:
+        return f'{self._id_prefix}-{next(self._numbers)}'
+
+    async def _run(self, call: _Call) -> http_codec.Response:
+        while True:
+            target = self._choose(call)
+            if target is None:
+                return self._finish(call, 'no target can be used')
+            failure = await self._attempt(call, target)
+            if failure is None:
+                assert call.answer is not None
+                return self._pass_on(call, call.answer)
+            decision = retries.decide(
+                call.facts(), failure, self.budget, self.clock()
+            )
+            if decision is retries.RetryDecision.FENCE_FIRST:
+                decision = await self._fence_and_decide(call, target)
+            if decision is not retries.RetryDecision.RETRY_ELSEWHERE:
+                return self._finish(call, 'the request was refused')
+
+    def _choose(self, call: _Call) -> model.Target | None:
+        targets = call.entry.targets_by_version.get(call.version, ())
+        fresh = [t for t in targets if t.target_id not in call.tried]
+        return self.balancer.choose(
+            fresh or targets, self.loads, self.clock(), self.random
+        )
+
+    async def _attempt(
+        self, call: _Call, target: model.Target
+    ) -> retries.Failure | None:
+        call.count += 1
+        call.tried.add(target.target_id)
+        started = self.clock()
+        self.loads.started(target.target_id, started)
+        outcome = 'error'
+        ok: bool | None = None
+        failure: retries.Failure | None = None
+        try:
+            response = await self._send(call, target)
+            failure, outcome, ok = self._classify(call, response)
+        except exceptions.ConnectFailedError:
+            failure, outcome = retries.Failure.NOT_RUN, 'unreachable'
+        except exceptions.DeadlineExceededError:
+            failure, outcome, ok = retries.Failure.TIMEOUT, 'timeout', False
+        except exceptions.ConnectionClosedError:
+            failure, outcome, ok = retries.Failure.NO_ANSWER, 'error', False
+        finally:
+            now = self.clock()
+            self.loads.finished(target.target_id, now - started, outcome, now)
+        if ok is not None:
+            self._record(call, ok, now - started, now)
+        if failure not in (None, retries.Failure.NOT_RUN):
+            call.maybe_run = True
+        return failure
+
+    def _record(self, call: _Call, ok: bool, latency_s: float, now: float):
+        self.evidence.record(
+            call.entry.selector,
+            call.version,
+            call.entry.route.path_prefix,
+            ok,
+            latency_s,
+            now,
+        )
+
+    async def _send(
+        self, call: _Call, target: model.Target
+    ) -> http_codec.Response:
+        remaining = call.deadline - self.clock()
+        told_s = remaining - min(HOP_MARGIN_S, remaining * HOP_MARGIN_SHARE)
+        headers = [
+            *call.request.headers,
+            (b'x-hemlock-request-id', call.request_id.encode()),
+            (b'x-hemlock-timeout-ms', b'%d' % max(told_s * 1000, 0)),
+            (b'x-hemlock-version', call.version.encode()),
+            (b'x-hemlock-target-id', target.target_id.encode()),
+        ]
+        if target.boot_id:
+            headers.append((b'x-hemlock-boot-id', target.boot_id.encode()))
+        request = attrs.evolve(call.request, headers=headers)
+        return await self.pool.send(
+            target.admission_address, request, call.deadline
+        )
+
+    def _classify(
+        self, call: _Call, response: http_codec.Response
+    ) -> tuple[retries.Failure | None, str, bool | None]:
+        if http_codec.header(response.headers, b'x-hemlock-not-run') == '1':
+            reason = http_codec.header(response.headers, b'x-hemlock-reason')
+            unreachable = reason == 'unreachable'
+            return (
+                retries.Failure.NOT_RUN,
+                'unreachable' if unreachable else 'rejected',
+                False if unreachable else None,
+            )
+        outcome = http_codec.header(response.headers, b'x-hemlock-outcome')
+        if outcome == 'unknown':
+            return retries.Failure.UNKNOWN, 'error', False
+        call.answer = response
+        if response.status in SHEDDING_STATUSES and call.idempotent:
+            return retries.Failure.SHED, 'rejected', False
+        ok = response.status < 500
+        return None, 'ok' if ok else 'error', ok
+
+    async def _fence_and_decide(
+        self, call: _Call, target: model.Target
+    ) -> retries.RetryDecision:
+        result = await self._fence(call, target)
+        logger.info(
+            'event=request_fenced request={} target={} result={}',
+            call.request_id,
+            target.target_id,
+            result,
+        )
+        if result is not ledger.FenceResult.NEVER_SEEN:
+            return retries.RetryDecision.GIVE_UP_UNKNOWN
+        call.maybe_run = False
+        call.request_id = self._new_id()
+        return retries.decide(
+            call.facts(), retries.Failure.NOT_RUN, self.budget, self.clock()
+        )
+
+    async def _fence(
+        self, call: _Call, target: model.Target
+    ) -> ledger.FenceResult:
+        request = http_codec.Request(
+            method='POST',
+            target=f'{RESERVED_PREFIX}fence',
+            headers=[
+                (b'x-hemlock-request-id', call.request_id.encode()),
+                (b'x-hemlock-boot-id', target.boot_id.encode()),
+            ],
+        )
+        deadline = min(call.deadline, self.clock() + FENCE_TIMEOUT_S)
+        try:
+            response = await self.pool.send(
+                target.admission_address, request, deadline
+            )
+            return ledger.FenceResult(orjson.loads(response.body)['result'])
+        except (exceptions.HemlockError, ValueError, KeyError, TypeError):
+            return ledger.FenceResult.UNKNOWN
+
+    def _finish(self, call: _Call, reason: str) -> http_codec.Response:
+        if call.answer is not None:
+            return self._pass_on(call, call.answer)
+        if not call.maybe_run:
+            return refused(reason)
+        return unknown('the request may or may not have been run')
+
+    def _pass_on(
+        self, call: _Call, response: http_codec.Response
+    ) -> http_codec.Response:
+        response.headers = [
+            *http_codec.without_internal(response.headers),
+            (b'x-hemlock-request-id', call.request_id.encode()),
+            (b'x-hemlock-version', call.version.encode()),
+        ]
+        return response
+
+
+def plain(status: int, message: str, outcome: bytes) -> http_codec.Response:
+    """Makes an answer of the daemon's own."""
+    return http_codec.Response(
+        status=status,
+        headers=[
+            (b'content-type', b'text/plain; charset=utf-8'),
+            (b'x-hemlock-outcome', outcome),
+        ],
+        body=message.encode(),
+    )
+
+
+def refused(reason: str) -> http_codec.Response:
+    """Makes the answer to a request that was not run."""
+    return plain(503, f'not run: {reason}', b'not-run')
+
+
+def unknown(reason: str) -> http_codec.Response:
+    """Makes the answer to a request that may or may not have been run."""
+    return plain(502, reason, b'unknown')
+
+
+def _timeout_s(headers: http_codec.Headers, route_s: float) -> float:
+    text = http_codec.header(headers, b'x-request-timeout-ms')
+    if text is None or not (text.isascii() and text.isdecimal()):
+        return min(route_s, MAX_TIMEOUT_S)
+    return min(int(text[:9]) / 1000, route_s, MAX_TIMEOUT_S)
--- /dev/null
+++ b/hemlockgrade/retries.py
@@ -0,0 +1,96 @@
+"""Whether a failed request may be sent again."""
+
+import enum
+
+import attrs
+
+IDEMPOTENT_METHODS = frozenset({'GET', 'HEAD', 'OPTIONS', 'PUT', 'DELETE'})
+MAX_ATTEMPTS = 3
+# Retries as a share of requests.
+BUDGET_SHARE = 0.1
+# Retries allowed before any request was counted.
+BUDGET_RESERVE = 10.0
+# Time below which a further attempt cannot be answered, in seconds.
+MIN_REMAINING_S = 0.002
+
+
+class Failure(enum.Enum):
+    """How an attempt failed."""
+
+    NOT_RUN = 'not_run'
+    SHED = 'shed'
+    NO_ANSWER = 'no_answer'
+    UNKNOWN = 'unknown'
+    TIMEOUT = 'timeout'
+
+
+class RetryDecision(enum.Enum):
+    """What to do with a failed request."""
+
+    RETRY_ELSEWHERE = 'retry_elsewhere'
+    FENCE_FIRST = 'fence_first'
+    GIVE_UP_NOT_RUN = 'give_up_not_run'
+    GIVE_UP_UNKNOWN = 'give_up_unknown'
+
+
+@attrs.frozen(kw_only=True)
+class Attempts:
+    """Facts on a request and its attempts so far.
+
+    Attributes:
+        idempotent: True if it may run more than once.
+        count: Attempts made.
+        maybe_run: True if an earlier attempt may have been run.
+        deadline: Time by which the caller wants the answer, in seconds.
+    """
+
+    idempotent: bool
+    count: int
+    maybe_run: bool
+    deadline: float
+
+
+@attrs.define
+class RetryBudget:
+    """Allows retries as a share of the recent requests."""
+
+    _tokens: float = BUDGET_RESERVE
+
+    def count_request(self) -> None:
+        """Counts a first attempt."""
+        self._tokens = min(self._tokens + BUDGET_SHARE, BUDGET_RESERVE)
+
+    def take(self) -> bool:
+        """Takes a retry from the budget, if there is one."""
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+
+def is_idempotent(method: str) -> bool:
+    """Tells whether a method is idempotent (RFC 9110, section 9.2.2)."""
+    return method in IDEMPOTENT_METHODS
+
+
+def decide(
+    attempts: Attempts, failure: Failure, budget: RetryBudget, now: float
+) -> RetryDecision:
+    """Decides on a failed attempt; takes from the budget for a retry."""
+    not_run = failure is Failure.NOT_RUN
+    if not not_run and not attempts.idempotent:
+        if failure is Failure.NO_ANSWER:
+            return RetryDecision.FENCE_FIRST
+        return RetryDecision.GIVE_UP_UNKNOWN
+    if _may_try_again(attempts, now) and budget.take():
+        return RetryDecision.RETRY_ELSEWHERE
+    if not_run and not attempts.maybe_run:
+        return RetryDecision.GIVE_UP_NOT_RUN
+    return RetryDecision.GIVE_UP_UNKNOWN
+
+
+def _may_try_again(attempts: Attempts, now: float) -> bool:
+    return (
+        attempts.count < MAX_ATTEMPTS
+        and attempts.deadline - now > MIN_REMAINING_S
+    )
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+from collections.abc import Callable
 import time
 
 import attrs
@@ -84,6 +85,7 @@
         deadline: float,
         *,
         max_idle_s: float = 30.0,
+        before_write: Callable[[], None] | None = None,
     ) -> http_codec.Response:
         """Sends a request and waits for its whole answer.
 
@@ -92,6 +94,8 @@
             request: The request.
             deadline: Time on the monotonic clock, in seconds.
             max_idle_s: Reuses only connections idle for less than this.
+            before_write: Called with the connection established, before
+                the first byte is written; it may raise to prevent that.
 
         Raises:
             exceptions.ConnectFailedError: Nothing was sent.
@@ -101,6 +105,8 @@
         connection = await self._checkout(address, max_idle_s)
         data = http_codec.encode_request(request, address)
         try:
+            if before_write is not None:
+                before_write()
             async with asyncio.timeout(deadline - time.monotonic()):
                 response = await connection.exchange(data)
         except BaseException as error:
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Test doubles: small processes that stand in for outside systems."""
