--- /dev/null
+++ b/hemlockgrade/plugins/sequential_judge.py
@@ -0,0 +1,354 @@
+"""Judges a new version against the old one by sequential tests.
+
+The test is the sequential probability ratio test of A. Wald, "Sequential
+Tests of Statistical Hypotheses", Annals of Mathematical Statistics 16 (1945),
+pages 117 to 186. For a probability p0 under the hypothesis that the new
+version is like the old one, and p1 under the hypothesis that it is worse, the
+log-likelihood ratio of the requests is summed until it reaches
+ln((1 - miss) / alarm), bad, or ln(miss / (1 - alarm)), good.
+
+It is applied to failed requests and to requests slower than the old version's
+95th percentile, on each route and over all routes. The false alarm rate is
+divided by the number of tests (Bonferroni). The miss rate is not: a version
+is found good only if all of its tests accept it. After each acceptance a test
+begins anew, so that a later failure starts from nothing and not from a long
+credit; run r of a test gets 1 / (r (r + 1)) of its false alarm rate, which
+adds up to the whole.
+
+p0 of a window is what the old version showed around the same window, so a
+fault of the platform that hits both versions raises it. The old version's
+sample may be small; therefore a version is bad only if, in addition, the
+failures of both versions in the windows of that run are unlikely to fall on
+the new one by chance (Fisher's exact test, R. A. Fisher, "Statistical Methods
+for Research Workers", 5th edition, 1934, section 21.02).
+"""
+
+from collections.abc import Iterable
+from collections.abc import Iterator
+import math
+
+import attrs
+
+from hemlockgrade import evidence
+from hemlockgrade import rollout
+
+FALSE_ALARM_RATE = 0.01
+MISS_RATE = 0.05
+SLOW_SHARE = 0.05
+# Without failures of the old version, p0 is what an ordinary service shows.
+MIN_ERROR_RATE = 0.002
+MIN_SLOW_RATE = 0.01
+# A worse version fails this much more often, by ratio and by difference.
+WORSE_RATIO = 2.0
+WORSE_ERROR_DIFFERENCE = 0.02
+WORSE_SLOW_DIFFERENCE = 0.05
+MAX_WORSE_RATE = 0.9
+# Windows of the old version that p0 is taken from, the current one included.
+BASELINE_WINDOWS = 10
+# Requests for which the old version's long-term rate counts beside them.
+PRIOR_REQUESTS = 20
+# Level of the same-window test that excludes faults of both versions.
+SAME_WINDOW_LEVEL = 0.01
+# A route with a smaller part of the requests need not be judged good alone.
+MIN_ROUTE_SHARE = 0.05
+OVERALL = 'all routes'
+
+
+@attrs.frozen
+class _Sample:
+    """Requests and hits (failed or slow ones) of both versions."""
+
+    new_requests: int
+    new_hits: int
+    old_requests: int
+    old_hits: int
+
+
+@attrs.frozen(kw_only=True)
+class _Series:
+    """Input of one test.
+
+    Attributes:
+        route: Route, or all of them.
+        what: What a hit is, in words.
+        samples: By window, in ascending order.
+        prior_rate: The old version's rate over all its windows.
+        difference: Least difference of a worse version.
+        required: Whether it has to be good for the version to be good.
+    """
+
+    route: str
+    what: str
+    samples: tuple[_Sample, ...]
+    prior_rate: float
+    difference: float
+    required: bool
+
+
+@attrs.frozen(kw_only=True)
+class _Finding:
+    series: _Series
+    outcome: rollout.Outcome
+    ratio: float
+    run: _Sample
+
+    @property
+    def suspect(self) -> bool:
+        return self.ratio > 0
+
+
+class SequentialJudge:
+    """Wald's sequential test by route and over all, for errors and slowness."""
+
+    def __init__(
+        self,
+        false_alarm_rate: float = FALSE_ALARM_RATE,
+        miss_rate: float = MISS_RATE,
+    ):
+        """Sets the error rates.
+
+        Args:
+            false_alarm_rate: Chance that a good version is found bad.
+            miss_rate: Chance that a test accepts a version that is worse.
+        """
+        self._false_alarm_rate = false_alarm_rate
+        self._miss_rate = miss_rate
+
+    def judge(self, comparison: evidence.Comparison) -> rollout.Verdict:
+        """Judges the new version on the windows of a comparison."""
+        all_series = list(_all_series(comparison))
+        alarm = self._false_alarm_rate / max(len(all_series), 1)
+        findings = [self._test(series, alarm) for series in all_series]
+        return _verdict(findings, comparison)
+
+    def _test(self, series: _Series, alarm: float) -> _Finding:
+        accept = math.log(self._miss_rate / (1 - alarm))
+        ratio = 0.0
+        runs = 1
+        accepted = False
+        run: list[_Sample] = []
+        for index, sample in enumerate(series.samples):
+            if not sample.new_requests:
+                continue
+            p0 = _baseline(series, index)
+            p1 = _worse(p0, series.difference)
+            run.append(sample)
+            ratio += _log_ratio(sample, p0, p1)
+            reject = math.log((1 - self._miss_rate) * runs * (runs + 1) / alarm)
+            if ratio >= reject:
+                total = _total(run)
+                if _differs(total):
+                    return _Finding(
+                        series=series,
+                        outcome=rollout.Outcome.BAD,
+                        ratio=ratio,
+                        run=total,
+                    )
+                ratio = reject
+            elif ratio <= accept:
+                accepted = True
+                ratio = 0.0
+                runs += 1
+                run = []
+        good = accepted and ratio <= 0
+        return _Finding(
+            series=series,
+            outcome=rollout.Outcome.GOOD if good else rollout.Outcome.UNDECIDED,
+            ratio=ratio,
+            run=_total(run),
+        )
+
+
+def _all_series(comparison: evidence.Comparison) -> Iterator[_Series]:
+    pairs_by_route = comparison.pairs_by_route
+    requests_by_route = {
+        route: sum(p.new.requests + p.old.requests for p in pairs)
+        for route, pairs in pairs_by_route.items()
+    }
+    total = sum(requests_by_route.values())
+    for route, pairs in pairs_by_route.items():
+        required = requests_by_route[route] >= MIN_ROUTE_SHARE * total
+        old = comparison.old_by_route[route]
+        yield from _route_series(route, pairs, old, required)
+    if len(pairs_by_route) > 1:
+        yield from _route_series(
+            OVERALL,
+            _merged(pairs_by_route.values()),
+            sum(comparison.old_by_route.values(), evidence.NOTHING),
+            True,
+        )
+
+
+def _route_series(route, pairs, old, required) -> Iterator[_Series]:
+    bucket = _slow_bucket(old)
+    yield _Series(
+        route=route,
+        what='failed',
+        samples=tuple(
+            _Sample(p.new.requests, p.new.errors, p.old.requests, p.old.errors)
+            for p in pairs
+        ),
+        prior_rate=max(_rate(old.errors, old.requests), MIN_ERROR_RATE),
+        difference=WORSE_ERROR_DIFFERENCE,
+        required=required,
+    )
+    slow = old.slower_than(bucket)
+    yield _Series(
+        route=route,
+        what=f'slower than {evidence.LATENCY_BOUNDS_S[bucket] * 1000:.0f} ms',
+        samples=tuple(
+            _Sample(
+                p.new.requests,
+                p.new.slower_than(bucket),
+                p.old.requests,
+                p.old.slower_than(bucket),
+            )
+            for p in pairs
+        ),
+        prior_rate=max(_rate(slow, old.requests), MIN_SLOW_RATE),
+        difference=WORSE_SLOW_DIFFERENCE,
+        required=required,
+    )
+
+
+def _merged(
+    all_pairs: Iterable[tuple[evidence.WindowPair, ...]],
+) -> tuple[evidence.WindowPair, ...]:
+    merged: dict[int, evidence.WindowPair] = {}
+    for pairs in all_pairs:
+        for pair in pairs:
+            other = merged.get(pair.window)
+            merged[pair.window] = (
+                pair
+                if other is None
+                else evidence.WindowPair(
+                    pair.window, pair.new + other.new, pair.old + other.old
+                )
+            )
+    return tuple(merged[window] for window in sorted(merged))
+
+
+def _slow_bucket(old: evidence.Counts) -> int:
+    """Finds the first bound that at most 5% of the old requests exceed."""
+    above = old.requests
+    last = len(evidence.LATENCY_BOUNDS_S) - 1
+    for index, count in enumerate(old.latency_buckets):
+        above -= count
+        if above <= SLOW_SHARE * old.requests:
+            return min(index, last)
+    return last
+
+
+def _baseline(series: _Series, index: int) -> float:
+    """Returns p0 of a window from the old version's nearby windows."""
+    first = max(index + 1 - BASELINE_WINDOWS, 0)
+    requests: float = PRIOR_REQUESTS
+    hits = PRIOR_REQUESTS * series.prior_rate
+    for sample in series.samples[first : index + 1]:
+        requests += sample.old_requests
+        hits += sample.old_hits
+    return min(hits / requests, MAX_WORSE_RATE / 2)
+
+
+def _worse(p0: float, difference: float) -> float:
+    return min(max(p0 * WORSE_RATIO, p0 + difference), MAX_WORSE_RATE)
+
+
+def _log_ratio(sample: _Sample, p0: float, p1: float) -> float:
+    missed = sample.new_requests - sample.new_hits
+    return sample.new_hits * math.log(p1 / p0) + missed * math.log(
+        (1 - p1) / (1 - p0)
+    )
+
+
+def _total(samples: Iterable[_Sample]) -> _Sample:
+    new_requests = new_hits = old_requests = old_hits = 0
+    for sample in samples:
+        new_requests += sample.new_requests
+        new_hits += sample.new_hits
+        old_requests += sample.old_requests
+        old_hits += sample.old_hits
+    return _Sample(new_requests, new_hits, old_requests, old_hits)
+
+
+def _differs(sample: _Sample) -> bool:
+    """Tells whether hits fall on the new version more than by chance."""
+    if not sample.old_requests:
+        # All requests go to the new version; only p0 is left to compare with.
+        return True
+    hits = sample.new_hits + sample.old_hits
+    requests = sample.new_requests + sample.old_requests
+    chance = 0.0
+    for old_hits in range(sample.old_hits, -1, -1):
+        new_hits = hits - old_hits
+        if new_hits > sample.new_requests:
+            break
+        chance += math.exp(
+            _log_choose(sample.new_requests, new_hits)
+            + _log_choose(sample.old_requests, old_hits)
+            - _log_choose(requests, hits)
+        )
+        if chance > SAME_WINDOW_LEVEL:
+            return False
+    return True
+
+
+def _log_choose(n: int, k: int) -> float:
+    return math.lgamma(n + 1) - math.lgamma(k + 1) - math.lgamma(n - k + 1)
+
+
+def _rate(hits: int, requests: int) -> float:
+    return hits / requests if requests else 0.0
+
+
+def _verdict(
+    findings: list[_Finding], comparison: evidence.Comparison
+) -> rollout.Verdict:
+    new = evidence.NOTHING
+    old = evidence.NOTHING
+    for pairs in comparison.pairs_by_route.values():
+        for pair in pairs:
+            new += pair.new
+            old += pair.old
+    bad = [f for f in findings if f.outcome is rollout.Outcome.BAD]
+    if bad:
+        worst = max(bad, key=lambda f: f.ratio)
+        outcome, reason = rollout.Outcome.BAD, _describe(worst)
+    elif not new.requests:
+        outcome = rollout.Outcome.UNDECIDED
+        reason = 'no requests of the new version were seen'
+    else:
+        waiting = [
+            f
+            for f in findings
+            if f.series.required and f.outcome is not rollout.Outcome.GOOD
+        ]
+        outcome = rollout.Outcome.UNDECIDED if waiting else rollout.Outcome.GOOD
+        reason = _describe_counts(new, old)
+        if waiting:
+            reason += '; not enough evidence on ' + ', '.join(
+                dict.fromkeys(f.series.route for f in waiting)
+            )
+    return rollout.Verdict(
+        outcome=outcome,
+        reason=reason,
+        requests=new.requests,
+        errors=new.errors,
+        suspect=any(f.suspect for f in findings),
+    )
+
+
+def _describe(finding: _Finding) -> str:
+    run = finding.run
+    return (
+        f'on {finding.series.route}, {run.new_hits} of {run.new_requests}'
+        f' requests {finding.series.what}, against {run.old_hits} of'
+        f' {run.old_requests} at the old version in the same time'
+    )
+
+
+def _describe_counts(new: evidence.Counts, old: evidence.Counts) -> str:
+    return (
+        f'{new.errors} of {new.requests} requests failed, against'
+        f' {old.errors} of {old.requests} at the old version in the same time'
+    )
--- /dev/null
+++ b/hemlockgrade/rollout.py
@@ -0,0 +1,296 @@
+"""Plan and steps of a rollout, as pure functions of its record and evidence.
+
+The state of a rollout lives in the change log, so that any lease holder can
+go on with it. The steps are therefore plain functions of that record, the
+verdict and the time; an `automat` machine would keep the state in an object
+that a new holder does not have.
+"""
+
+import enum
+from typing import Protocol
+
+import attrs
+
+from hemlockgrade import evidence
+from hemlockgrade import model
+
+# A version that is not judged good gets at most 5% of the requests.
+MAX_UNJUDGED_PERMILLE = 50
+# An accepted change is in effect on every proxy within this time (I10).
+CONVERGENCE_S = 6.0
+# Longer rollouts tie up evidence and the old version's hosts for little gain.
+MAX_PLANNED_S = 1800.0
+# Share of the time that the plan uses; the rest makes up for outages, a
+# change of the lease holder and low traffic.
+PLANNED_SHARE = 0.8
+
+
+class Outcome(enum.StrEnum):
+    """What the evidence says about a version."""
+
+    GOOD = 'good'
+    BAD = 'bad'
+    UNDECIDED = 'undecided'
+
+
+@attrs.frozen(kw_only=True)
+class Verdict:
+    """A judge's finding on a version.
+
+    Attributes:
+        outcome: Good, bad or undecided.
+        reason: The evidence in words, for operators.
+        requests: Requests of the new version that were judged.
+        errors: How many of them failed.
+        suspect: True if the evidence so far speaks against the version.
+    """
+
+    outcome: Outcome
+    reason: str = ''
+    requests: int = 0
+    errors: int = 0
+    suspect: bool = False
+
+
+class Judge(Protocol):
+    """Decides from a comparison whether a version is good or bad."""
+
+    def judge(self, comparison: evidence.Comparison) -> Verdict:
+        """Returns the finding; the same comparison gives the same one."""
+
+
+@attrs.frozen(kw_only=True)
+class Capacity:
+    """What the member table says about the versions of a selector.
+
+    Attributes:
+        new_targets: Targets of the new version that take work.
+        new_slots: Their slots.
+        old_targets: Targets of the old versions that take work.
+        old_slots: Their slots.
+    """
+
+    new_targets: int = 0
+    new_slots: int = 0
+    old_targets: int = 0
+    old_slots: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Stage:
+    """One step of the new version's share.
+
+    Attributes:
+        progress_permille: Progress of the rollout in this stage.
+        min_s: Seconds that it lasts at least.
+        weight: Its part of the planned time, relative to the other stages.
+        ends_by: Latest end, in seconds of Unix time, that leaves the later
+            stages their least time.
+    """
+
+    progress_permille: int
+    min_s: float
+    weight: float
+    ends_by: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class Schedule:
+    """The stages of a rollout, planned backward from its agreed time.
+
+    Attributes:
+        stages: In the order in which they are run.
+        starts_by: Latest start of the first stage, in seconds of Unix time.
+        finish_by: Latest decision that is in effect at the agreed time, in
+            seconds of Unix time.
+        paced_until: Planned end, in seconds of Unix time.
+    """
+
+    stages: tuple[Stage, ...]
+    starts_by: float
+    finish_by: float
+    paced_until: float
+
+    def index_of(self, progress_permille: int) -> int:
+        """Returns the index of the stage in force, or -1 before the first."""
+        reached = [
+            index
+            for index, stage in enumerate(self.stages)
+            if stage.progress_permille <= progress_permille
+        ]
+        return reached[-1] if reached else -1
+
+
+@attrs.frozen(kw_only=True)
+class Step:
+    """A change of a rollout that its holder appends to the log.
+
+    Attributes:
+        progress_permille: Progress after the step.
+        state: State after the step.
+        reason: Share and evidence, for operators.
+    """
+
+    progress_permille: int
+    state: model.RolloutState
+    reason: str
+
+
+# The stage before the last keeps 5% of the requests at the old version. They
+# show whether a fault hits both versions, so most of the observation is there.
+STAGES = (
+    Stage(progress_permille=10, min_s=3.0, weight=0.10),
+    Stage(progress_permille=50, min_s=4.0, weight=0.35),
+    Stage(progress_permille=200, min_s=4.0, weight=0.15),
+    Stage(progress_permille=500, min_s=4.0, weight=0.15),
+    Stage(progress_permille=950, min_s=5.0, weight=0.20),
+    Stage(progress_permille=1000, min_s=2.0, weight=0.05),
+)
+
+
+def plan(rollout: model.Rollout, now: float) -> Schedule:
+    """Plans the stages backward from the agreed time.
+
+    Args:
+        rollout: The rollout.
+        now: Seconds of Unix time.
+    """
+    finish_by = rollout.agreed_by - CONVERGENCE_S
+    stages: list[Stage] = []
+    ends_by = finish_by
+    for stage in reversed(STAGES):
+        stages.insert(0, attrs.evolve(stage, ends_by=ends_by))
+        ends_by -= stage.min_s
+    available = max(finish_by - rollout.started_at, 0.0)
+    return Schedule(
+        stages=tuple(stages),
+        starts_by=ends_by,
+        finish_by=finish_by,
+        paced_until=rollout.started_at
+        + min(available * PLANNED_SHARE, MAX_PLANNED_S),
+    )
+
+
+def decide(
+    rollout: model.Rollout,
+    verdict: Verdict,
+    now: float,
+    *,
+    stage_started_at: float,
+    capacity: Capacity,
+) -> Step | None:
+    """Decides the next step of a rollout, if one is due.
+
+    Args:
+        rollout: The rollout as the log has it.
+        verdict: The judge's finding on the evidence of the current stage.
+        now: Seconds of Unix time.
+        stage_started_at: Start of the current stage, in seconds of Unix time.
+        capacity: The targets of both versions.
+    """
+    if rollout.state is not model.RolloutState.RUNNING:
+        return None
+    schedule = plan(rollout, now)
+    index = schedule.index_of(rollout.progress_permille)
+    if index < 0:
+        return _start(rollout, schedule, now, capacity)
+    if verdict.outcome is Outcome.BAD:
+        return _roll_back(rollout, verdict, 'judged bad')
+    stage = schedule.stages[index]
+    last = index + 1 == len(schedule.stages)
+    following = stage if last else schedule.stages[index + 1]
+    missing = _missing(capacity, following)
+    if now >= _paced_end(schedule, index, stage_started_at) and not missing:
+        if last and verdict.outcome is Outcome.GOOD:
+            return _finish(rollout, verdict)
+        if not last and _may_raise(following, verdict):
+            return _raise(rollout, following, verdict)
+    if now >= stage.ends_by:
+        return _roll_back(
+            rollout, verdict, missing or 'not judged good in time'
+        )
+    return None
+
+
+def _start(rollout, schedule, now, capacity) -> Step | None:
+    first = schedule.stages[0]
+    missing = _missing(capacity, first)
+    if now > schedule.starts_by:
+        needed = schedule.finish_by - schedule.starts_by + CONVERGENCE_S
+        left = max(rollout.agreed_by - now, 0.0)
+        return _end(
+            model.RolloutState.ROLLED_BACK,
+            f'version {rollout.new_version} got no requests: '
+            + (missing or 'too little time')
+            + f'; {left:.0f} s are left until the agreed time and a judged'
+            f' rollout needs {needed:.0f} s',
+        )
+    if missing:
+        return None
+    return Step(
+        progress_permille=first.progress_permille,
+        state=model.RolloutState.RUNNING,
+        reason=f'start at {_percent(first.progress_permille)}; '
+        f'{capacity.new_targets} targets of version {rollout.new_version}'
+        ' are ready',
+    )
+
+
+def _may_raise(following: Stage, verdict: Verdict) -> bool:
+    if verdict.outcome is Outcome.GOOD:
+        return True
+    # Low traffic may not suffice to judge a small stage in its time.
+    unjudged = following.progress_permille <= MAX_UNJUDGED_PERMILLE
+    return unjudged and not verdict.suspect
+
+
+def _paced_end(
+    schedule: Schedule, index: int, stage_started_at: float
+) -> float:
+    """Gives the stage its weighted part of the time that is left."""
+    stage = schedule.stages[index]
+    left = max(schedule.paced_until - stage_started_at, 0.0)
+    weight = sum(s.weight for s in schedule.stages[index:])
+    return stage_started_at + max(stage.min_s, left * stage.weight / weight)
+
+
+def _missing(capacity: Capacity, stage: Stage) -> str:
+    """Names the targets that a stage lacks, or returns an empty text."""
+    if not capacity.new_targets:
+        return 'no target of the new version is ready'
+    return ''
+
+
+def _raise(rollout, stage: Stage, verdict: Verdict) -> Step:
+    return Step(
+        progress_permille=stage.progress_permille,
+        state=model.RolloutState.RUNNING,
+        reason=f'{verdict.outcome} at {_percent(rollout.progress_permille)},'
+        f' raised to {_percent(stage.progress_permille)}: {verdict.reason}',
+    )
+
+
+def _finish(rollout, verdict: Verdict) -> Step:
+    return _end(
+        model.RolloutState.DONE,
+        f'version {rollout.new_version} has taken over: {verdict.reason}',
+    )
+
+
+def _roll_back(rollout, verdict: Verdict, why: str) -> Step:
+    return _end(
+        model.RolloutState.ROLLED_BACK,
+        f'version {rollout.new_version} {why} at'
+        f' {_percent(rollout.progress_permille)}: {verdict.reason}',
+    )
+
+
+def _end(state: model.RolloutState, reason: str) -> Step:
+    done = state is model.RolloutState.DONE
+    return Step(
+        progress_permille=1000 if done else 0, state=state, reason=reason
+    )
+
+
+def _percent(permille: int) -> str:
+    return f'{permille / 10:g}%'
