--- a/hemlockgrade/platform_api.py
+++ b/hemlockgrade/platform_api.py
@@ -1,10 +1,22 @@
 """The interface to the platform's object API."""
 
+import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Callable
+import time
 from typing import Protocol
 
 import attrs
 
+from hemlockgrade import exceptions
+
+# 33 root relays at these rates stay below the platform's 2,000 reads a second;
+# its writes are exceeded only if most roots write at full rate at once.
+READS_PER_S = 50.0
+WRITES_PER_S = 20.0
+# A caller that would wait longer is told so instead.
+MAX_BUDGET_WAIT_S = 2.0
+
 
 @attrs.frozen(kw_only=True)
 class StoredObject:
@@ -67,3 +79,94 @@
 
     async def close(self) -> None:
         """Closes all connections."""
+
+
+@attrs.define
+class TokenBucket:
+    """Allows calls at a mean rate, with a burst of one second's worth.
+
+    Callers reserve in the order in which they come; a reservation may lie in
+    the future.
+
+    Attributes:
+        per_s: Calls allowed a second.
+    """
+
+    per_s: float
+    _tokens: float = attrs.field(init=False)
+    _filled_at: float | None = None
+
+    def __attrs_post_init__(self) -> None:
+        self._tokens = self.per_s
+
+    def reserve(self, now: float, max_wait_s: float) -> float | None:
+        """Reserves a call.
+
+        Args:
+            now: Seconds of the monotonic clock.
+            max_wait_s: The longest wait that the caller accepts, in seconds.
+
+        Returns:
+            Seconds to wait before the call, or None if they are too many.
+        """
+        if self._filled_at is not None:
+            self._tokens += (now - self._filled_at) * self.per_s
+        self._tokens = min(self._tokens, self.per_s)
+        self._filled_at = now
+        wait_s = max(0.0, 1 - self._tokens) / self.per_s
+        if wait_s > max_wait_s:
+            return None
+        self._tokens -= 1
+        return wait_s
+
+
+class CallBudget:
+    """Bounds the calls that all callers of a daemon make to the platform.
+
+    Args:
+        reads_per_s: Reads, lists and watches allowed a second.
+        writes_per_s: Creates, updates and deletes allowed a second.
+        max_wait_s: The longest wait for a call, in seconds.
+        monotonic: Returns seconds of the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        reads_per_s: float = READS_PER_S,
+        writes_per_s: float = WRITES_PER_S,
+        max_wait_s: float = MAX_BUDGET_WAIT_S,
+        monotonic: Callable[[], float] = time.monotonic,
+    ):
+        self._buckets_by_kind = {
+            'read': TokenBucket(reads_per_s),
+            'write': TokenBucket(writes_per_s),
+        }
+        self._max_wait_s = max_wait_s
+        self._monotonic = monotonic
+
+    async def acquire_read(self) -> None:
+        """Waits until a read is allowed.
+
+        Raises:
+            exceptions.PlatformUnavailableError: The wait would be too long.
+        """
+        await self._acquire('read')
+
+    async def acquire_write(self) -> None:
+        """Waits until a write is allowed.
+
+        Raises:
+            exceptions.PlatformUnavailableError: The wait would be too long.
+        """
+        await self._acquire('write')
+
+    async def _acquire(self, kind: str) -> None:
+        bucket = self._buckets_by_kind[kind]
+        wait_s = bucket.reserve(self._monotonic(), self._max_wait_s)
+        if wait_s is None:
+            raise exceptions.PlatformUnavailableError(
+                f'the call budget allows {bucket.per_s:g} {kind}s a second',
+                remedy='retry later, the call was not sent',
+            )
+        if wait_s:
+            await asyncio.sleep(wait_s)
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Test doubles of the systems that hemlockgrade talks to."""
