Run the full path in separate processes: platform, daemons, targets, hemlockctl

Cause of the first failure: the balancer was handed the routing state instead of the load table, and the root did not declare its place in the tree, so that children left it as unrooted after 3 s. Ruled out: a lost subscription (the relay's log showed the children admitted).

The root is still the first seed; leases follow.

--- a/hemlockgrade/config/base.py
+++ b/hemlockgrade/config/base.py
@@ -3,6 +3,7 @@
 import ipaddress
 import pathlib
 from typing import Any
+from typing import cast
 from typing import TypeVar
 
 import attrs
@@ -50,7 +51,9 @@
     Raises:
         exceptions.InvalidSettingsError: Holds an error for each key.
     """
-    fields_by_name = {field.name: field for field in attrs.fields(kind)}
+    fields_by_name = {
+        field.name: field for field in attrs.fields(cast(Any, kind))
+    }
     errors = [
         _error(
             name,
@@ -81,7 +84,7 @@
 def _structure_value(value: Any, field: attrs.Attribute) -> Any:
     if field.type in (str, int, bool) and type(value) is not field.type:
         raise TypeError(f'must be {field.type.__name__}')
-    structured = serialization.from_plain(value, field.type)
+    structured: Any = serialization.from_plain(value, cast(type, field.type))
     if field.validator is not None:
         field.validator(None, field, structured)
     return structured
--- /dev/null
+++ b/hemlockgrade/daemon.py
@@ -0,0 +1,375 @@
+"""Builds the parts of a daemon, joins them, and stops them in order."""
+
+import asyncio
+from collections.abc import Sequence
+import contextlib
+import random
+import time
+from typing import Any
+import uuid
+
+from loguru import logger
+
+from hemlockgrade import admin
+from hemlockgrade import admission
+from hemlockgrade import changelog
+from hemlockgrade import configuration as configuration_module
+from hemlockgrade import configuration_task
+from hemlockgrade import evidence
+from hemlockgrade import http_server
+from hemlockgrade import kernel
+from hemlockgrade import ledger
+from hemlockgrade import listeners
+from hemlockgrade import local_api
+from hemlockgrade import membership
+from hemlockgrade import membership_task
+from hemlockgrade import metrics
+from hemlockgrade import model
+from hemlockgrade import platform_api
+from hemlockgrade import proxy
+from hemlockgrade import relay
+from hemlockgrade import timeline
+from hemlockgrade import traffic
+from hemlockgrade import upstream
+from hemlockgrade.config import daemon as daemon_settings
+from hemlockgrade.wire import control_pb2
+
+EVIDENCE_INTERVAL_S = 1.0
+
+
+class Daemon:
+    """One daemon: proxy, admission side, relay and administration API.
+
+    Attributes:
+        metrics: Counters and gauges.
+        time_line: Events of this process.
+        change_log: The change log in the platform.
+    """
+
+    def __init__(self, settings: daemon_settings.DaemonSettings, reactor: Any):
+        """Makes the parts that hold no socket.
+
+        Args:
+            settings: Checked settings.
+            reactor: The running Twisted reactor on asyncio.
+
+        Raises:
+            exceptions.PluginError: A plug-in of the settings is missing.
+        """
+        self.settings = settings
+        self._reactor = reactor
+        self._boot_id = uuid.uuid4().hex[:16]
+        self.metrics = metrics.Metrics()
+        self.time_line = timeline.Timeline(
+            settings.daemon_id, timeline.LogicalClock(time.time)
+        )
+        self.events = kernel.Events()
+        for name in settings.plugins:
+            plugin = kernel.load_plugin('plugins', name)
+            self.events.register(plugin(self.time_line))
+        self._platform: platform_api.Platform = kernel.load_plugin(
+            'platforms', settings.platform
+        )(settings.platform_url, client_name=settings.daemon_id)
+        self.change_log = changelog.ChangeLog(self._platform)
+        self._configurations = configuration_task.ConfigurationTask()
+        self._members = membership_task.MemberTask(
+            settings.failure_domain, settings.daemon_id, self._boot_id
+        )
+        self._make_request_path()
+        self._make_control()
+
+    def _make_request_path(self) -> None:
+        settings = self.settings
+        self._recorder = evidence.EvidenceRecorder(
+            f'{settings.daemon_id}.{self._boot_id}',
+            clock_offset_s=time.time() - time.monotonic(),
+        )
+        self._traffic = traffic.TrafficState(
+            settings.daemon_id, self._recorder, self._suspect
+        )
+        self._proxy = proxy.Proxy(
+            proxy_id=settings.daemon_id,
+            pool=upstream.ConnectionPool(self._reactor),
+            loads=self._traffic.loads,
+            evidence=self._traffic,
+            balancer=kernel.load_plugin('balancers', settings.balancer)(
+                settings.failure_domain
+            ),
+            random=random.Random(),
+            stopped_versions=self._traffic.stopped_versions,
+        )
+        self._admission = admission.Admission(
+            boot_id=self._boot_id,
+            pool=upstream.ConnectionPool(self._reactor),
+            limiter=kernel.load_plugin('limiters', settings.limiter),
+            ledger=ledger.RequestLedger(self._boot_id),
+        )
+        self._local_api = local_api.LocalApi(
+            self._members,
+            self._admission,
+            model.Target(
+                target_id='',
+                service='',
+                version='',
+                failure_domain=settings.failure_domain,
+                admission_address=settings.admission_address,
+                slots=1,
+                administration_address=settings.administration_address,
+            ),
+        )
+
+    def _make_control(self) -> None:
+        settings = self.settings
+        self._evidence_store = evidence.EvidenceStore()
+        callbacks = relay.Callbacks(
+            members=self._receive_members,
+            suspicions=self._receive_suspicions,
+            evidence=self._receive_evidence,
+            child_lost=self._suspect_host,
+        )
+        identity = relay.Identity(
+            daemon_id=settings.daemon_id,
+            failure_domain=settings.failure_domain,
+            control_address=settings.control_address,
+        )
+        self._relay = relay.RelayServer(
+            identity=identity,
+            configuration_task=self._configurations,
+            member_task=self._members,
+            callbacks=callbacks,
+            max_children=settings.fan_out,
+        )
+        self._uplink = relay.Uplink(
+            identity=identity,
+            configuration_task=self._configurations,
+            member_task=self._members,
+            candidates=lambda backups: [*backups, *settings.seed_addresses],
+            own_target_ids=lambda: self._local_api.target_ids,
+            callbacks=callbacks,
+            on_position=self._relay.set_position,
+            random=random.Random(),
+        )
+
+    @property
+    def configuration(self) -> configuration_module.Configuration:
+        """Returns the configuration in force on this daemon."""
+        return self._configurations.configuration
+
+    async def run(self, stopping: asyncio.Event) -> None:
+        """Serves until the event is set, then shuts down gracefully.
+
+        Args:
+            stopping: Set to ask for the shutdown.
+
+        Raises:
+            exceptions.SettingsError: An address of the settings is in use.
+        """
+        settings = self.settings
+        self._configurations.subscribe(self._configuration_changed)
+        self._members.subscribe(self._members_changed)
+        async with contextlib.AsyncExitStack() as stack:
+            stack.push_async_callback(self._platform.close)
+            stack.callback(self._traffic.close)
+            tasks = await stack.enter_async_context(_Tasks())
+            tasks.start('configuration', self._configurations.run())
+            tasks.start('members', self._members.run())
+            await self._listen(stack)
+            await self._relay.start(settings.control_address)
+            stack.push_async_callback(self._relay.close)
+            tasks.start('upkeep', self._upkeep())
+            if settings.control_address in settings.seed_addresses[:1]:
+                tasks.start('follow', self._follow())
+            else:
+                tasks.start('uplink', self._uplink.run())
+            self.events.emit('startup', daemon_id=settings.daemon_id)
+            logger.info('event=daemon_started boot={}', self._boot_id)
+            await tasks.wait_for(stopping)
+            await self._drain()
+            self.events.emit('shutdown', daemon_id=settings.daemon_id)
+        logger.info('event=daemon_stopped')
+
+    async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
+        settings = self.settings
+        self._proxy_factory = http_server.HttpServerFactory(self._proxy.handle)
+        self._admission_factory = http_server.HttpServerFactory(
+            self._admission.handle
+        )
+        for setting, factory in (
+            ('proxy_address', self._proxy_factory),
+            ('admission_address', self._admission_factory),
+            (
+                'local_address',
+                http_server.HttpServerFactory(self._local_api.handle),
+            ),
+            (
+                'administration_address',
+                admin.BoundedSite(
+                    admin.make_resource(self, settings.administration_token)
+                ),
+            ),
+        ):
+            address = getattr(settings, setting)
+            await listeners.listen(
+                stack, self._reactor, setting, address, factory
+            )
+
+    async def _drain(self) -> None:
+        deadline = time.monotonic() + self.settings.drain_timeout_s
+        logger.info('event=drain_started')
+        self.events.emit('drain', daemon_id=self.settings.daemon_id)
+        for target_id in self._local_api.target_ids:
+            self._local_api.drain(target_id)
+        await asyncio.gather(
+            self._proxy.drain(deadline), self._admission.drain(deadline)
+        )
+        self._proxy_factory.drain()
+        self._admission_factory.drain()
+
+    async def _follow(self) -> None:
+        """Follows the change log of the platform as a root."""
+        self._relay.set_position(relay.Position(root=True, rooted=True))
+        loaded = await self.change_log.load()
+        self._configurations.post(configuration_task.SnapshotReceived(loaded))
+        async for change in self.change_log.follow(loaded):
+            self._configurations.post(
+                configuration_task.ChangesReceived([change])
+            )
+
+    async def _upkeep(self) -> None:
+        while True:
+            await asyncio.sleep(EVIDENCE_INTERVAL_S)
+            self._local_api.expire()
+            records = self._recorder.take(time.time())
+            self._evidence_store.merge(records, time.time())
+
+    def _configuration_changed(
+        self,
+        configuration: configuration_module.Configuration,
+        changes: Sequence[model.Change],
+    ) -> None:
+        self._traffic.configuration_changed(configuration)
+        self._proxy.routing = self._traffic
+        self.metrics.configuration_version.set({}, configuration.version)
+        now = time.time()
+        for change in changes:
+            self.metrics.convergence_seconds.observe(
+                {}, max(0.0, now - change.written_at)
+            )
+        self.events.emit(
+            'configuration_applied',
+            applied=configuration,
+            changes=list(changes),
+        )
+        for change in changes:
+            rollout = configuration.rollouts_by_selector.get(change.name)
+            if rollout is not None:
+                self.events.emit('rollout_changed', rollout=rollout)
+
+    def _members_changed(self, targets: list[model.Target]) -> None:
+        self._traffic.members_changed(targets)
+        self.events.emit('members_changed', targets=targets)
+
+    def _receive_members(self, targets: list[model.Target]) -> None:
+        self._members.post(membership_task.MembersReceived(targets=targets))
+
+    def _receive_suspicions(
+        self, suspicions: list[control_pb2.Suspicion]
+    ) -> None:
+        self._members.post(
+            membership_task.SuspicionsReceived(
+                suspicions=[
+                    membership.Suspicion(
+                        target_id=s.target_id,
+                        incarnation=s.incarnation,
+                        observer_id=s.observer_id,
+                        reason=s.reason,
+                    )
+                    for s in suspicions
+                ]
+            )
+        )
+        self._uplink.post_suspicions(suspicions)
+
+    def _suspect(self, suspicion: membership.Suspicion) -> None:
+        self._receive_suspicions(
+            [
+                control_pb2.Suspicion(
+                    target_id=suspicion.target_id,
+                    incarnation=suspicion.incarnation,
+                    observer_id=suspicion.observer_id,
+                    reason=suspicion.reason,
+                )
+            ]
+        )
+
+    def _suspect_host(self, daemon_id: str) -> None:
+        """Suspects the targets of a child whose stream broke."""
+        for target in list(self._members.targets_by_id.values()):
+            if target.daemon_id == daemon_id:
+                self._suspect(
+                    membership.Suspicion(
+                        target_id=target.target_id,
+                        incarnation=target.incarnation,
+                        observer_id=self.settings.daemon_id,
+                        reason='stream to its daemon broke',
+                    )
+                )
+
+    def _receive_evidence(self, batches: list[Any]) -> None:
+        self._uplink.post_evidence(batches)
+
+    def status(self) -> dict[str, Any]:
+        """Describes this daemon."""
+        return {
+            'daemon_id': self.settings.daemon_id,
+            'failure_domain': self.settings.failure_domain,
+            'version': self.configuration.version,
+            'role': 'relay' if self._relay.children else 'leaf',
+            'parent': self._uplink.parent_address,
+            'children': self._relay.children,
+            'leases': [],
+            'control_bytes_sent': self._relay.bytes_sent,
+            'loads': self._admission.loads(),
+        }
+
+    def targets(self) -> list[model.Target]:
+        """Returns the targets that this daemon knows."""
+        return list(self._members.targets_by_id.values())
+
+    def explain(self, path: str) -> dict[str, Any]:
+        """Tells how a request for a path would be served."""
+        return traffic.explain(self._traffic, path)
+
+
+class _Tasks:
+    """The running tasks of a daemon; the end of one ends the daemon."""
+
+    def __init__(self):
+        self._tasks: set[asyncio.Task] = set()
+
+    def start(self, name: str, coroutine: Any) -> None:
+        """Starts a task."""
+        self._tasks.add(asyncio.create_task(coroutine, name=name))
+
+    async def wait_for(self, stopping: asyncio.Event) -> None:
+        """Waits for the event.
+
+        Raises:
+            Exception: A task failed first; its error is raised.
+        """
+        stop = asyncio.create_task(stopping.wait())
+        await asyncio.wait(
+            {stop, *self._tasks}, return_when=asyncio.FIRST_COMPLETED
+        )
+        for task in self._tasks:
+            if task.done():
+                stop.cancel()
+                task.result()
+
+    async def __aenter__(self) -> '_Tasks':
+        return self
+
+    async def __aexit__(self, *_) -> None:
+        for task in self._tasks:
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
--- a/hemlockgrade/plugins/timeline_events.py
+++ b/hemlockgrade/plugins/timeline_events.py
@@ -29,7 +29,7 @@
             self._time_line.record(
                 'change_applied',
                 version=change.number,
-                kind=str(change.kind),
+                change=str(change.kind),
                 name=change.name,
                 author=change.author,
                 epoch=change.epoch,
