--- a/hemlockgrade/plugins/timeline_events.py
+++ b/hemlockgrade/plugins/timeline_events.py
@@ -1,5 +1,7 @@
 """Plug-in that writes kernel events to the time line of the daemon."""
 
+import time
+
 from hemlockgrade import configuration
 from hemlockgrade import model
 from hemlockgrade import timeline
@@ -33,6 +35,7 @@
                 name=change.name,
                 author=change.author,
                 epoch=change.epoch,
+                delay_s=round(time.time() - change.written_at, 3),
             )
 
     def on_members_changed(self, targets: list[model.Target]):
