--- a/hemlockgrade/changelog.py
+++ b/hemlockgrade/changelog.py
@@ -12,6 +12,8 @@
 from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Sequence
+import enum
 import random as random_module
 import time
 
@@ -184,9 +186,9 @@
                 CHANGES, change_key(follower.version)
             )
             try:
-                async for stored in watching:
+                async for batch in watching:
                     failures = 0
-                    for change in await follower.accept(_parse(stored)):
+                    for change in await follower.accept(batch):
                         yield change
             except exceptions.PlatformUnavailableError as error:
                 failures += 1
@@ -255,19 +257,14 @@
             await self._delete_below(CHANGES, change_key(last + 1))
 
     async def check_kept(self, number: int) -> None:
-        """Checks that an entry read or written before is the original one.
+        """Checks that an entry read before this call is the original one.
 
         Raises:
             exceptions.NotFoundError: It may have been deleted before that.
             exceptions.PlatformUnavailableError: The platform did not answer.
         """
-        index, _ = await self._read_index()
-        if number <= index.trimmed_to:
-            raise exceptions.NotFoundError(
-                f'change {number} is no longer kept, the newest snapshot is '
-                f'version {index.version}',
-                remedy='load the log again',
-            )
+        if not await self._is_kept(number):
+            raise _not_kept(number)
 
     async def read_from(self, number: int) -> list[model.Change]:
         """Reads the changes from a number to the end of the log.
@@ -289,15 +286,11 @@
 
     async def _create(self, change: model.Change, deadline: float) -> bool:
         """Creates an entry; returns False if another writer has its number."""
-        attempt = _Attempt(
-            change=change, started_at=self._monotonic(), deadline=deadline
-        )
+        attempt = _Attempt(change=change, started_at=self._monotonic())
         while True:
             try:
-                won = await self._try_create(attempt)
-                if won:
-                    await self._check_own(attempt)
-                return won
+                result = await self._try_create(attempt)
+                break
             except exceptions.PlatformUnavailableError as error:
                 attempt.failures += 1
                 if not error.outcome_known:
@@ -307,48 +300,48 @@
                 if self._monotonic() >= deadline:
                     raise _unknown_outcome(change) from error
                 await self._pause(attempt.failures)
-
-    async def _try_create(self, attempt: '_Attempt') -> bool:
+        if result is not _Result.TRIMMED:
+            return result is _Result.OWN
+        duration_s = self._monotonic() - attempt.started_at
+        if attempt.in_doubt and duration_s >= MIN_TRIM_DELAY_S:
+            # It may have been accepted and trimmed before it was read back.
+            raise _unknown_outcome(change)
+        if attempt.in_doubt:
+            await self._remove_misplaced(change)
+        raise _too_old(change)
+
+    async def _try_create(self, attempt: '_Attempt') -> '_Result':
         key = change_key(attempt.change.number)
-        if attempt.reading:
-            stored = await self._platform.get(key)
-            if stored is not None:
-                return _parse(stored).change_id == attempt.change.change_id
-            attempt.reading = False
-        try:
-            await self._platform.create(
-                key, serialization.to_json(attempt.change)
-            )
-        except exceptions.ConflictError:
-            stored = await self._platform.get(key)
-            if stored is None:
-                await self._raise_trimmed(attempt)
-                return False
-            return _parse(stored).change_id == attempt.change.change_id
-        return True
-
-    async def _check_own(self, attempt: '_Attempt') -> None:
-        """Refuses an own entry that took the place of a deleted one."""
+        stored = await self._platform.get(key) if attempt.reading else None
+        attempt.reading = False
+        if stored is None:
+            try:
+                stored = await self._platform.create(
+                    key, serialization.to_json(attempt.change)
+                )
+            except exceptions.ConflictError:
+                stored = await self._platform.get(key)
+        if stored is None:
+            # Taken a moment ago and absent now: it was deleted.
+            return _Result.TRIMMED
+        if _parse(stored).change_id != attempt.change.change_id:
+            return _Result.OTHER
         # From here on a failed call leaves the outcome open.
         attempt.in_doubt = attempt.reading = True
-        number = attempt.change.number
-        try:
-            await self.check_kept(number)
-        except exceptions.NotFoundError as error:
-            if self._monotonic() - attempt.started_at >= MIN_TRIM_DELAY_S:
-                # The entry may have been accepted long before this check.
-                raise _unknown_outcome(attempt.change) from error
-            await self._delete(change_key(number), 1)
-            raise _too_old(attempt.change) from error
-
-    async def _raise_trimmed(self, attempt: '_Attempt') -> None:
-        """Ends an attempt at a number that was taken and then deleted."""
+        kept = await self._is_kept(attempt.change.number)
+        return _Result.OWN if kept else _Result.TRIMMED
+
+    async def _remove_misplaced(self, change: model.Change) -> None:
+        """Deletes an own entry that took the place of a deleted one."""
         try:
-            await self.check_kept(attempt.change.number)
-        except exceptions.NotFoundError as error:
-            if attempt.in_doubt:
-                raise _unknown_outcome(attempt.change) from error
-            raise _too_old(attempt.change) from error
+            await self._delete(change_key(change.number), 1)
+        except exceptions.PlatformUnavailableError as error:
+            # Readers ignore the entry and the next trim deletes it.
+            logger.info(
+                'event=misplaced_change_left number={} error={!r}',
+                change.number,
+                str(error),
+            )
 
     async def _catch_up(
         self,
@@ -357,10 +350,8 @@
     ) -> configuration_module.Configuration:
         """Applies newer changes, unless they rule out the draft."""
         newer = await self.read_from(configuration.version + 1)
-        try:
-            await self.check_kept(configuration.version + 1)
-        except exceptions.NotFoundError as error:
-            raise _too_old(draft) from error
+        if not await self._is_kept(configuration.version + 1):
+            raise _too_old(draft)
         for change in newer:
             configuration = configuration_module.apply(configuration, change)
             _check_epoch(configuration, draft)
@@ -374,6 +365,10 @@
                 )
         return configuration
 
+    async def _is_kept(self, number: int) -> bool:
+        index, _ = await self._read_index()
+        return number > index.trimmed_to
+
     async def _read_index(self) -> tuple[SnapshotIndex, int | None]:
         stored = await self._platform.get(LATEST_SNAPSHOT)
         if stored is None:
@@ -421,6 +416,14 @@
         await asyncio.sleep(delay_s * self._random.uniform(0.5, 1.0))
 
 
+class _Result(enum.Enum):
+    """Who has the number that a writer tried to take."""
+
+    OWN = enum.auto()
+    OTHER = enum.auto()
+    TRIMMED = enum.auto()
+
+
 @attrs.define(kw_only=True)
 class _Attempt:
     """The state of one entry's creation.
@@ -428,15 +431,13 @@
     Attributes:
         change: The entry.
         started_at: Seconds of the monotonic clock before the first call.
-        deadline: Seconds of the monotonic clock.
-        in_doubt: True if a call whose answer was lost may have created it.
+        in_doubt: True if the entry may exist.
         reading: True if the entry is to be read before the next create.
         failures: Calls that failed.
     """
 
     change: model.Change
     started_at: float
-    deadline: float
     in_doubt: bool = False
     reading: bool = False
     failures: int = 0
@@ -448,32 +449,28 @@
     def __init__(self, log: ChangeLog, version: int):
         self.version = version
         self._log = log
-        self._checked_at = float('-inf')
 
-    async def accept(self, change: model.Change) -> list[model.Change]:
-        """Returns the changes that follow, up to a watched one."""
-        if change.number <= self.version:
+    async def accept(
+        self, batch: Sequence[platform_api.StoredObject]
+    ) -> list[model.Change]:
+        """Returns the changes that follow, up to the newest watched one."""
+        watched = sorted(map(_parse, batch), key=lambda c: c.number)
+        changes = [c for c in watched if c.number > self.version]
+        if not changes:
             return []
-        changes = [change]
-        if change.number > self.version + 1:
-            changes = await self._log.read_from(self.version + 1)
-        await self._check_kept()
+        first, last = self.version + 1, changes[-1].number
+        complete = _follows(changes, self.version)
+        if not complete:
+            changes = await self._log.read_from(first)
+        # An entry is deleted only when the log has gone on by `KEPT_ENTRIES`,
+        # so that a shorter list cannot hold one that replaced a deleted entry.
+        if not complete or last - first >= KEPT_ENTRIES:
+            await self._log.check_kept(first)
         if not changes:
-            raise exceptions.NotFoundError(
-                f'change {self.version + 1} is missing before change '
-                f'{change.number}',
-                remedy='load the log again',
-            )
+            raise _not_kept(first)
         self.version = changes[-1].number
         return changes
 
-    async def _check_kept(self) -> None:
-        now = asyncio.get_running_loop().time()
-        if now - self._checked_at < MIN_TRIM_DELAY_S:
-            return
-        await self._log.check_kept(self.version + 1)
-        self._checked_at = now
-
 
 def change_key(number: int) -> str:
     """Returns the key of a change."""
@@ -546,6 +543,12 @@
     )
 
 
+def _not_kept(number: int) -> exceptions.NotFoundError:
+    return exceptions.NotFoundError(
+        f'change {number} is no longer kept', remedy='load the log again'
+    )
+
+
 def _too_old(change: model.Change) -> exceptions.ConflictError:
     return exceptions.ConflictError(
         f'change {change.change_id} was made against a version that is older '
--- a/hemlockgrade/platform_api.py
+++ b/hemlockgrade/platform_api.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+from collections.abc import Sequence
 import time
 from typing import Protocol
 
@@ -69,12 +70,16 @@
             exceptions.ConflictError: The object has another version.
         """
 
-    def watch(self, prefix: str, after: str) -> AsyncIterator[StoredObject]:
+    def watch(
+        self, prefix: str, after: str
+    ) -> AsyncIterator[Sequence[StoredObject]]:
         """Yields objects below a prefix whose key sorts after a key.
 
-        Keys of the change log are zero-padded, so that their order is the
-        order of the log. The iterator waits for new objects and ends only
-        by an error or when it is closed.
+        Each sequence holds, in the order of their keys, all objects that sorted
+        after the last one at one moment in the platform. The iterator waits
+        for new objects and ends only by an error or when it is closed. Keys
+        of the change log are zero-padded, so that their order is the order of
+        the log.
         """
 
     async def close(self) -> None:
--- a/hemlockgrade/plugins/http_platform.py
+++ b/hemlockgrade/plugins/http_platform.py
@@ -7,6 +7,7 @@
 
 import asyncio
 from collections.abc import AsyncIterator
+from collections.abc import Sequence
 from typing import Any
 import urllib.parse
 
@@ -144,7 +145,7 @@
 
     async def watch(
         self, prefix: str, after: str
-    ) -> AsyncIterator[platform_api.StoredObject]:
+    ) -> AsyncIterator[Sequence[platform_api.StoredObject]]:
         """Yields objects below a prefix whose key sorts after a key.
 
         Raises:
@@ -158,9 +159,9 @@
                 '/v1/watch?' + urllib.parse.urlencode(query),
                 timeout_s=WATCH_WAIT_S + CALL_TIMEOUT_S,
             )
-            for stored in _decode(body):
-                after = stored.key
-                yield stored
+            if found := _decode(body):
+                after = found[-1].key
+                yield found
 
     async def close(self) -> None:
         """Closes all connections."""
