--- /dev/null
+++ b/features/support/fake_platform.py
@@ -0,0 +1,105 @@
+"""An in-memory platform that fails, loses answers, delays and reorders."""
+
+import asyncio
+import contextlib
+import functools
+
+from hemlockgrade import exceptions
+
+CALL_S = 0.002
+WATCH_POLL_S = 0.01
+# Late requests arrive, and paused processes resume, within this time.
+LONGEST_DELAY_S = 8.0
+
+FAULTS = ('down', 'refused', 'dropped', 'lost', 'late', 'slow', 'paused')
+
+
+class FakePlatform:
+    """One client's view of a store.
+
+    `faults` names what happens to the next calls, `rate` is the probability
+    of a random one for each call after them.
+    """
+
+    def __init__(self, store, random, rate=0.0, faults=()):
+        self.store = store
+        self.rate = rate
+        self.faults = list(faults)
+        self.down_until = 0.0
+        self._random = random
+
+    async def get(self, key):
+        return await self._call(lambda: self.store.get(key), False)
+
+    async def list(self, prefix):
+        return await self._call(lambda: self.store.select(prefix), False)
+
+    async def create(self, key, value):
+        return await self._call(lambda: self.store.put(key, value, None), True)
+
+    async def update(self, key, value, version):
+        return await self._call(
+            lambda: self.store.put(key, value, version), True
+        )
+
+    async def delete(self, key, version):
+        return await self._call(lambda: self.store.delete(key, version), True)
+
+    async def watch(self, prefix, after):
+        while True:
+            select = functools.partial(self.store.select, prefix, after)
+            found = await self._call(select, False)
+            if found:
+                after = found[-1].key
+                self._random.shuffle(found)
+                yield found
+            await asyncio.sleep(WATCH_POLL_S)
+
+    async def close(self):
+        pass
+
+    async def _call(self, effect, write):
+        loop = asyncio.get_running_loop()
+        fault = self._next_fault(write)
+        if fault == 'down':
+            self.down_until = loop.time() + 3.0
+        if fault == 'paused':
+            await self._sleep(LONGEST_DELAY_S)
+        await self._sleep(2 * CALL_S)
+        if loop.time() < self.down_until:
+            raise unavailable(not write or self._random.random() < 0.5)
+        if fault == 'refused':
+            raise unavailable(True)
+        if fault == 'dropped':
+            raise unavailable(not write)
+        if fault == 'late':
+            delay_s = self._random.uniform(0, LONGEST_DELAY_S)
+            loop.call_later(delay_s, apply_late, effect)
+            raise unavailable(False)
+        result = effect()
+        await self._sleep(LONGEST_DELAY_S if fault == 'slow' else 2 * CALL_S)
+        if fault == 'lost':
+            raise unavailable(not write)
+        return result
+
+    def _next_fault(self, write):
+        if self.faults:
+            return self.faults.pop(0)
+        if self._random.random() >= self.rate:
+            return 'ok'
+        fault = self._random.choice(FAULTS)
+        return 'ok' if fault == 'late' and not write else fault
+
+    async def _sleep(self, longest_s):
+        await asyncio.sleep(self._random.uniform(0, longest_s))
+
+
+def apply_late(effect):
+    with contextlib.suppress(exceptions.ConflictError):
+        effect()
+
+
+def unavailable(outcome_known):
+    return exceptions.PlatformUnavailableError(
+        'no answer', remedy='retry', outcome_known=outcome_known
+    )
