--- a/hemlockgrade/distribution.py
+++ b/hemlockgrade/distribution.py
@@ -7,6 +7,7 @@
 from collections.abc import Sequence
 import hashlib
 import random as random_module
+import zlib
 
 import attrs
 
@@ -24,7 +25,13 @@
 MEMBER_BURST_BYTES = 16_000.0
 # Entries of the full table go out in chunks, so that a change can pass them.
 TABLE_CHUNK_ENTRIES = 128
-MAX_REMEMBERED_ENTRIES = 1024
+MAX_REMEMBERED_ENTRIES = 4096
+# 8,200 targets make 32 entries a bucket and 2 KB of digests a subscription.
+DIGEST_BUCKETS = 256
+# Below this size the whole table costs no more than the digests.
+MIN_DIGEST_ENTRIES = 32
+# A longer run of changes costs as much as a full copy.
+MAX_CHEAP_CHANGES = 64
 # Candidates tried one after the other before the next delay.
 MAX_TRIES_PER_ROUND = 4
 MAX_REDIRECTS_PER_ROUND = 24
@@ -243,6 +250,10 @@
             if received != target:
                 self._delta_ids[target.target_id] = None
 
+    def offer_ids(self, target_ids: Iterable[str]) -> None:
+        """Adds entries as deltas, at the bounded rate."""
+        self._delta_ids.update(dict.fromkeys(target_ids))
+
     def offer_table(self, target_ids: Iterable[str]) -> None:
         """Adds entries of the full table, which no rate limits."""
         self._table_ids.update(dict.fromkeys(target_ids))
@@ -288,6 +299,66 @@
         return taken
 
 
+@attrs.define
+class MemberDigest:
+    """Digests of a member table, to find the entries that two sides differ in.
+
+    Every bucket holds the exclusive or of the hashes of its entries, so that
+    a change of one entry costs the same for any size of the table. Entries
+    that are gone are left out, because each side forgets them in its own time.
+    """
+
+    _buckets: list[int] = attrs.field(factory=lambda: [0] * DIGEST_BUCKETS)
+    _hash_by_id: dict[str, int] = attrs.field(factory=dict)
+
+    def update(self, targets: Iterable[model.Target]) -> None:
+        """Takes entries that changed."""
+        for target in targets:
+            target_id = target.target_id
+            index = bucket_of(target_id)
+            self._buckets[index] ^= self._hash_by_id.pop(target_id, 0)
+            if target.state is model.MemberState.GONE:
+                continue
+            entry = _entry_hash(target)
+            self._hash_by_id[target_id] = entry
+            self._buckets[index] ^= entry
+
+    def values(self) -> list[int]:
+        """Returns the digests, or nothing for a small table."""
+        if len(self._hash_by_id) < MIN_DIGEST_ENTRIES:
+            return []
+        return list(self._buckets)
+
+    def differing(
+        self,
+        other: Sequence[int],
+        targets_by_id: Mapping[str, model.Target],
+    ) -> list[str]:
+        """Returns the entries in buckets that differ from another table's.
+
+        Args:
+            other: Digests of the other side; none asks for all entries.
+            targets_by_id: The own table.
+        """
+        if len(other) != DIGEST_BUCKETS:
+            return list(targets_by_id)
+        differs = [a != b for a, b in zip(self._buckets, other, strict=True)]
+        if not any(differs):
+            return []
+        return [i for i in targets_by_id if differs[bucket_of(i)]]
+
+
+def bucket_of(target_id: str) -> int:
+    """Returns the index of the digest that covers a target."""
+    return zlib.crc32(target_id.encode()) % DIGEST_BUCKETS
+
+
+def _entry_hash(target: model.Target) -> int:
+    text = f'{target.target_id}\0{target.incarnation}\0{int(target.state)}'
+    digest = hashlib.blake2b(text.encode(), digest_size=8).digest()
+    return int.from_bytes(digest, 'big')
+
+
 @attrs.define
 class ParentSearch:
     """Chooses the next address to subscribe to.
@@ -382,40 +453,64 @@
     control_address: str
 
 
-def rendezvous_order(
-    key: str, relays: Iterable[KnownRelay]
-) -> list[KnownRelay]:
-    """Orders relays by the hash of a key with each of them, highest first.
+def rendezvous_order(key: str, addresses: Iterable[str]) -> list[str]:
+    """Orders addresses by the hash of a key with each, highest first.
 
     Rendezvous hashing after Thaler and Ravishankar, "Using name-based
     mappings to increase hit rates", 1998.
     """
     return sorted(
-        relays, key=lambda r: (_weight(key, r.daemon_id), r.daemon_id)
-    )[::-1]
+        set(addresses), key=lambda a: (_weight(key, a), a), reverse=True
+    )
 
 
 def parent_order(
     backups: Sequence[str],
     relays: Iterable[KnownRelay],
-    own_id: str,
+    own_address: str,
     failure_domain: str,
 ) -> list[str]:
-    """Returns the addresses to try, without duplicates.
+    """Returns the addresses to try, without duplicates and the own one.
 
-    Backups come first, then the known relays of the own failure domain in
-    their common rendezvous order, so that daemons without a root agree on
-    the first one without talking to each other.
+    Backups come first, in an order of the subscriber's own, so that the
+    children of a lost relay spread over them. The known relays of the own
+    failure domain follow in their common rendezvous order, so that daemons
+    without a root agree on the first one without talking to each other.
     """
-    ordered = rendezvous_order(
-        failure_domain,
-        (r for r in relays if r.failure_domain == failure_domain),
-    )
-    own = {r.control_address for r in ordered if r.daemon_id == own_id}
-    addresses = [*backups, *(r.control_address for r in ordered)]
-    return [a for a in dict.fromkeys(addresses) if a and a not in own]
-
-
-def _weight(key: str, daemon_id: str) -> bytes:
-    text = f'{key}\0{daemon_id}'.encode()
+    known = [
+        r.control_address for r in relays if r.failure_domain == failure_domain
+    ]
+    addresses = [
+        *rendezvous_order(own_address, backups),
+        *rendezvous_order(failure_domain, known),
+    ]
+    return [a for a in dict.fromkeys(addresses) if a and a != own_address]
+
+
+def peer_order(
+    own: KnownRelay, roots: Iterable[KnownRelay]
+) -> dict[str, list[str]]:
+    """Returns the roots to keep a peer stream to, by name of the stream.
+
+    A root keeps one stream to each other root of its failure domain and
+    one to each other domain, which moves along the domain's roots when one
+    fails: 12 streams for 11 domains of 3 roots, where a full mesh has 32.
+
+    Returns:
+        Addresses to try, in order, by the name of the stream.
+    """
+    others = [r for r in roots if r.control_address != own.control_address]
+    addresses_by_stream: dict[str, list[str]] = {}
+    for root in others:
+        local = root.failure_domain == own.failure_domain
+        name = root.control_address if local else root.failure_domain
+        addresses_by_stream.setdefault(name, []).append(root.control_address)
+    return {
+        name: rendezvous_order(own.control_address, addresses)
+        for name, addresses in addresses_by_stream.items()
+    }
+
+
+def _weight(key: str, address: str) -> bytes:
+    text = f'{key}\0{address}'.encode()
     return hashlib.blake2b(text, digest_size=8).digest()
--- a/hemlockgrade/relay.py
+++ b/hemlockgrade/relay.py
@@ -1,76 +1,52 @@
-"""Control streams between daemons: the relay, and the link to its parent."""
+"""Control streams between daemons: relays, uplinks and root relays."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterable
 from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
+import enum
 import random as random_module
 import time
 from typing import Any
 from typing import Protocol
 
 import attrs
-import cattrs
 import grpc
 from loguru import logger
-import orjson
 
+from hemlockgrade import configuration as configuration_module
 from hemlockgrade import configuration_task as configuration_task_module
+from hemlockgrade import control_stream
 from hemlockgrade import distribution
+from hemlockgrade import exceptions
 from hemlockgrade import model
 from hemlockgrade import wire_messages
 from hemlockgrade.wire import control_pb2
 from hemlockgrade.wire import control_pb2_grpc
 
-HEARTBEAT_INTERVAL_S = 0.5
-MEMBER_INTERVAL_S = 0.2
-# Three heartbeats; a parent that misses them is taken for lost.
-PARENT_SILENCE_S = 1.5
 # Longer than the parent's bound, because it raises suspicion against targets.
 CHILD_SILENCE_S = 3.0
 HELLO_TIMEOUT_S = 2.0
-ANSWER_TIMEOUT_S = 1.0
+# Changes of siblings alone are told at this rate, so that the arrival of a
+# domain's daemons does not cause a message to each of them for each other.
+WELCOME_INTERVAL_S = 1.0
 # A subscription that lasted so long ends the row of failures.
 STABLE_AFTER_S = 2.0
-RESYNC_INTERVAL_S = 0.5
 # A parent without a path to a root is left after this time.
 UNROOTED_LIMIT_S = 3.0
-LEAVE_TIMEOUT_S = 0.2
-MAX_PENDING_REPORTS = 4096
-MAX_MESSAGE_BYTES = 16 * 1024 * 1024
-
-CHANNEL_OPTIONS = (
-    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
-    ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
-    ('grpc.enable_http_proxy', 0),
-    # A new attempt must not wait for the back-off of an earlier one.
-    ('grpc.use_local_subchannel_pool', 1),
-)
-SERVER_OPTIONS = (
-    ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
-    ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
-    ('grpc.so_reuseport', 0),
-)
-DECODE_ERRORS = (
-    cattrs.BaseValidationError,
-    orjson.JSONDecodeError,
-    ValueError,
-)
-
-
-class MemberView(Protocol):
-    """What the streams need of the member task."""
+# How long an address that did not answer is taken for unreachable.
+UNREACHABLE_FOR_S = 30.0
+DRAIN_TIMEOUT_S = 1.0
+# A root that a peer overtakes for this time asks the peer for the changes.
+LAG_LIMIT_S = 1.0
+MIN_FOLLOW_DELAY_S = 0.1
+MAX_FOLLOW_DELAY_S = 2.0
 
-    @property
-    def targets_by_id(self) -> Mapping[str, model.Target]:
-        """The member table."""
 
-    def subscribe(
-        self, callback: Callable[[Sequence[model.Target]], None]
-    ) -> Any:
-        """Calls back with the entries that changed."""
+Reply = Callable[[Sequence[model.Target]], None]
 
 
 def _ignore(*_: Any) -> None:
@@ -82,16 +58,20 @@
     """Receivers of what other daemons send.
 
     Attributes:
-        members: Called with the entries that arrived.
+        members: Called with the entries that arrived and a function that
+            sends entries back which override them.
         suspicions: Called with the `control_pb2.Suspicion` that arrived.
         evidence: Called with the `control_pb2.Evidence` that arrived.
         child_lost: Called with the identifier of a child whose stream broke.
+        domain_link: Called on a root with a failure domain and whether the
+            peer stream to it stands.
     """
 
-    members: Callable[[list[model.Target]], None] = _ignore
+    members: Callable[[list[model.Target], Reply], None] = _ignore
     suspicions: Callable[[list[control_pb2.Suspicion]], None] = _ignore
     evidence: Callable[[list[control_pb2.Evidence]], None] = _ignore
     child_lost: Callable[[str], None] = _ignore
+    domain_link: Callable[[str, bool], None] = _ignore
 
 
 @attrs.frozen(kw_only=True)
@@ -128,8 +108,35 @@
     sibling_addresses: tuple[str, ...] = ()
 
 
-class _StreamEndedError(Exception):
-    """A stream is over; the message is the reason for the log."""
+class Origin(enum.Enum):
+    """Where a report came from, which decides how far it goes."""
+
+    SUBTREE = 'subtree'
+    OWN_DOMAIN = 'own_domain'
+    OTHER_DOMAIN = 'other_domain'
+
+
+class Upstream(Protocol):
+    """Takes what a relay received on its way to the roots."""
+
+    def post_suspicions(
+        self,
+        suspicions: Iterable[control_pb2.Suspicion],
+        origin: Origin = Origin.SUBTREE,
+    ) -> None:
+        """Sends suspicions on."""
+
+    def post_evidence(
+        self,
+        evidence: Iterable[control_pb2.Evidence],
+        origin: Origin = Origin.SUBTREE,
+    ) -> None:
+        """Sends evidence on."""
+
+    def members_received(
+        self, targets: Sequence[model.Target], origin: Origin
+    ) -> None:
+        """Notes entries that arrived, to decide on their way."""
 
 
 @attrs.define(eq=False)
@@ -137,15 +144,15 @@
     """One subscriber's stream on the relay's side."""
 
     hello: control_pb2.Hello
-    now: float
     sent_version: int | None = None
     members: distribution.MemberOutbox = attrs.field(
         factory=distribution.MemberOutbox
     )
     wake: asyncio.Event = attrs.field(factory=asyncio.Event)
-    task: asyncio.Task | None = None
-    ended: str = ''
+    reader: asyncio.Task | None = None
+    end_reason: str = ''
     last_welcome: control_pb2.Welcome | None = None
+    welcome_at: float = 0.0
     last_write_at: float = 0.0
     members_at: float = 0.0
     table_was_sent: bool = False
@@ -154,8 +161,22 @@
     def is_peer(self) -> bool:
         return self.hello.role == control_pb2.PEER_ROOT
 
+    @property
+    def key(self) -> tuple[int, str]:
+        return self.hello.role, self.hello.daemon_id
+
     def end(self, reason: str) -> None:
-        self.ended = self.ended or reason
+        self.end_reason = self.end_reason or reason
+        self.wake.set()
+
+    def abort(self, reason: str) -> None:
+        """Ends the stream even if a write to it waits for the other side."""
+        self.end(reason)
+        if self.reader is not None:
+            self.reader.cancel()
+
+    def offer_back(self, targets: Sequence[model.Target]) -> None:
+        self.members.offer_ids(t.target_id for t in targets)
         self.wake.set()
 
 
@@ -171,11 +192,21 @@
         *,
         identity: Identity,
         configuration_task: configuration_task_module.ConfigurationTask,
-        member_task: MemberView,
+        member_task: control_stream.MemberView,
         callbacks: Callbacks | None = None,
         max_children: int = distribution.MAX_CHILDREN,
         clock: Callable[[], float] = time.monotonic,
     ):
+        """Prepares the server; `start` serves.
+
+        Args:
+            identity: The daemon; without a control address, the one bound.
+            configuration_task: Source of changes and snapshots.
+            member_task: The member table; its changes go down.
+            callbacks: Receives what the children send.
+            max_children: Most children that are admitted.
+            clock: Monotonic time in seconds.
+        """
         self._identity = identity
         self._configuration_task = configuration_task
         self._member_task = member_task
@@ -184,10 +215,14 @@
         self._children = distribution.ChildTable(max_children)
         self._sessions_by_key: dict[tuple[int, str], _Session] = {}
         self._position = Position()
+        self._upstream: Upstream | None = None
         self._server: grpc.aio.Server | None = None
         self._closing = False
         self._encoded_by_range: dict[tuple[int, int], Any] = {}
+        self._digest = distribution.MemberDigest()
+        self._digest.update(member_task.targets_by_id.values())
         self._unsubscribe: Callable[[], None] = _ignore
+        member_task.subscribe(self._members_changed)
         self.bytes_sent = 0
 
     @property
@@ -207,7 +242,7 @@
         Raises:
             RuntimeError: The address cannot be bound.
         """
-        server = grpc.aio.server(options=SERVER_OPTIONS)
+        server = grpc.aio.server(options=control_stream.SERVER_OPTIONS)
         control_pb2_grpc.add_ControlServicer_to_server(self, server)
         port = server.add_insecure_port(address)
         await server.start()
@@ -215,7 +250,6 @@
         self._unsubscribe = self._configuration_task.subscribe(
             self._configuration_changed
         )
-        self._member_task.subscribe(self._members_changed)
         host = address.rpartition(':')[0]
         if not self._identity.control_address:
             self._identity = attrs.evolve(
@@ -225,7 +259,17 @@
         return port
 
     async def close(self) -> None:
-        """Closes all streams and stops serving."""
+        """Sends the children elsewhere, closes all streams and stops."""
+        self._closing = True
+        for session in self._sessions_by_key.values():
+            session.end('draining')
+        deadline = self._clock() + DRAIN_TIMEOUT_S
+        while self._sessions_by_key and self._clock() < deadline:
+            await asyncio.sleep(0.01)
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Stops at once, as if the process had ended."""
         self._closing = True
         self._unsubscribe()
         self._unsubscribe = _ignore
@@ -237,9 +281,17 @@
         """Tells the children where the relay stands now."""
         if position == self._position:
             return
+        if self._position.root and not position.root:
+            for session in list(self._sessions_by_key.values()):
+                if session.is_peer:
+                    session.abort('no longer a root')
         self._position = position
         self._wake_all()
 
+    def set_upstream(self, upstream: Upstream | None) -> None:
+        """Sets the link that takes reports of the children further up."""
+        self._upstream = upstream
+
     async def Subscribe(self, request_iterator, context):  # noqa: N802
         """Serves one stream; called by gRPC."""
         try:
@@ -262,20 +314,22 @@
     def _refusal(self, hello: control_pb2.Hello) -> Any | None:
         """Returns the redirect for a subscriber that is not admitted."""
         if self._closing:
-            return _redirect(self._position.sibling_addresses, 0.0)
-        if hello.role == control_pb2.PEER_ROOT:
-            return None
+            return _redirect(self._handover_addresses(), 0.0)
         own_path = (*self._position.ancestors, self._identity.daemon_id)
         if hello.daemon_id in own_path:
             # Admitting an ancestor would close a cycle without a root.
             return _redirect(self._position.root_addresses, 0.0)
+        if hello.role == control_pb2.PEER_ROOT:
+            if self._position.root:
+                return None
+            return _redirect(self._position.root_addresses, 0.0)
         missing = self._configuration_task.changes_after(
             hello.configuration_version
         )
         admission = self._children.admit(
             hello.daemon_id,
             hello.control_address,
-            missing is None,
+            missing is None or len(missing) > distribution.MAX_CHEAP_CHANGES,
             self._clock(),
         )
         if admission.admitted:
@@ -288,14 +342,18 @@
         return _redirect(admission.addresses, admission.retry_after_s)
 
     def _open_session(self, hello: control_pb2.Hello) -> _Session:
-        earlier = self._sessions_by_key.get(_session_key(hello))
-        if earlier is not None:
-            earlier.end('replaced')
-        session = _Session(hello=hello, now=self._clock())
+        session = _Session(hello=hello)
         if not session.is_peer:
             session.sent_version = hello.configuration_version
-        session.members.offer_table(self._member_task.targets_by_id)
-        self._sessions_by_key[_session_key(hello)] = session
+        session.members.offer_table(
+            self._digest.differing(
+                hello.member_digests, self._member_task.targets_by_id
+            )
+        )
+        earlier = self._sessions_by_key.get(session.key)
+        if earlier is not None:
+            earlier.abort('replaced')
+        self._sessions_by_key[session.key] = session
         self._wake_all()
         logger.info(
             'event=child_admitted child={} role={} version={}',
@@ -307,28 +365,38 @@
 
     def _close_session(self, session: _Session) -> None:
         daemon_id = session.hello.daemon_id
-        key = _session_key(session.hello)
-        if self._sessions_by_key.get(key) is session:
-            del self._sessions_by_key[key]
+        if self._sessions_by_key.get(session.key) is session:
+            del self._sessions_by_key[session.key]
             if not session.is_peer:
                 self._children.remove(daemon_id)
             self._wake_all()
-        logger.info(
-            'event=child_left child={} reason={}',
-            daemon_id,
-            session.ended or 'stream broken',
-        )
-        lost = session.ended in ('', 'silent')
+        reason = session.end_reason or 'broken'
+        logger.info('event=child_left child={} reason={}', daemon_id, reason)
+        lost = reason in ('broken', 'silent')
         if lost and not self._closing and not session.is_peer:
             self._callbacks.child_lost(daemon_id)
 
     async def _serve(self, session: _Session, context) -> None:
         reader = asyncio.create_task(self._read(session, context))
+        writer = asyncio.create_task(self._write(session, context))
+        session.reader = reader
         try:
-            await self._write(session, context)
+            await asyncio.wait(
+                {reader, writer}, return_when=asyncio.FIRST_COMPLETED
+            )
         finally:
             reader.cancel()
-            await asyncio.gather(reader, return_exceptions=True)
+            writer.cancel()
+            results = await asyncio.gather(
+                reader, writer, return_exceptions=True
+            )
+        for error in results:
+            if isinstance(error, Exception):
+                logger.warning(
+                    'event=child_stream_failed child={} error={!r}',
+                    session.hello.daemon_id,
+                    error,
+                )
 
     async def _read(self, session: _Session, context) -> None:
         try:
@@ -341,43 +409,61 @@
                 self._take(session, message)
         except TimeoutError:
             session.end('silent')
-        except DECODE_ERRORS as error:
+        except control_stream.DECODE_ERRORS as error:
             session.end(f'malformed message: {error!r}')
 
     def _take(self, session: _Session, message: control_pb2.Upward) -> None:
         body = message.WhichOneof('body')
+        origin = self._origin(session)
         if body == 'members':
             targets = wire_messages.decode_members(message.members)
             session.members.note_received(targets)
-            self._callbacks.members(targets)
+            if self._upstream is not None:
+                self._upstream.members_received(targets, origin)
+            self._callbacks.members(targets, session.offer_back)
         elif body == 'suspicions':
-            self._callbacks.suspicions(list(message.suspicions.suspicions))
+            suspicions = list(message.suspicions.suspicions)
+            if self._upstream is not None:
+                self._upstream.post_suspicions(suspicions, origin)
+            self._callbacks.suspicions(suspicions)
         elif body == 'evidence':
-            self._callbacks.evidence(list(message.evidence.evidence))
+            evidence = list(message.evidence.evidence)
+            if self._upstream is not None:
+                self._upstream.post_evidence(evidence, origin)
+            self._callbacks.evidence(evidence)
         elif body == 'resync':
             after = message.resync.after_version
             sent = session.sent_version
             session.sent_version = after if sent is None else min(sent, after)
             session.wake.set()
 
+    def _origin(self, session: _Session) -> Origin:
+        if not session.is_peer:
+            return Origin.SUBTREE
+        if session.hello.failure_domain == self._identity.failure_domain:
+            return Origin.OWN_DOMAIN
+        return Origin.OTHER_DOMAIN
+
     async def _write(self, session: _Session, context) -> None:
-        session.members_at = self._clock()
-        while not session.ended:
+        while not session.end_reason:
             session.wake.clear()
             await self._write_welcome(session, context)
             await self._write_changes(session, context)
-            now = self._clock()
             if session.members.has_table or not session.table_was_sent:
                 await self._write_table(session, context)
                 continue
+            now = self._clock()
             if session.members.has_deltas and now >= session.members_at:
                 await self._write_deltas(session, context)
-            if now >= session.last_write_at + HEARTBEAT_INTERVAL_S:
+            if now >= _heartbeat_at(session):
                 await self._send(session, context, self._heartbeat())
             await self._wait(session)
+        if session.end_reason == 'draining':
+            redirect = _redirect(self._handover_addresses(), 0.0)
+            await self._send(session, context, redirect)
 
     async def _wait(self, session: _Session) -> None:
-        until = session.last_write_at + HEARTBEAT_INTERVAL_S
+        until = _heartbeat_at(session)
         if session.members.has_deltas:
             until = min(until, session.members_at)
         with contextlib.suppress(TimeoutError):
@@ -390,24 +476,32 @@
         session.last_write_at = self._clock()
 
     async def _write_welcome(self, session: _Session, context) -> None:
+        now = self._clock()
+        last = session.last_welcome
         welcome = self._welcome(session)
-        if welcome == session.last_welcome:
-            return
+        if last is not None:
+            if welcome == last:
+                return
+            urgent = (welcome.path, welcome.rooted) != (last.path, last.rooted)
+            if not urgent and now < session.welcome_at:
+                return
         session.last_welcome = welcome
-        await self._send(
-            session, context, control_pb2.Downward(welcome=welcome)
-        )
+        session.welcome_at = now + WELCOME_INTERVAL_S
+        message = control_pb2.Downward(welcome=welcome)
+        if last is None:
+            message.welcome.member_digests.extend(self._digest.values())
+        await self._send(session, context, message)
 
     async def _write_changes(self, session: _Session, context) -> None:
-        if session.sent_version is None:
+        after = session.sent_version
+        if after is None:
             return
         current = self._configuration_task.configuration.version
-        if session.sent_version >= current:
-            return
-        message = self._missing_configuration(session.sent_version, current)
         # A peer root follows the log itself and asks when it lags behind.
-        session.sent_version = None if session.is_peer else current
-        await self._send(session, context, message)
+        session.sent_version = None if session.is_peer else max(after, current)
+        if after < current:
+            message = self._missing_configuration(after, current)
+            await self._send(session, context, message)
 
     def _missing_configuration(self, after: int, current: int) -> Any:
         """Encodes what follows a version, once for all children."""
@@ -438,7 +532,7 @@
 
     async def _write_deltas(self, session: _Session, context) -> None:
         now = self._clock()
-        session.members_at = now + MEMBER_INTERVAL_S
+        session.members_at = now + control_stream.MEMBER_INTERVAL_S
         targets = session.members.take_deltas(
             self._member_task.targets_by_id, wire_messages.member_size, now
         )
@@ -458,11 +552,6 @@
         roots = dict.fromkeys(position.root_addresses)
         if position.root:
             roots[self._identity.control_address] = None
-        siblings = [
-            address
-            for daemon_id, address in self._children.addresses_by_id.items()
-            if address and daemon_id != session.hello.daemon_id
-        ]
         return control_pb2.Welcome(
             relay_id=self._identity.daemon_id,
             root=position.root,
@@ -470,15 +559,30 @@
             rooted=position.rooted,
             backup_addresses=position.sibling_addresses,
             root_addresses=roots,
-            sibling_addresses=siblings,
+            sibling_addresses=self._addresses_without(session),
         )
 
+    def _addresses_without(self, session: _Session) -> list[str]:
+        return [
+            address
+            for daemon_id, address in self._children.addresses_by_id.items()
+            if address and daemon_id != session.hello.daemon_id
+        ]
+
+    def _handover_addresses(self) -> list[str]:
+        position = self._position
+        return [*position.sibling_addresses, *position.root_addresses]
+
     def _configuration_changed(self, configuration, changes) -> None:
         self._encoded_by_range.clear()
         self._wake_all()
 
     def _members_changed(self, targets: Sequence[model.Target]) -> None:
+        self._digest.update(targets)
         for session in self._sessions_by_key.values():
+            # Peer roots push their own changes, see `RootRelay`.
+            if session.is_peer:
+                continue
             session.members.offer(targets)
             session.wake.set()
 
@@ -487,8 +591,8 @@
             session.wake.set()
 
 
-def _session_key(hello: control_pb2.Hello) -> tuple[int, str]:
-    return hello.role, hello.daemon_id
+def _heartbeat_at(session: _Session) -> float:
+    return session.last_write_at + control_stream.HEARTBEAT_INTERVAL_S
 
 
 def _redirect(addresses: Iterable[str], retry_after_s: float) -> Any:
@@ -499,240 +603,6 @@
     )
 
 
-@attrs.define
-class ReportOutbox:
-    """Suspicions and evidence that wait for a stream.
-
-    Evidence of one window is added up, so that a relay sends one report for
-    its whole subtree. Reports are forgotten once written: counting evidence
-    twice would mislead a judgement, losing some only delays it.
-    """
-
-    _suspicions_by_key: dict[tuple, control_pb2.Suspicion] = attrs.field(
-        factory=dict
-    )
-    _evidence_by_key: dict[tuple, control_pb2.Evidence] = attrs.field(
-        factory=dict
-    )
-
-    def add_suspicions(
-        self, suspicions: Iterable[control_pb2.Suspicion]
-    ) -> None:
-        """Adds suspicions; a repeated one is kept once."""
-        for suspicion in suspicions:
-            key = (
-                suspicion.target_id,
-                suspicion.incarnation,
-                suspicion.observer_id,
-            )
-            self._suspicions_by_key[key] = suspicion
-        _drop_oldest(self._suspicions_by_key)
-
-    def add_evidence(self, evidence: Iterable[control_pb2.Evidence]) -> None:
-        """Adds evidence to what is held of the same window."""
-        for item in evidence:
-            key = (item.selector, item.version, item.route, item.window)
-            held = self._evidence_by_key.get(key)
-            if held is None:
-                held = self._evidence_by_key[key] = control_pb2.Evidence()
-                held.CopyFrom(item)
-                continue
-            held.requests += item.requests
-            held.errors += item.errors
-            _add_buckets(held, item)
-        _drop_oldest(self._evidence_by_key)
-
-    def take(self) -> list[control_pb2.Upward]:
-        """Removes everything and returns it as messages."""
-        messages = []
-        if self._suspicions_by_key:
-            batch = control_pb2.SuspicionBatch(
-                suspicions=self._suspicions_by_key.values()
-            )
-            messages.append(control_pb2.Upward(suspicions=batch))
-        if self._evidence_by_key:
-            evidence = control_pb2.EvidenceBatch(
-                evidence=self._evidence_by_key.values()
-            )
-            messages.append(control_pb2.Upward(evidence=evidence))
-        self._suspicions_by_key.clear()
-        self._evidence_by_key.clear()
-        return messages
-
-    def put_back(self, message: control_pb2.Upward) -> None:
-        """Adds a message again that could not be written."""
-        self.add_suspicions(message.suspicions.suspicions)
-        self.add_evidence(message.evidence.evidence)
-
-
-def _add_buckets(
-    held: control_pb2.Evidence, item: control_pb2.Evidence
-) -> None:
-    count = max(len(held.latency_buckets), len(item.latency_buckets))
-    sums = [0] * count
-    for buckets in (held.latency_buckets, item.latency_buckets):
-        for index, value in enumerate(buckets):
-            sums[index] += value
-    held.latency_buckets[:] = sums
-
-
-def _drop_oldest(by_key: dict) -> None:
-    while len(by_key) > MAX_PENDING_REPORTS:
-        del by_key[next(iter(by_key))]
-
-
-@attrs.frozen(kw_only=True)
-class _End:
-    """How a subscription ended."""
-
-    reason: str
-    admitted: bool = False
-    lasted_s: float = 0.0
-    redirect: control_pb2.Redirect | None = None
-
-
-class _Stream:
-    """One attempt at a subscription, from the subscriber's side."""
-
-    def __init__(
-        self,
-        *,
-        address: str,
-        hello: control_pb2.Hello,
-        member_task: MemberView,
-        members: distribution.MemberOutbox,
-        reports: ReportOutbox,
-        receive: Callable[[control_pb2.Downward], None],
-        clock: Callable[[], float],
-    ):
-        self._address = address
-        self._hello = hello
-        self._member_task = member_task
-        self._members = members
-        self._reports = reports
-        self._receive = receive
-        self._clock = clock
-        self._resync_after: int | None = None
-        self._resync_at = 0.0
-        self._leave_reason = ''
-        self._admitted_at: float | None = None
-
-    def resync(self, after_version: int) -> None:
-        """Asks for the changes after a version, at a bounded rate."""
-        self._resync_after = after_version
-
-    def leave(self, reason: str) -> None:
-        """Ends the subscription at the next message."""
-        self._leave_reason = self._leave_reason or reason
-
-    async def run(self) -> _End:
-        """Subscribes and stays until the stream ends."""
-        async with grpc.aio.insecure_channel(
-            _target(self._address), options=CHANNEL_OPTIONS
-        ) as channel:
-            call = control_pb2_grpc.ControlStub(channel).Subscribe()
-            writer = asyncio.create_task(self._write(call))
-            try:
-                return await self._read(call)
-            except _StreamEndedError as error:
-                return self._end(str(error))
-            except TimeoutError:
-                return self._end('silent')
-            except grpc.aio.AioRpcError as error:
-                return self._end(error.code().name.lower())
-            except asyncio.CancelledError:
-                current = asyncio.current_task()
-                if current is not None and current.cancelling():
-                    raise
-                return self._end('cancelled')
-            except DECODE_ERRORS as error:
-                logger.error(
-                    'event=malformed_message parent={} error={!r}',
-                    self._address,
-                    error,
-                )
-                return self._end('malformed message')
-            finally:
-                writer.cancel()
-                await asyncio.gather(writer, return_exceptions=True)
-                await _half_close(call)
-                call.cancel()
-
-    def _end(self, reason: str) -> _End:
-        if self._admitted_at is None:
-            return _End(reason=reason)
-        lasted = self._clock() - self._admitted_at
-        return _End(reason=reason, admitted=True, lasted_s=lasted)
-
-    async def _read(self, call) -> _End:
-        limit = ANSWER_TIMEOUT_S
-        while True:
-            async with asyncio.timeout(limit):
-                message = await call.read()
-            if message is grpc.aio.EOF:
-                return self._end('closed')
-            body = message.WhichOneof('body')
-            if body == 'redirect':
-                return _End(reason='redirected', redirect=message.redirect)
-            if body == 'welcome' and self._admitted_at is None:
-                self._admitted_at = self._clock()
-                limit = PARENT_SILENCE_S
-            self._receive(message)
-            if self._leave_reason:
-                raise _StreamEndedError(self._leave_reason)
-
-    async def _write(self, call) -> None:
-        await call.write(control_pb2.Upward(hello=self._hello))
-        written_at = self._clock()
-        while True:
-            await asyncio.sleep(MEMBER_INTERVAL_S)
-            if self._admitted_at is None:
-                continue
-            messages = self._outgoing()
-            if not messages:
-                if self._clock() < written_at + HEARTBEAT_INTERVAL_S:
-                    continue
-                messages = [self._heartbeat()]
-            for message in messages:
-                try:
-                    await call.write(message)
-                except BaseException:
-                    self._reports.put_back(message)
-                    raise
-            written_at = self._clock()
-
-    def _outgoing(self) -> list[control_pb2.Upward]:
-        messages = []
-        now = self._clock()
-        if self._resync_after is not None and now >= self._resync_at:
-            self._resync_at = now + RESYNC_INTERVAL_S
-            resync = control_pb2.Resync(after_version=self._resync_after)
-            self._resync_after = None
-            messages.append(control_pb2.Upward(resync=resync))
-        targets = self._members.take_table(self._member_task.targets_by_id)
-        targets += self._members.take_deltas(
-            self._member_task.targets_by_id, wire_messages.member_size, now
-        )
-        if targets:
-            batch = wire_messages.encode_members(targets)
-            messages.append(control_pb2.Upward(members=batch))
-        return messages + self._reports.take()
-
-    def _heartbeat(self) -> control_pb2.Upward:
-        return control_pb2.Upward(heartbeat=control_pb2.Heartbeat())
-
-
-async def _half_close(call) -> None:
-    """Lets the relay see an intended end, which raises no suspicion."""
-    with contextlib.suppress(Exception):
-        async with asyncio.timeout(LEAVE_TIMEOUT_S):
-            await call.done_writing()
-
-
-def _target(address: str) -> str:
-    return f'ipv4:{address}'
-
-
 class Uplink:
     """Keeps one subscription to a parent and moves it when the parent fails."""
 
@@ -741,9 +611,8 @@
         *,
         identity: Identity,
         configuration_task: configuration_task_module.ConfigurationTask,
-        member_task: MemberView,
+        member_task: control_stream.MemberView,
         candidates: Callable[[Sequence[str]], Sequence[str]],
-        own_target_ids: Callable[[], Iterable[str]] = tuple,
         callbacks: Callbacks | None = None,
         on_position: Callable[[Position], None] = _ignore,
         random: random_module.Random,
@@ -757,8 +626,6 @@
             member_task: The member table; its changes go up.
             candidates: Returns the addresses to try in order, given the
                 backups that the last parent named.
-            own_target_ids: Returns the targets announced through the daemon
-                or its children, which are sent again on each subscription.
             callbacks: Receives the members that come down.
             on_position: Called when the place in the tree changes.
             random: Source of the jitter.
@@ -768,74 +635,124 @@
         self._configuration_task = configuration_task
         self._member_task = member_task
         self._candidates = candidates
-        self._own_target_ids = own_target_ids
         self._callbacks = callbacks or Callbacks()
         self._on_position = on_position
         self._random = random
         self._clock = clock
         self._members = distribution.MemberOutbox()
-        self._reports = ReportOutbox()
+        self._digest = distribution.MemberDigest()
+        self._digest.update(member_task.targets_by_id.values())
+        self._reports = control_stream.ReportOutbox()
         self._backups: tuple[str, ...] = ()
         self._position = Position()
-        self._stream: _Stream | None = None
+        self._claims_root = False
+        self._stream: control_stream.ControlStream | None = None
         self._unrooted_since: float | None = None
+        self._unreachable_until_by_address: dict[str, float] = {}
         self.parent_address = ''
         self.subscriptions = 0
+        member_task.subscribe(self._members_changed)
 
     @property
     def position(self) -> Position:
         """The place in the tree as the parent described it last."""
         return self._position
 
+    def is_unreachable(self, address: str) -> bool:
+        """Tells whether an address did not answer a short while ago."""
+        until = self._unreachable_until_by_address.get(address)
+        return until is not None and self._clock() < until
+
+    def claim_root(self, claims: bool) -> None:
+        """Serves as a provisional root while there is no rooted parent."""
+        if claims == self._claims_root:
+            return
+        self._claims_root = claims
+        logger.info(
+            'event=provisional_root daemon={} claims={}',
+            self._identity.daemon_id,
+            claims,
+        )
+        if not self.parent_address:
+            self._set_position(self._detached_position())
+
     def post_suspicions(
-        self, suspicions: Iterable[control_pb2.Suspicion]
+        self,
+        suspicions: Iterable[control_pb2.Suspicion],
+        origin: Origin = Origin.SUBTREE,
     ) -> None:
         """Sends suspicions up, now or after the next subscription."""
         self._reports.add_suspicions(suspicions)
 
-    def post_evidence(self, evidence: Iterable[control_pb2.Evidence]) -> None:
+    def post_evidence(
+        self,
+        evidence: Iterable[control_pb2.Evidence],
+        origin: Origin = Origin.SUBTREE,
+    ) -> None:
         """Sends evidence up, now or after the next subscription."""
         self._reports.add_evidence(evidence)
 
+    def members_received(
+        self, targets: Sequence[model.Target], origin: Origin
+    ) -> None:
+        """Does nothing; entries go up when they have changed the table."""
+
     async def run(self) -> None:
         """Keeps the subscription until cancelled."""
-        self._member_task.subscribe(self._members.offer)
         unsubscribe = self._configuration_task.subscribe_gaps(self._gap)
         search = distribution.ParentSearch(self._random)
+        handover: Sequence[str] = ()
         try:
             while True:
                 candidates = self._candidates(self._backups)
-                await asyncio.sleep(search.begin_round(candidates))
-                await self._try_round(search)
+                delay = search.begin_round([*handover, *candidates])
+                if not handover:
+                    await asyncio.sleep(delay)
+                handover = await self._try_round(search)
         finally:
             unsubscribe()
-            self._set_position(Position())
 
-    async def _try_round(self, search: distribution.ParentSearch) -> None:
-        """Tries addresses until a subscription was admitted and has ended."""
+    async def _try_round(
+        self, search: distribution.ParentSearch
+    ) -> Sequence[str]:
+        """Tries addresses until a subscription was admitted and has ended.
+
+        Returns:
+            Where the parent sent its children when it closed.
+        """
         while (address := search.next_address()) is not None:
             end = await self._subscribe(address)
-            if end.redirect is not None:
+            redirect = end.redirect
+            if end.admitted:
+                self._log_loss(address, end)
+                if end.lasted_s >= STABLE_AFTER_S:
+                    search.subscribed()
+                return list(redirect.addresses) if redirect else ()
+            if redirect is not None:
                 search.redirected(
-                    end.redirect.addresses, end.redirect.retry_after_ms / 1000
+                    redirect.addresses, redirect.retry_after_ms / 1000
                 )
                 continue
-            logger.info(
-                'event=parent_lost daemon={} parent={} reason={}',
-                self._identity.daemon_id,
-                address,
-                end.reason,
+            self._log_loss(address, end)
+            self._unreachable_until_by_address[address] = (
+                self._clock() + UNREACHABLE_FOR_S
             )
-            if end.lasted_s >= STABLE_AFTER_S:
-                search.subscribed()
-            if end.admitted:
-                return
+        return ()
+
+    def _log_loss(self, address: str, end: control_stream.StreamEnd) -> None:
+        logger.info(
+            'event=parent_lost daemon={} parent={} admitted={} reason={}',
+            self._identity.daemon_id,
+            address,
+            end.admitted,
+            end.reason,
+        )
 
-    async def _subscribe(self, address: str) -> _End:
+    async def _subscribe(self, address: str) -> control_stream.StreamEnd:
         version = self._configuration_task.configuration.version
-        self._members.offer_table(self._own_target_ids())
+        self._members.offer_ids(self._own_target_ids())
         self._unrooted_since = None
-        self._stream = _Stream(
+        stream = control_stream.ControlStream(
             address=address,
             hello=control_pb2.Hello(
                 daemon_id=self._identity.daemon_id,
@@ -843,6 +760,7 @@
                 control_address=self._identity.control_address,
                 configuration_version=version,
                 role=control_pb2.SUBSCRIBER,
+                member_digests=self._digest.values(),
             ),
             member_task=self._member_task,
             members=self._members,
@@ -850,48 +768,40 @@
             receive=lambda message: self._receive(address, message),
             clock=self._clock,
         )
+        self._stream = stream
         try:
-            return await self._stream.run()
+            return await stream.run()
         finally:
             self._stream = None
             self.parent_address = ''
-            self._set_position(
-                attrs.evolve(self._position, ancestors=(), rooted=False)
-            )
+            self._set_position(self._detached_position())
+
+    def _own_target_ids(self) -> list[str]:
+        """Returns the targets whose announcements this daemon vouches for."""
+        return [
+            target.target_id
+            for target in self._member_task.targets_by_id.values()
+            if target.daemon_id == self._identity.daemon_id
+        ]
 
     def _receive(self, address: str, message: control_pb2.Downward) -> None:
         body = message.WhichOneof('body')
-        if body == 'changes':
-            self._configuration_task.post(
-                configuration_task_module.ChangesReceived(
-                    wire_messages.decode_changes(message.changes)
-                )
-            )
-        elif body == 'snapshot':
-            self._configuration_task.post(
-                configuration_task_module.SnapshotReceived(
-                    wire_messages.decode_snapshot(message.snapshot)
-                )
-            )
+        if body == 'welcome':
+            self._welcomed(address, message.welcome)
         elif body == 'members':
             targets = wire_messages.decode_members(message.members)
             self._members.note_received(targets)
-            self._callbacks.members(targets)
-        elif body == 'welcome':
-            self._welcomed(address, message.welcome)
+            self._callbacks.members(targets, self._offer_back)
+        else:
+            _post_configuration(self._configuration_task, message)
         self._check_rooted()
 
+    def _offer_back(self, targets: Sequence[model.Target]) -> None:
+        self._members.offer_ids(t.target_id for t in targets)
+
     def _welcomed(self, address: str, welcome: control_pb2.Welcome) -> None:
         if not self.parent_address:
-            self.subscriptions += 1
-            self.parent_address = address
-            logger.info(
-                'event=parent_found daemon={} parent={} depth={} rooted={}',
-                self._identity.daemon_id,
-                address,
-                len(welcome.path),
-                welcome.rooted,
-            )
+            self._admitted(address, welcome)
         if self._identity.daemon_id in welcome.path:
             # The parent has become a descendant of this daemon.
             self._leave('cycle')
@@ -908,6 +818,29 @@
             )
         )
 
+    def _admitted(self, address: str, welcome: control_pb2.Welcome) -> None:
+        self.subscriptions += 1
+        self.parent_address = address
+        self._unreachable_until_by_address.pop(address, None)
+        targets_by_id = self._member_task.targets_by_id
+        differing = self._digest.differing(
+            welcome.member_digests, targets_by_id
+        )
+        # The parent learns of other domains from its roots.
+        self._members.offer_ids(
+            target_id
+            for target_id in differing
+            if targets_by_id[target_id].failure_domain
+            == self._identity.failure_domain
+        )
+        logger.info(
+            'event=parent_found daemon={} parent={} depth={} rooted={}',
+            self._identity.daemon_id,
+            address,
+            len(welcome.path),
+            welcome.rooted,
+        )
+
     def _check_rooted(self) -> None:
         """Leaves a parent that stays without a path to a root."""
         if self._position.rooted:
@@ -916,7 +849,8 @@
         now = self._clock()
         if self._unrooted_since is None:
             self._unrooted_since = now
-        elif now >= self._unrooted_since + UNROOTED_LIMIT_S:
+        limit = 0.0 if self._claims_root else UNROOTED_LIMIT_S
+        if now >= self._unrooted_since + limit:
             self._leave('unrooted')
 
     def _leave(self, reason: str) -> None:
@@ -927,8 +861,426 @@
         if self._stream is not None:
             self._stream.resync(version)
 
+    def _members_changed(self, targets: Sequence[model.Target]) -> None:
+        self._digest.update(targets)
+        self._members.offer(targets)
+
+    def _detached_position(self) -> Position:
+        return Position(
+            rooted=self._claims_root,
+            root=self._claims_root,
+            root_addresses=self._position.root_addresses,
+            sibling_addresses=self._position.sibling_addresses,
+        )
+
     def _set_position(self, position: Position) -> None:
         if position == self._position:
             return
         self._position = position
         self._on_position(position)
+
+
+def _post_configuration(
+    task: configuration_task_module.ConfigurationTask,
+    message: control_pb2.Downward,
+) -> None:
+    """Hands changes or a snapshot to the task; ignores other messages."""
+    body = message.WhichOneof('body')
+    if body == 'changes':
+        task.post(
+            configuration_task_module.ChangesReceived(
+                wire_messages.decode_changes(message.changes)
+            )
+        )
+    elif body == 'snapshot':
+        task.post(
+            configuration_task_module.SnapshotReceived(
+                wire_messages.decode_snapshot(message.snapshot)
+            )
+        )
+
+
+class ChangeSource(Protocol):
+    """What a root needs of the change log."""
+
+    async def load(self) -> configuration_module.Configuration:
+        """Reads the whole configuration."""
+
+    def follow(
+        self, configuration: configuration_module.Configuration
+    ) -> AsyncIterator[model.Change]:
+        """Yields the changes after a configuration as they are appended."""
+
+
+class RootRelay:
+    """Follows the change log and keeps streams to the other roots.
+
+    A root pushes what its subtree sent to each root of its own domain and
+    to one root of each other domain. What came from another domain it
+    passes to the roots of its own domain only, and what came from there it
+    passes no further, so that everything reaches every root once.
+    """
+
+    def __init__(
+        self,
+        *,
+        identity: Identity,
+        change_source: ChangeSource,
+        configuration_task: configuration_task_module.ConfigurationTask,
+        member_task: control_stream.MemberView,
+        callbacks: Callbacks | None = None,
+        on_position: Callable[[Position], None] = _ignore,
+        random: random_module.Random,
+        clock: Callable[[], float] = time.monotonic,
+    ):
+        """Prepares the root; `run` serves as one.
+
+        Args:
+            identity: The daemon, with its control address.
+            change_source: The change log.
+            configuration_task: Receives the changes.
+            member_task: The member table; its changes go to the peers.
+            callbacks: Receives the members that peers send.
+            on_position: Called with the place at the top of the tree.
+            random: Source of the jitter.
+            clock: Monotonic time in seconds.
+        """
+        self._identity = identity
+        self._change_source = change_source
+        self._configuration_task = configuration_task
+        self._member_task = member_task
+        self._callbacks = callbacks or Callbacks()
+        self._on_position = on_position
+        self._random = random
+        self._clock = clock
+        self._roots: tuple[distribution.KnownRelay, ...] = ()
+        self._links_by_name: dict[str, PeerLink] = {}
+        self._group: asyncio.TaskGroup | None = None
+        self._gap_found = asyncio.Event()
+        self._digest = distribution.MemberDigest()
+        self._digest.update(member_task.targets_by_id.values())
+        member_task.subscribe(self._members_changed)
+
+    @property
+    def links_by_name(self) -> Mapping[str, 'PeerLink']:
+        """The peer streams, by address in the own domain or by domain."""
+        return self._links_by_name
+
+    def set_roots(self, roots: Iterable[distribution.KnownRelay]) -> None:
+        """Tells which roots there are now."""
+        self._roots = tuple(roots)
+        if self._group is not None:
+            self._reconcile(self._group)
+
+    def post_suspicions(
+        self,
+        suspicions: Iterable[control_pb2.Suspicion],
+        origin: Origin = Origin.SUBTREE,
+    ) -> None:
+        """Sends suspicions to the other roots."""
+        for link in self._links_for(origin):
+            link.reports.add_suspicions(suspicions)
+
+    def post_evidence(
+        self,
+        evidence: Iterable[control_pb2.Evidence],
+        origin: Origin = Origin.SUBTREE,
+    ) -> None:
+        """Sends evidence to the other roots."""
+        for link in self._links_for(origin):
+            link.reports.add_evidence(evidence)
+
+    def members_received(
+        self, targets: Sequence[model.Target], origin: Origin
+    ) -> None:
+        """Keeps entries of a peer from the streams that have them already."""
+        passed_on = self._links_for(origin)
+        for link in self._links_by_name.values():
+            if link not in passed_on:
+                link.members.note_received(targets)
+
+    async def run(self) -> None:
+        """Serves as a root until cancelled."""
+        unsubscribe = self._configuration_task.subscribe_gaps(
+            lambda _: self._gap_found.set()
+        )
+        try:
+            async with asyncio.TaskGroup() as group:
+                self._group = group
+                self._reconcile(group)
+                group.create_task(self._follow())
+                group.create_task(self._repair())
+        finally:
+            self._group = None
+            self._links_by_name.clear()
+            unsubscribe()
+
+    def _links_for(self, origin: Origin) -> list['PeerLink']:
+        if origin is Origin.OWN_DOMAIN:
+            return []
+        return [
+            link
+            for link in self._links_by_name.values()
+            if link.local or origin is Origin.SUBTREE
+        ]
+
+    def _reconcile(self, group: asyncio.TaskGroup) -> None:
+        own = distribution.KnownRelay(
+            daemon_id=self._identity.daemon_id,
+            failure_domain=self._identity.failure_domain,
+            control_address=self._identity.control_address,
+        )
+        addresses_by_name = distribution.peer_order(own, self._roots)
+        for name in self._links_by_name.keys() - addresses_by_name.keys():
+            self._links_by_name.pop(name).stop()
+        for name, addresses in addresses_by_name.items():
+            link = self._links_by_name.get(name)
+            if link is None:
+                link = self._links_by_name[name] = self._new_link(name)
+                link.start(group)
+            link.addresses = addresses
+        local = [
+            r for r in self._roots if r.failure_domain == own.failure_domain
+        ]
+        addresses = [r.control_address for r in local]
+        self._on_position(
+            Position(
+                rooted=True,
+                root=True,
+                root_addresses=tuple(
+                    a for a in addresses if a != own.control_address
+                ),
+            )
+        )
+
+    def _new_link(self, name: str) -> 'PeerLink':
+        return PeerLink(
+            name=name,
+            local=':' in name,
+            identity=self._identity,
+            configuration_task=self._configuration_task,
+            member_task=self._member_task,
+            digest=self._digest,
+            received=self._received,
+            callbacks=self._callbacks,
+            random=self._random,
+            clock=self._clock,
+        )
+
+    def _received(self, link: 'PeerLink', targets: list[model.Target]) -> None:
+        origin = Origin.OWN_DOMAIN if link.local else Origin.OTHER_DOMAIN
+        self.members_received(targets, origin)
+        self._callbacks.members(targets, link.offer_back)
+
+    def _members_changed(self, targets: Sequence[model.Target]) -> None:
+        self._digest.update(targets)
+        for link in self._links_by_name.values():
+            link.members.offer(targets)
+
+    async def _follow(self) -> None:
+        """Feeds the log into the configuration task, through all outages."""
+        start = self._configuration_task.configuration
+        reload = start.version == 0
+        attempt = 0
+        while True:
+            try:
+                if reload:
+                    start = await self._load()
+                reload = False
+                async for change in self._change_source.follow(start):
+                    attempt = 0
+                    self._configuration_task.post(
+                        configuration_task_module.ChangesReceived((change,))
+                    )
+            except exceptions.PlatformUnavailableError as error:
+                reload = reload or start.version == 0
+                self._log_interruption(error)
+            except exceptions.HemlockError as error:
+                # The position in the log may be gone, so start from the top.
+                reload = True
+                self._log_interruption(error)
+            attempt += 1
+            limit = min(MAX_FOLLOW_DELAY_S, MIN_FOLLOW_DELAY_S * 2**attempt)
+            await asyncio.sleep(self._random.uniform(0, limit))
+            start = self._configuration_task.configuration
+
+    def _log_interruption(self, error: Exception) -> None:
+        logger.warning(
+            'event=log_interrupted version={} error={}',
+            self._configuration_task.configuration.version,
+            error,
+        )
+
+    async def _load(self) -> configuration_module.Configuration:
+        loaded = await self._change_source.load()
+        self._configuration_task.post(
+            configuration_task_module.SnapshotReceived(loaded)
+        )
+        held = self._configuration_task.configuration
+        return loaded if loaded.version > held.version else held
+
+    async def _repair(self) -> None:
+        """Loads the whole configuration when changes are missing."""
+        while True:
+            await self._gap_found.wait()
+            await asyncio.sleep(MAX_FOLLOW_DELAY_S)
+            self._gap_found.clear()
+            try:
+                await self._load()
+            except exceptions.HemlockError as error:
+                self._gap_found.set()
+                self._log_interruption(error)
+
+
+class PeerLink:
+    """Keeps one stream to another root and pushes to it."""
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        local: bool,
+        identity: Identity,
+        configuration_task: configuration_task_module.ConfigurationTask,
+        member_task: control_stream.MemberView,
+        digest: distribution.MemberDigest,
+        received: Callable[['PeerLink', list[model.Target]], None],
+        callbacks: Callbacks,
+        random: random_module.Random,
+        clock: Callable[[], float],
+    ):
+        """Prepares a stream; `start` keeps it in a task.
+
+        Args:
+            name: Name of the stream, the domain for another domain.
+            local: True if the peer is in the own failure domain.
+            identity: The daemon.
+            configuration_task: Receives changes that the daemon lacks.
+            member_task: The table from which entries are sent.
+            digest: Digest of the table.
+            received: Called with the entries that the peer sends.
+            callbacks: Told when the stream to a domain stands or is lost.
+            random: Source of the jitter.
+            clock: Monotonic time in seconds.
+        """
+        self.name = name
+        self.local = local
+        self.addresses: Sequence[str] = ()
+        self.members = distribution.MemberOutbox()
+        self.reports = control_stream.ReportOutbox()
+        self.connected = False
+        self._identity = identity
+        self._configuration_task = configuration_task
+        self._member_task = member_task
+        self._digest = digest
+        self._received = received
+        self._callbacks = callbacks
+        self._random = random
+        self._clock = clock
+        self._stream: control_stream.ControlStream | None = None
+        self._behind_since: float | None = None
+        self._task: asyncio.Task | None = None
+
+    def start(self, group: asyncio.TaskGroup) -> None:
+        """Keeps the stream in a task of a group."""
+        self._task = group.create_task(self._run())
+
+    def stop(self) -> None:
+        """Ends the task."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def offer_back(self, targets: Sequence[model.Target]) -> None:
+        """Sends entries that override received ones."""
+        self.members.offer_ids(t.target_id for t in targets)
+
+    async def _run(self) -> None:
+        attempt = 1
+        turn = 0
+        try:
+            while True:
+                address = self.addresses[turn % len(self.addresses)]
+                end = await self._subscribe(address)
+                turn = 0 if end.admitted else turn + 1
+                attempt = 1 if end.lasted_s >= STABLE_AFTER_S else attempt + 1
+                logger.info(
+                    'event=peer_lost peer={} address={} reason={}',
+                    self.name,
+                    address,
+                    end.reason,
+                )
+                await asyncio.sleep(
+                    distribution.reconnect_delay(attempt, self._random)
+                )
+        finally:
+            self._set_connected(False)
+
+    async def _subscribe(self, address: str) -> control_stream.StreamEnd:
+        version = self._configuration_task.configuration.version
+        self._behind_since = None
+        self._stream = control_stream.ControlStream(
+            address=address,
+            hello=control_pb2.Hello(
+                daemon_id=self._identity.daemon_id,
+                failure_domain=self._identity.failure_domain,
+                control_address=self._identity.control_address,
+                configuration_version=version,
+                role=control_pb2.PEER_ROOT,
+                member_digests=self._digest.values(),
+            ),
+            member_task=self._member_task,
+            members=self.members,
+            reports=self.reports,
+            receive=self._receive,
+            clock=self._clock,
+        )
+        try:
+            return await self._stream.run()
+        finally:
+            self._stream = None
+            self._set_connected(False)
+
+    def _receive(self, message: control_pb2.Downward) -> None:
+        body = message.WhichOneof('body')
+        if body == 'welcome':
+            if not self.connected:
+                self._admitted(message.welcome)
+        elif body == 'members':
+            targets = wire_messages.decode_members(message.members)
+            self.members.note_received(targets)
+            self._received(self, targets)
+        elif body == 'heartbeat':
+            self._check_lag(message.heartbeat.configuration_version)
+        else:
+            _post_configuration(self._configuration_task, message)
+
+    def _admitted(self, welcome: control_pb2.Welcome) -> None:
+        self._set_connected(True)
+        targets_by_id = self._member_task.targets_by_id
+        domain = self._identity.failure_domain
+        self.members.offer_table(
+            target_id
+            for target_id in self._digest.differing(
+                welcome.member_digests, targets_by_id
+            )
+            if self.local or targets_by_id[target_id].failure_domain == domain
+        )
+
+    def _check_lag(self, version: int) -> None:
+        """Asks the peer for changes that the platform does not deliver."""
+        own = self._configuration_task.configuration.version
+        if version <= own:
+            self._behind_since = None
+            return
+        now = self._clock()
+        if self._behind_since is None:
+            self._behind_since = now
+        if now >= self._behind_since + LAG_LIMIT_S and self._stream:
+            self._stream.resync(own)
+
+    def _set_connected(self, connected: bool) -> None:
+        if connected == self.connected:
+            return
+        self.connected = connected
+        if not self.local:
+            self._callbacks.domain_link(self.name, connected)
