--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
+import functools
 import time
 
 import attrs
@@ -103,12 +104,16 @@
         if request.path == FENCE_PATH:
             return self._fence(request)
         self._in_flight += 1
+        stream = None
         try:
-            return await self._admit(request)
+            response = await self._admit(request)
+            stream = response.stream
+            return response
         finally:
-            self._in_flight -= 1
-            if not self._in_flight:
-                self._idle.set()
+            if stream is None:
+                self._leave()
+            else:
+                stream.when_done(lambda _: self._leave())
 
     async def drain(self, deadline: float) -> None:
         """Refuses new work, waits for work in flight and then stops it.
@@ -131,6 +136,11 @@
                 break
         self.pool.close()
 
+    def _leave(self):
+        self._in_flight -= 1
+        if not self._in_flight:
+            self._idle.set()
+
     def _fence(self, request: http_codec.Request) -> http_codec.Response:
         if request.method != 'POST':
             return http_codec.Response(
@@ -173,8 +183,10 @@
     ) -> http_codec.Response:
         started = self.clock()
         service_s: float | None = None
+        stream: http_codec.BodyStream | None = None
         try:
             response = await self._send(request, place.target, deadline)
+            stream = response.stream
             service_s = self.clock() - started
         except exceptions.ConnectFailedError as error:
             return not_run('unreachable', str(error))
@@ -183,9 +195,13 @@
         except exceptions.MalformedRequestError as error:
             return not_run('malformed', str(error))
         except exceptions.OutcomeUnknownError as error:
+            service_s = self.clock() - started
             return proxy.unknown(str(error))
         finally:
-            place.limiter.release(service_s)
+            if stream is None:
+                place.limiter.release(service_s)
+            else:
+                stream.when_done(lambda _: place.limiter.release(service_s))
         response.headers = http_codec.without_internal(response.headers)
         return response
 
@@ -195,26 +211,30 @@
         target: LocalTarget,
         deadline: float,
     ) -> http_codec.Response:
-        idempotent = retries.is_idempotent(request.method)
-
-        def enter():
-            if idempotent:
-                return
-            request_id = http_codec.header(
-                request.headers, b'x-hemlock-request-id'
-            )
-            now = self.clock()
-            self.ledger.expire(now)
-            self.ledger.admit(request_id or '', now)
-
+        request_id = http_codec.header(request.headers, b'x-hemlock-request-id')
+        now = self.clock()
+        headers = http_codec.without_internal(request.headers)
+        headers.append(
+            (b'x-hemlock-timeout-ms', b'%d' % max((deadline - now) * 1000, 0))
+        )
+        if request_id is not None:
+            headers.append((b'x-hemlock-request-id', request_id.encode()))
+        before_write = None
+        if not retries.is_idempotent(request.method):
+            before_write = functools.partial(self._enter, request_id or '')
         return await self.pool.send(
             target.address,
-            request,
+            attrs.evolve(request, headers=headers),
             deadline,
             max_idle_s=target.keep_alive_s / 2,
-            before_write=enter,
+            before_write=before_write,
         )
 
+    def _enter(self, request_id: str):
+        now = self.clock()
+        self.ledger.expire(now)
+        self.ledger.admit(request_id, now)
+
 
 def not_run(reason: str, message: str) -> http_codec.Response:
     """Makes the refusal of a request of which the target got no byte.
--- a/hemlockgrade/http_codec.py
+++ b/hemlockgrade/http_codec.py
@@ -1,7 +1,9 @@
 """HTTP/1.1 messages and their parsers, bounded in size."""
 
+from collections.abc import Callable
 import http
 from typing import Any
+from typing import Protocol
 
 import attrs
 import httptools
@@ -10,6 +12,11 @@
 
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 1024 * 1024
+# Larger responses are passed on while they arrive.
+MAX_BUFFERED_BYTES = 64 * 1024
+
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+LAST_CHUNK = b'0\r\n\r\n'
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -30,6 +37,100 @@
         b'expect',
     }
 )
+_METHODS_WITHOUT_BODY = frozenset({'GET', 'HEAD', 'DELETE', 'OPTIONS'})
+_STATUSES_WITHOUT_BODY = frozenset({204, 304})
+
+
+class BodySource(Protocol):
+    """Where the rest of a streamed body comes from."""
+
+    def pause(self) -> None:
+        """Stops reading until `resume`."""
+
+    def resume(self) -> None:
+        """Reads on."""
+
+    def abort(self) -> None:
+        """Gives up; nobody wants the rest."""
+
+
+class BodySink(Protocol):
+    """Where the rest of a streamed body goes to."""
+
+    def body_received(self, data: bytes) -> None:
+        """Takes a part of the body."""
+
+    def body_ended(self, complete: bool) -> None:
+        """Learns that no more parts follow.
+
+        Args:
+            complete: False if the body was cut.
+        """
+
+
+@attrs.define(eq=False)
+class BodyStream:
+    """The rest of a body that is passed on while it arrives."""
+
+    _source: BodySource
+    _sink: BodySink | None = None
+    _early: list[bytes] = attrs.field(factory=list)
+    _complete: bool | None = None
+    _callbacks: list[Callable[[bool], None]] = attrs.field(factory=list)
+
+    def attach(self, sink: BodySink) -> None:
+        """Sends what came already and all that follows to a sink."""
+        self._sink = sink
+        for data in self._early:
+            sink.body_received(data)
+        self._early.clear()
+        if self._complete is None:
+            self._source.resume()
+            return
+        sink.body_ended(self._complete)
+
+    def pause(self) -> None:
+        """Holds back the source while the sink is full."""
+        if self._complete is None:
+            self._source.pause()
+
+    def resume(self) -> None:
+        """Lets the source go on."""
+        if self._complete is None:
+            self._source.resume()
+
+    def abort(self) -> None:
+        """Gives up the rest of the body.
+
+        After the end the source may already serve another request, so this
+        and the two methods above leave it alone then.
+        """
+        if self._complete is None:
+            self._source.abort()
+
+    def when_done(self, callback: Callable[[bool], None]) -> None:
+        """Calls back at the end, with True if the body was complete."""
+        if self._complete is None:
+            self._callbacks.append(callback)
+            return
+        callback(self._complete)
+
+    def push(self, data: bytes) -> None:
+        """Takes a part from the source."""
+        if self._sink is None:
+            self._early.append(data)
+            return
+        self._sink.body_received(data)
+
+    def end(self, *, complete: bool) -> None:
+        """Takes the end from the source; a second end has no effect."""
+        if self._complete is not None:
+            return
+        self._complete = complete
+        for callback in self._callbacks:
+            callback(complete)
+        if self._sink is not None:
+            self._sink.body_ended(complete)
 
 
 @attrs.define(kw_only=True)
@@ -42,6 +143,7 @@
         headers: Lower-case names and values, without hop-by-hop headers.
         body: The whole body.
         keep_alive: False if the sender closes the connection afterwards.
+        version: `1.1` or `1.0`.
     """
 
     method: str
@@ -49,6 +151,7 @@
     headers: Headers = attrs.field(factory=list)
     body: bytes = b''
     keep_alive: bool = True
+    version: str = '1.1'
 
     @property
     def path(self) -> str:
@@ -58,12 +161,25 @@
 
 @attrs.define(kw_only=True)
 class Response:
-    """A complete HTTP response."""
+    """An HTTP response.
+
+    Attributes:
+        status: Status code.
+        headers: Lower-case names and values, without hop-by-hop headers.
+        body: The whole body, or its beginning if `stream` is set.
+        keep_alive: False if the sender closes the connection afterwards.
+        content_length: Length that the sender stated, in bytes. It counts
+            for a streamed body, and for answers to HEAD and with 304,
+            which state a length but have no body.
+        stream: The rest of a body that is passed on while it arrives.
+    """
 
     status: int
     headers: Headers = attrs.field(factory=list)
     body: bytes = b''
     keep_alive: bool = True
+    content_length: int | None = None
+    stream: BodyStream | None = None
 
 
 def header(headers: Headers, name: bytes) -> str | None:
@@ -81,67 +197,134 @@
 
 def encode_request(request: Request, host: str) -> bytes:
     """Serializes a request with its content length."""
-    lines = [f'{request.method} {request.target} HTTP/1.1\r\n'.encode()]
+    parts = [
+        f'{request.method} {request.target} HTTP/1.1\r\n'.encode('latin-1')
+    ]
     if header(request.headers, b'host') is None:
-        lines.append(f'host: {host}\r\n'.encode())
-    lines.extend(b'%b: %b\r\n' % item for item in request.headers)
-    if request.body or request.method not in ('GET', 'HEAD', 'DELETE'):
-        lines.append(b'content-length: %d\r\n' % len(request.body))
-    lines.append(b'\r\n')
-    lines.append(request.body)
-    return b''.join(lines)
+        parts.append(f'host: {host}\r\n'.encode())
+    parts.extend([b'%b: %b\r\n' % item for item in request.headers])
+    if request.body or request.method not in _METHODS_WITHOUT_BODY:
+        parts.append(b'content-length: %d\r\n' % len(request.body))
+    parts.append(b'\r\n')
+    parts.append(request.body)
+    return b''.join(parts)
+
+
+@attrs.frozen(kw_only=True)
+class Framing:
+    """How the body of a response is delimited.
+
+    Attributes:
+        length: Stated length in bytes; None if there is none.
+        chunked: True for chunks.
+        close: True if the connection closes afterwards.
+        empty: True if no body follows, whatever the length says.
+    """
+
+    length: int | None
+    chunked: bool
+    close: bool
+    empty: bool
+
+
+def framing(response: Response, request: Request, *, close: bool) -> Framing:
+    """Chooses how the body of a response is delimited (RFC 9112, 6.3).
 
+    Args:
+        response: The response.
+        request: The request that it answers.
+        close: True if the connection is to close in any case.
+    """
+    head = request.method == 'HEAD'
+    if head or response.status in _STATUSES_WITHOUT_BODY:
+        length = response.content_length
+        if head and length is None and response.body:
+            length = len(response.body)
+        if response.status == 204:
+            length = None
+        return Framing(length=length, chunked=False, close=close, empty=True)
+    length = len(response.body)
+    if response.stream is not None:
+        if response.content_length is None:
+            chunked = request.version == '1.1'
+            return Framing(
+                length=None,
+                chunked=chunked,
+                close=close or not chunked,
+                empty=False,
+            )
+        length = response.content_length
+    return Framing(length=length, chunked=False, close=close, empty=False)
 
-def encode_response(response: Response, *, close: bool) -> bytes:
-    """Serializes a response with its content length."""
+
+def encode_response(response: Response, framed: Framing) -> bytes:
+    """Serializes a response as far as its body is there."""
     try:
         phrase = http.HTTPStatus(response.status).phrase
     except ValueError:
         phrase = 'Unknown'
-    lines = [f'HTTP/1.1 {response.status} {phrase}\r\n'.encode()]
-    lines.extend(b'%b: %b\r\n' % item for item in response.headers)
-    if response.status not in (204, 304):
-        lines.append(b'content-length: %d\r\n' % len(response.body))
-    if close:
-        lines.append(b'connection: close\r\n')
-    lines.append(b'\r\n')
-    lines.append(response.body)
-    return b''.join(lines)
+    parts = [f'HTTP/1.1 {response.status} {phrase}\r\n'.encode()]
+    parts.extend([b'%b: %b\r\n' % item for item in response.headers])
+    if framed.chunked:
+        parts.append(b'transfer-encoding: chunked\r\n')
+    elif framed.length is not None:
+        parts.append(b'content-length: %d\r\n' % framed.length)
+    if framed.close:
+        parts.append(b'connection: close\r\n')
+    parts.append(b'\r\n')
+    if not framed.empty:
+        body = response.body
+        parts.append(encode_chunk(body) if framed.chunked else body)
+    return b''.join(parts)
+
+
+def encode_chunk(data: bytes) -> bytes:
+    """Serializes a chunk; nothing for no data, which would end the body."""
+    if not data:
+        return b''
+    return b'%x\r\n%b\r\n' % (len(data), data)
 
 
 class _MessageParser:
-    """Collects one message at a time from a stream of bytes."""
+    """Collects the headers of one message at a time."""
 
     _parser: Any
 
     def __init__(self):
         self._headers: Headers = []
-        self._body: list[bytes] = []
         self._header_bytes = 0
-        self._body_bytes = 0
-        self._messages: list = []
+        self._raw_header_bytes = 0
+        self._in_header = False
+        self._framing_headers: dict[bytes, bytes] = {}
         self.in_message = False
 
     def on_message_begin(self):
+        """Forgets the previous message."""
         self._headers = []
-        self._body = []
         self._header_bytes = 0
-        self._body_bytes = 0
+        self._raw_header_bytes = 0
+        self._in_header = True
+        self._framing_headers = {}
         self.in_message = True
 
     def on_header(self, name: bytes, value: bytes):
+        """Collects a header; trailers are dropped."""
+        if not self._in_header:
+            return
         self._count_header(len(name) + len(value))
         lower = name.lower()
-        if lower not in HOP_BY_HOP:
-            self._headers.append((lower, value))
-
-    def on_body(self, body: bytes):
-        self._body_bytes += len(body)
-        if self._body_bytes > MAX_BODY_BYTES:
-            raise exceptions.MalformedRequestError(
-                f'body larger than {MAX_BODY_BYTES} bytes', status=413
-            )
-        self._body.append(body)
+        if lower in HOP_BY_HOP:
+            self._framing_headers[lower] = value.strip().lower()
+            return
+        self._headers.append((lower, value))
+
+    def _end_header(self):
+        self._in_header = False
+        named = self._framing_headers.get(b'connection')
+        if named is None or named in (b'close', b'keep-alive'):
+            return
+        dropped = {token.strip() for token in named.split(b',')}
+        self._headers = [i for i in self._headers if i[0] not in dropped]
 
     def _count_header(self, size: int):
         self._header_bytes += size
@@ -150,13 +333,8 @@
                 f'header larger than {MAX_HEADER_BYTES} bytes', status=431
             )
 
-    def feed(self, data: bytes) -> list:
-        """Parses more bytes and returns the messages they complete.
-
-        Raises:
-            exceptions.MalformedRequestError: The bytes are not HTTP/1.1 or
-                exceed a bound.
-        """
+    def _feed(self, data: bytes):
+        began_in_header = self._in_header
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -168,57 +346,260 @@
             if isinstance(cause, exceptions.MalformedRequestError):
                 raise cause from None
             raise exceptions.MalformedRequestError(str(error)) from error
-        messages, self._messages = self._messages, []
-        return messages
+        if began_in_header and self._in_header:
+            # The parser reports a header only when it is complete, so one
+            # that never ends has to be counted by its raw bytes.
+            self._raw_header_bytes += len(data)
+            if self._raw_header_bytes > MAX_HEADER_BYTES:
+                self._count_header(MAX_HEADER_BYTES + 1)
+
+    def _content_length(self) -> int | None:
+        text = self._framing_headers.get(b'content-length')
+        if text is None or not text.isdigit():
+            return None
+        return int(text)
 
 
 class RequestParser(_MessageParser):
-    """Parses requests."""
+    """Parses requests.
+
+    Attributes:
+        expects_continue: True if the sender waits for `100 Continue` before
+            it sends the body of the request that is being parsed.
+    """
 
     def __init__(self):
         super().__init__()
         self._url: list[bytes] = []
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._done: list[Request | exceptions.MalformedRequestError] = []
+        self.expects_continue = False
         self._parser = httptools.HttpRequestParser(self)
 
+    def feed(
+        self, data: bytes
+    ) -> list[Request | exceptions.MalformedRequestError]:
+        """Parses more bytes.
+
+        Returns:
+            The requests that the bytes complete, in their order. An error
+            is the last item; nothing may be fed after it.
+        """
+        try:
+            self._feed(data)
+        except exceptions.MalformedRequestError as error:
+            self._done.append(error)
+            self.in_message = False
+        done, self._done = self._done, []
+        return done
+
     def on_message_begin(self):
         """Forgets the previous message."""
         super().on_message_begin()
         self._url = []
+        self._body = []
+        self._body_bytes = 0
+        self.expects_continue = False
 
     def on_url(self, url: bytes):
         """Collects a part of the request target."""
         self._count_header(len(url))
         self._url.append(url)
 
+    def on_headers_complete(self):
+        """Checks what the headers say about the body."""
+        self._end_header()
+        coding = self._framing_headers.get(b'transfer-encoding')
+        if coding not in (None, b'chunked'):
+            raise exceptions.MalformedRequestError(
+                'only the transfer coding "chunked" is supported', status=501
+            )
+        if (self._content_length() or 0) > MAX_BODY_BYTES:
+            self._refuse_body()
+        hosts = sum(1 for name, _ in self._headers if name == b'host')
+        if hosts > 1 or (not hosts and self._version() == '1.1'):
+            raise exceptions.MalformedRequestError('exactly one host is needed')
+        expect = self._framing_headers.get(b'expect')
+        if expect not in (None, b'100-continue'):
+            raise exceptions.MalformedRequestError(
+                'only the expectation "100-continue" is supported', status=417
+            )
+        self.expects_continue = expect is not None
+
+    def on_body(self, body: bytes):
+        """Collects a part of the body."""
+        self.expects_continue = False
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_BODY_BYTES:
+            self._refuse_body()
+        self._body.append(body)
+
     def on_message_complete(self):
-        """Completes a message."""
+        """Completes a request."""
         self.in_message = False
-        self._messages.append(
+        self.expects_continue = False
+        self._done.append(
             Request(
                 method=self._parser.get_method().decode('ascii'),
-                target=b''.join(self._url).decode('latin-1'),
+                target=_origin_form(b''.join(self._url).decode('latin-1')),
                 headers=self._headers,
                 body=b''.join(self._body),
                 keep_alive=self._parser.should_keep_alive(),
+                version=self._version(),
             )
         )
 
+    def _version(self) -> str:
+        return self._parser.get_http_version()
+
+    def _refuse_body(self):
+        raise exceptions.MalformedRequestError(
+            f'body larger than {MAX_BODY_BYTES} bytes', status=413
+        )
+
+
+def _origin_form(target: str) -> str:
+    """Drops scheme and authority of a target in absolute form."""
+    if target.startswith('/') or target == '*':
+        return target
+    scheme, separator, rest = target.partition('://')
+    if not separator or scheme.lower() not in ('http', 'https'):
+        raise exceptions.MalformedRequestError('the target has no path')
+    _, slash, path = rest.partition('/')
+    return slash + path if slash else '/'
+
 
 class ResponseParser(_MessageParser):
-    """Parses responses."""
+    """Parses the responses on one connection, one at a time.
 
-    def __init__(self):
+    Attributes:
+        broken: True if bytes came that belong to no response; the
+            connection must not be used again.
+        stream: The body that is being passed on.
+    """
+
+    def __init__(self, source: BodySource):
         super().__init__()
+        self._source = source
+        self._body: list[bytes] = []
+        self._body_bytes = 0
+        self._status = 0
+        self._head = False
+        self._delivered = False
+        self._expected = False
+        self._response: Response | None = None
+        self.broken = False
+        self.stream: BodyStream | None = None
         self._parser = httptools.HttpResponseParser(self)
 
+    def expect(self, method: str) -> None:
+        """Prepares for the response to a request."""
+        if self._head:
+            # The parser cannot be told that no body follows to HEAD.
+            self._parser = httptools.HttpResponseParser(self)
+        self._head = method == 'HEAD'
+        self._expected = True
+        self._delivered = False
+
+    def feed(self, data: bytes) -> Response | None:
+        """Parses more bytes.
+
+        Returns:
+            The response once its body is complete, or, with a stream, once
+            its body exceeds `MAX_BUFFERED_BYTES`.
+
+        Raises:
+            exceptions.MalformedRequestError: The bytes are not HTTP/1.1 or
+                exceed a bound.
+        """
+        if not self._expected:
+            self.broken = True
+            return None
+        self._feed(data)
+        return self._take()
+
+    def finish(self) -> Response | None:
+        """Takes the orderly end of the connection.
+
+        Returns:
+            The response whose body ends with the connection, if any.
+        """
+        if not self.in_message or self._in_header or not self._until_close():
+            return None
+        self.on_message_complete()
+        return self._take()
+
+    def cut(self) -> None:
+        """Takes the end of the connection within a message."""
+        if self.stream is not None:
+            self.stream.end(complete=False)
+            self.stream = None
+
+    def on_message_begin(self):
+        """Forgets the previous message."""
+        if not self._expected:
+            self.broken = True
+        super().on_message_begin()
+        self._body = []
+        self._body_bytes = 0
+
+    def on_headers_complete(self):
+        """Delivers a response to HEAD, which has no body."""
+        self._end_header()
+        self._status = self._parser.get_status_code()
+        if self._head and self._status >= 200:
+            self._complete()
+
+    def on_body(self, body: bytes):
+        """Collects a part of the body, or passes it on."""
+        if self._delivered:
+            self.broken = True
+            return
+        if self.stream is not None:
+            self.stream.push(body)
+            return
+        self._body.append(body)
+        self._body_bytes += len(body)
+        if self._body_bytes > MAX_BUFFERED_BYTES:
+            self.stream = BodyStream(self._source)
+            self._response = self._build(self.stream)
+            self._source.pause()
+
     def on_message_complete(self):
-        """Completes a message."""
+        """Completes a response; an interim one is dropped."""
+        if self._status < 200:
+            self.in_message = False
+            return
+        if not self._delivered:
+            self._complete()
+
+    def _complete(self):
         self.in_message = False
-        self._messages.append(
-            Response(
-                status=self._parser.get_status_code(),
-                headers=self._headers,
-                body=b''.join(self._body),
-                keep_alive=self._parser.should_keep_alive(),
-            )
+        self._expected = False
+        self._delivered = True
+        if self.stream is not None:
+            stream, self.stream = self.stream, None
+            stream.end(complete=True)
+            return
+        self._response = self._build(None)
+
+    def _build(self, stream: BodyStream | None) -> Response:
+        return Response(
+            status=self._status,
+            headers=self._headers,
+            body=b''.join(self._body),
+            keep_alive=self._parser.should_keep_alive(),
+            content_length=self._content_length(),
+            stream=stream,
+        )
+
+    def _take(self) -> Response | None:
+        response, self._response = self._response, None
+        return response
+
+    def _until_close(self) -> bool:
+        return (
+            b'transfer-encoding' not in self._framing_headers
+            and b'content-length' not in self._framing_headers
         )
--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -4,7 +4,9 @@
 import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
+import enum
 
+import attrs
 from loguru import logger
 from twisted.internet import interfaces
 from twisted.internet import protocol
@@ -15,106 +17,188 @@
 
 Handler = Callable[[http_codec.Request], Awaitable[http_codec.Response]]
 
-# A caller that sends half a request holds a connection no longer than this.
-REQUEST_READ_TIMEOUT_S = 10.0
+# Requests that one connection may send ahead of their answers.
+MAX_PIPELINED = 16
+# A closing connection reads on for this long, in seconds; closed with unread
+# bytes, it would be reset and the last answer lost.
+LINGER_S = 1.0
 
 
-@zope.interface.implementer(interfaces.IHalfCloseableProtocol)
+class _Phase(enum.Enum):
+    """What a connection waits for."""
+
+    BUSY = enum.auto()
+    IDLE = enum.auto()
+    READING = enum.auto()
+    STALLED = enum.auto()
+    LINGERING = enum.auto()
+
+
+@attrs.frozen(kw_only=True)
+class Limits:
+    """How long a connection may wait, in seconds.
+
+    Attributes:
+        idle_s: For the next request. Longer than a pool keeps a connection.
+        reading_s: For the rest of a request that has begun.
+        stalled_s: For a peer that does not read its answer.
+    """
+
+    idle_s: float = 75.0
+    reading_s: float = 10.0
+    stalled_s: float = 30.0
+
+    def of(self, phase: _Phase) -> float | None:
+        """Returns the limit of a phase, or None if it has none."""
+        if phase is _Phase.BUSY:
+            return None
+        if phase is _Phase.IDLE:
+            return self.idle_s
+        if phase is _Phase.READING:
+            return self.reading_s
+        if phase is _Phase.STALLED:
+            return self.stalled_s
+        return LINGER_S
+
+
+@zope.interface.implementer(
+    interfaces.IHalfCloseableProtocol, interfaces.IPushProducer
+)
 class HttpServerProtocol(protocol.Protocol):
     """One inbound connection; answers its requests in their order."""
 
-    def __init__(self, handler: Handler, connections: set):
-        self._handler = handler
-        self._connections = connections
+    def __init__(self, factory: 'HttpServerFactory'):
+        self._factory = factory
         self._parser = http_codec.RequestParser()
         self._pending: collections.deque = collections.deque()
         self._task: asyncio.Task | None = None
-        self._read_timer: asyncio.TimerHandle | None = None
-        self._closing = False
+        self._stream: http_codec.BodyStream | None = None
+        self._framing: http_codec.Framing | None = None
+        self._phase = _Phase.BUSY
+        self._phase_ends = 0.0
+        self._timer: asyncio.TimerHandle | None = None
+        self._reading = True
+        self._write_paused = False
+        # No more requests are taken, because of an error or a half-close.
+        self._ending = False
+        self._closed = False
 
     @property
     def busy(self) -> bool:
         """Tells whether a request on this connection awaits its answer."""
-        return self._task is not None
+        return self._task is not None or self._stream is not None
 
     def connectionMade(self):  # noqa: N802
         """Registers the connection."""
-        self._connections.add(self)
+        self._loop = asyncio.get_running_loop()
+        self._factory.connections.add(self)
         self.transport.setTcpNoDelay(True)
+        self.transport.registerProducer(self, True)
+        self._update()
 
     def dataReceived(self, data: bytes):  # noqa: N802
         """Parses requests; a malformed one is answered and ends the link."""
-        if self._closing:
+        if self._ending or self._closed:
             return
-        try:
-            self._pending.extend(self._parser.feed(data))
-        except exceptions.MalformedRequestError as error:
-            logger.info('event=request_malformed problem={!r}', str(error))
-            self._pending.append(error)
-            self._closing = True
-        self._watch_half_sent()
+        items = self._parser.feed(data)
+        self._pending.extend(items)
+        if items and isinstance(items[-1], exceptions.MalformedRequestError):
+            logger.info('event=request_malformed problem={!r}', str(items[-1]))
+            self._ending = True
         self._start_next()
 
     def readConnectionLost(self):  # noqa: N802
-        """Treats the peer's half-close as the end of its requests."""
-        self._closing = True
-        if not self.busy:
-            self.transport.loseConnection()
+        """Takes a half-close as the end of the requests, or of the peer."""
+        if not self._factory.half_close:
+            self._closed = True
+            self.transport.abortConnection()
+            return
+        self._ending = True
+        if self._closed or not (self.busy or self._pending):
+            self._lose()
 
     def writeConnectionLost(self):  # noqa: N802
-        """Does nothing; the peer's reset ends the connection."""
+        """Waits a moment for the peer's end once all is written."""
+        if self._closed:
+            self._enter(_Phase.LINGERING)
 
     def connectionLost(self, reason):  # noqa: N802
         """Cancels the running request, whose caller has gone."""
-        self._connections.discard(self)
-        self._stop_read_timer()
+        self._closed = True
+        self._factory.connections.discard(self)
+        if self._timer is not None:
+            self._timer.cancel()
         self._pending.clear()
         if self._task is not None:
             self._task.cancel()
+        if self._stream is not None:
+            self._stream.abort()
 
-    def drain(self):
-        """Closes the connection once its running request is answered."""
-        self._closing = True
-        if not self.busy and not self._pending:
-            self.transport.loseConnection()
-
-    def _watch_half_sent(self):
-        if not self._parser.in_message:
-            self._stop_read_timer()
-        elif self._read_timer is None:
-            loop = asyncio.get_running_loop()
-            self._read_timer = loop.call_later(
-                REQUEST_READ_TIMEOUT_S, self._give_up_reading
-            )
+    def pauseProducing(self):  # noqa: N802
+        """Holds back answers, because the peer does not read them."""
+        self._write_paused = True
+        if self._stream is not None:
+            self._stream.pause()
+        self._update()
 
-    def _stop_read_timer(self):
-        if self._read_timer is not None:
-            self._read_timer.cancel()
-            self._read_timer = None
-
-    def _give_up_reading(self):
-        self._read_timer = None
-        self._pending.append(
-            exceptions.MalformedRequestError(
-                'request was not sent in time', status=408
-            )
-        )
-        self._closing = True
+    def resumeProducing(self):  # noqa: N802
+        """Writes on."""
+        self._write_paused = False
+        if self._stream is not None:
+            self._stream.resume()
         self._start_next()
 
-    def _start_next(self):
-        if self._task is not None or not self._pending:
+    def stopProducing(self):  # noqa: N802
+        """Does nothing; `connectionLost` follows."""
+
+    def body_received(self, data: bytes) -> None:
+        """Passes on a part of a streamed body."""
+        assert self._framing is not None
+        if self._framing.chunked:
+            data = http_codec.encode_chunk(data)
+        self.transport.write(data)
+
+    def body_ended(self, complete: bool) -> None:
+        """Ends a streamed body; a cut one ends with the connection."""
+        assert self._framing is not None
+        framed, self._framing, self._stream = self._framing, None, None
+        if self._closed:
+            return
+        if not complete:
+            self.transport.abortConnection()
             return
-        item = self._pending.popleft()
+        if framed.chunked:
+            self.transport.write(http_codec.LAST_CHUNK)
+        self._answered(framed.close)
+
+    def close_if_idle(self) -> None:
+        """Closes the connection unless a request is under way."""
+        if not self.busy and not self._pending and not self._parser.in_message:
+            self._lose()
+
+    def _start_next(self):
+        if not (self.busy or self._write_paused or self._closed):
+            if self._pending:
+                self._start(self._pending.popleft())
+            elif self._parser.expects_continue:
+                self._parser.expects_continue = False
+                self.transport.write(http_codec.CONTINUE)
+            elif self._ending:
+                self._close()
+        self._update()
+
+    def _start(
+        self, item: http_codec.Request | exceptions.MalformedRequestError
+    ):
         if isinstance(item, exceptions.MalformedRequestError):
-            self._write(_error_response(item), close=True)
+            request = http_codec.Request(method='', target='')
+            self._write(_error_response(item), request, close=True)
             return
-        loop = asyncio.get_running_loop()
-        self._task = loop.create_task(self._answer(item))
+        self._task = self._loop.create_task(self._answer(item))
 
     async def _answer(self, request: http_codec.Request):
         try:
-            response = await self._handler(request)
+            response = await self._factory.handler(request)
         except Exception:
             logger.exception('event=request_handler_failed')
             response = http_codec.Response(
@@ -122,36 +206,163 @@
             )
         finally:
             self._task = None
-        last = self._closing and not self._pending
-        self._write(response, close=last or not request.keep_alive)
-        self._start_next()
+        if self._closed:
+            if response.stream is not None:
+                response.stream.abort()
+            return
+        last = self._ending and not self._pending
+        close = last or self._factory.draining or not request.keep_alive
+        self._write(response, request, close=close)
 
-    def _write(self, response: http_codec.Response, *, close: bool):
-        if not self.connected:
+    def _write(
+        self,
+        response: http_codec.Response,
+        request: http_codec.Request,
+        *,
+        close: bool,
+    ):
+        framed = http_codec.framing(response, request, close=close)
+        self.transport.write(http_codec.encode_response(response, framed))
+        if response.stream is None or framed.empty:
+            self._answered(framed.close)
             return
-        self.transport.write(http_codec.encode_response(response, close=close))
+        self._stream = response.stream
+        self._framing = framed
+        self._update()
+        response.stream.attach(self)
+        if self._write_paused and self._stream is not None:
+            self._stream.pause()
+
+    def _answered(self, close: bool):
         if close:
             self._pending.clear()
-            self.transport.loseConnection()
+            self._close()
+            return
+        self._start_next()
+
+    def _close(self):
+        """Closes after the last answer; reads on for a moment."""
+        if self._closed:
+            return
+        self._closed = True
+        self.transport.unregisterProducer()
+        if self._ending and not self._reading:
+            self.transport.resumeProducing()
+        self._enter(_Phase.STALLED)
+        self.transport.loseWriteConnection()
+
+    def _lose(self):
+        self._closed = True
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
+    def _update(self):
+        """Reads as long as there is room, and sets the time limit."""
+        if self._closed:
+            return
+        full = len(self._pending) >= MAX_PIPELINED or self._write_paused
+        if full == self._reading and not self._ending:
+            self._reading = not full
+            if full:
+                self.transport.pauseProducing()
+            else:
+                self.transport.resumeProducing()
+        if self._write_paused:
+            self._enter(_Phase.STALLED)
+        elif self._parser.in_message and self._reading:
+            self._enter(_Phase.READING)
+        elif self.busy or self._pending:
+            self._enter(_Phase.BUSY)
+        else:
+            self._enter(_Phase.IDLE)
+
+    def _enter(self, phase: _Phase):
+        if phase is self._phase:
+            return
+        self._phase = phase
+        limit_s = self._factory.limits.of(phase)
+        if limit_s is None:
+            return
+        self._phase_ends = self._loop.time() + limit_s
+        # A timer that fires too early is set again; setting one for each
+        # request would cost more than an early call now and then.
+        if self._timer is not None:
+            if self._timer.when() <= self._phase_ends:
+                return
+            self._timer.cancel()
+        self._timer = self._loop.call_at(self._phase_ends, self._check_time)
+
+    def _check_time(self):
+        self._timer = None
+        if self._phase is _Phase.BUSY:
+            return
+        if self._loop.time() < self._phase_ends:
+            self._timer = self._loop.call_at(self._phase_ends, self._check_time)
+            return
+        self._out_of_time()
+
+    def _out_of_time(self):
+        if self._phase is _Phase.READING:
+            self._ending = True
+            self._parser.in_message = False
+            self._pending.append(
+                exceptions.MalformedRequestError(
+                    'request was not sent in time', status=408
+                )
+            )
+            self._start_next()
+            return
+        if self._phase is _Phase.IDLE:
+            self._lose()
+            return
+        self._closed = True
+        self.transport.abortConnection()
 
 
 class HttpServerFactory(protocol.Factory):
-    """Makes a server protocol for each connection and knows the open ones."""
+    """Makes a server protocol for each connection and knows the open ones.
+
+    Attributes:
+        handler: Answers a request.
+        limits: How long connections may wait.
+        half_close: True if a peer that ended its side still reads answers.
+            A daemon never does that, so between daemons it means that the
+            peer has gone and its work is to be cancelled.
+        connections: The open connections.
+        draining: True once each answer ends its connection.
+    """
 
     noisy = False
 
-    def __init__(self, handler: Handler):
+    def __init__(
+        self,
+        handler: Handler,
+        limits: Limits | None = None,
+        *,
+        half_close: bool = True,
+    ):
         self.handler = handler
+        self.half_close = half_close
+        self.limits = limits or Limits()
         self.connections: set[HttpServerProtocol] = set()
+        self.draining = False
 
     def buildProtocol(self, addr):  # noqa: N802
         """Makes the protocol of a new connection."""
-        return HttpServerProtocol(self.handler, self.connections)
+        return HttpServerProtocol(self)
 
     def drain(self):
-        """Closes idle connections now and busy ones after their answer."""
+        """Ends each connection with its next answer.
+
+        Idle connections stay open, because a request may be on its way on
+        them; closed under it, its outcome would be unknown to the sender.
+        """
+        self.draining = True
+
+    def close_idle(self):
+        """Closes the connections on which no request is under way."""
         for connection in list(self.connections):
-            connection.drain()
+            connection.close_if_idle()
 
 
 def _error_response(
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -120,6 +120,23 @@
         )
 
 
+@attrs.frozen
+class _Result:
+    """How an attempt ended.
+
+    Attributes:
+        outcome: For the load table.
+        ok: For the evidence on the version; None if it says nothing.
+        failure: Why it needs a decision; None for an answer.
+        stream: The rest of the answer's body.
+    """
+
+    outcome: str
+    ok: bool | None = None
+    failure: retries.Failure | None = None
+    stream: http_codec.BodyStream | None = None
+
+
 @attrs.define(kw_only=True)
 class Proxy:
     """Sends each caller's request to a target and returns its answer.
@@ -178,12 +195,21 @@
             return refused('no version of the service may be used')
         call = self._start(request, entry, version)
         self._in_flight += 1
+        stream = None
         try:
-            return await self._run(call)
+            response = await self._run(call)
+            stream = response.stream
+            return response
         finally:
-            self._in_flight -= 1
-            if not self._in_flight:
-                self._idle.set()
+            if stream is None:
+                self._leave()
+            else:
+                stream.when_done(lambda _: self._leave())
+
+    def _leave(self):
+        self._in_flight -= 1
+        if not self._in_flight:
+            self._idle.set()
 
     async def drain(self, deadline: float) -> None:
         """Refuses new requests and waits for those in flight.
@@ -252,26 +278,39 @@
         call.tried.add(target.target_id)
         started = self.clock()
         self.loads.started(target.target_id, started)
-        outcome = 'error'
-        ok: bool | None = None
-        failure: retries.Failure | None = None
+        result = _Result('error')
         try:
-            response = await self._send(call, target)
-            failure, outcome, ok = self._classify(call, response)
+            result = self._classify(call, await self._send(call, target))
         except exceptions.ConnectFailedError:
-            failure, outcome = retries.Failure.NOT_RUN, 'unreachable'
+            result = _Result('unreachable', failure=retries.Failure.NOT_RUN)
         except exceptions.DeadlineExceededError:
-            failure, outcome, ok = retries.Failure.TIMEOUT, 'timeout', False
+            result = _Result('timeout', False, retries.Failure.TIMEOUT)
         except exceptions.ConnectionClosedError:
-            failure, outcome, ok = retries.Failure.NO_ANSWER, 'error', False
+            result = _Result('error', False, retries.Failure.NO_ANSWER)
         finally:
-            now = self.clock()
-            self.loads.finished(target.target_id, now - started, outcome, now)
-        if ok is not None:
-            self._record(call, ok, now - started, now)
-        if failure not in (None, retries.Failure.NOT_RUN):
+            self._account(call, target, started, result)
+        if result.failure not in (None, retries.Failure.NOT_RUN):
             call.maybe_run = True
-        return failure
+        return result.failure
+
+    def _account(
+        self, call: _Call, target: model.Target, started: float, result: _Result
+    ):
+        """Counts an attempt when its answer has ended."""
+        latency_s = self.clock() - started
+
+        def count(complete: bool):
+            outcome = result.outcome if complete else 'error'
+            now = self.clock()
+            self.loads.finished(target.target_id, latency_s, outcome, now)
+            if result.ok is not None:
+                ok = result.ok and complete
+                self._record(call, ok, latency_s, now)
+
+        if result.stream is not None:
+            result.stream.when_done(count)
+            return
+        count(True)
 
     def _record(self, call: _Call, ok: bool, latency_s: float, now: float):
         self.evidence.record(
@@ -302,25 +341,26 @@
             target.admission_address, request, call.deadline
         )
 
-    def _classify(
-        self, call: _Call, response: http_codec.Response
-    ) -> tuple[retries.Failure | None, str, bool | None]:
+    def _classify(self, call: _Call, response: http_codec.Response) -> _Result:
         if http_codec.header(response.headers, b'x-hemlock-not-run') == '1':
             reason = http_codec.header(response.headers, b'x-hemlock-reason')
-            unreachable = reason == 'unreachable'
-            return (
-                retries.Failure.NOT_RUN,
-                'unreachable' if unreachable else 'rejected',
-                False if unreachable else None,
-            )
+            if reason == 'unreachable':
+                # The target's host answers and the target does not, which
+                # is evidence on its version; an overload or a drain is not.
+                return _Result('unreachable', False, retries.Failure.NOT_RUN)
+            return _Result('rejected', None, retries.Failure.NOT_RUN)
         outcome = http_codec.header(response.headers, b'x-hemlock-outcome')
         if outcome == 'unknown':
-            return retries.Failure.UNKNOWN, 'error', False
+            return _Result('error', False, retries.Failure.UNKNOWN)
         call.answer = response
-        if response.status in SHEDDING_STATUSES and call.idempotent:
-            return retries.Failure.SHED, 'rejected', False
+        if (
+            response.status in SHEDDING_STATUSES
+            and call.idempotent
+            and response.stream is None
+        ):
+            return _Result('rejected', False, retries.Failure.SHED)
         ok = response.status < 500
-        return None, 'ok' if ok else 'error', ok
+        return _Result('ok' if ok else 'error', ok, stream=response.stream)
 
     async def _fence_and_decide(
         self, call: _Call, target: model.Target
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -3,10 +3,9 @@
 import asyncio
 import collections
 from collections.abc import Callable
-import time
+from typing import Any
 
 import attrs
-from twisted.internet import endpoints
 from twisted.internet import error as internet_error
 from twisted.internet import protocol
 
@@ -16,43 +15,126 @@
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_PER_ADDRESS = 32
+# Shorter than the time for which `http_server` keeps an idle connection.
+MAX_IDLE_S = 30.0
+SWEEP_INTERVAL_S = 10.0
 
 
 class _Connection(protocol.Protocol):
-    def __init__(self):
-        self._parser = http_codec.ResponseParser()
+    """One outgoing connection; it is also the source of its streams."""
+
+    def __init__(self, pool: 'ConnectionPool', address: str):
+        self._pool = pool
+        self.address = address
+        self._loop = asyncio.get_running_loop()
+        self._parser = http_codec.ResponseParser(self)
         self._answer: asyncio.Future | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._keep_alive = True
+        self.made: asyncio.Future = self._loop.create_future()
+        self.usable = True
         self.idle_since = 0.0
 
     def connectionMade(self):  # noqa: N802
+        if not self.usable:
+            self.transport.abortConnection()
+            return
         self.transport.setTcpNoDelay(True)
+        if not self.made.done():
+            self.made.set_result(None)
 
-    async def exchange(self, data: bytes) -> http_codec.Response:
-        self._answer = asyncio.get_running_loop().create_future()
+    def exchange(
+        self, request: http_codec.Request, deadline: float
+    ) -> asyncio.Future:
+        data = http_codec.encode_request(request, self.address)
+        self._answer = self._loop.create_future()
+        self._timer = self._loop.call_at(deadline, self._out_of_time)
+        self._parser.expect(request.method)
         self.transport.write(data)
-        try:
-            return await self._answer
-        finally:
-            self._answer = None
+        return self._answer
 
     def dataReceived(self, data: bytes):  # noqa: N802
+        if not self.usable:
+            return
         try:
-            responses = self._parser.feed(data)
+            response = self._parser.feed(data)
         except exceptions.MalformedRequestError as error:
             self._fail(f'malformed answer: {error}')
-            self.transport.abortConnection()
+            self.abort()
             return
-        for response in responses:
-            if self._answer is None or self._answer.done():
-                # An answer nobody waits for must never meet a later request.
-                self.transport.abortConnection()
-                return
-            self._answer.set_result(response)
+        if self._parser.broken:
+            # Bytes that answer no request must never meet a later one.
+            self.usable = False
+            self.transport.abortConnection()
+        if response is not None:
+            self._deliver(response)
 
     def connectionLost(self, reason):  # noqa: N802
+        if self.usable and reason.check(internet_error.ConnectionDone):
+            response = self._parser.finish()
+            if response is not None:
+                self._deliver(response)
+        self.usable = False
         self._fail('connection closed before the whole answer came')
+        self._stop()
+        self._pool.forget(self)
+
+    def pause(self) -> None:
+        if self.usable:
+            self.transport.pauseProducing()
+
+    def resume(self) -> None:
+        if self.usable:
+            self.transport.resumeProducing()
+
+    def abort(self) -> None:
+        """Closes at once; an answer that still comes is lost."""
+        self.usable = False
+        self._stop()
+        if self.transport is not None:
+            self.transport.abortConnection()
+
+    def fail_and_abort(self) -> None:
+        """Closes at once and fails the request that waits."""
+        self._fail('connection closed by this process')
+        self.abort()
+
+    def _deliver(self, response: http_codec.Response):
+        self._keep_alive = response.keep_alive
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_result(response)
+        if response.stream is None:
+            self._exchange_done()
+            return
+        response.stream.when_done(self._stream_done)
+
+    def _stream_done(self, complete: bool):
+        if complete:
+            self._exchange_done()
+
+    def _exchange_done(self):
+        self._answer = None
+        if self._timer is not None:
+            self._timer.cancel()
+        if self.usable and self._keep_alive and not self._parser.in_message:
+            self.resume()
+            self._pool.put_back(self)
+            return
+        self.abort()
+
+    def _out_of_time(self):
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_exception(
+                exceptions.DeadlineExceededError(
+                    f'no answer from {self.address} in time',
+                    remedy='allow more time or check the target',
+                )
+            )
+        self.abort()
 
     def _fail(self, message: str):
+        if not self.made.done():
+            self.made.set_exception(self._connect_error(message))
         if self._answer is None or self._answer.done():
             return
         self._answer.set_exception(
@@ -63,11 +145,37 @@
             )
         )
 
-    def abort(self):
-        self.transport.abortConnection()
+    def _stop(self):
+        if self._timer is not None:
+            self._timer.cancel()
+        self._parser.cut()
 
+    def connect_failed(self, message: str):
+        self.usable = False
+        if not self.made.done():
+            self.made.set_exception(self._connect_error(message))
 
-@attrs.define
+    def _connect_error(self, message: str) -> exceptions.ConnectFailedError:
+        return exceptions.ConnectFailedError(
+            f'cannot connect to {self.address}: {message}',
+            remedy='check that the process runs and the network is up',
+        )
+
+
+class _ConnectFactory(protocol.ClientFactory):
+    noisy = False
+
+    def __init__(self, connection: _Connection):
+        self._connection = connection
+
+    def buildProtocol(self, addr):  # noqa: N802
+        return self._connection
+
+    def clientConnectionFailed(self, connector, reason):  # noqa: N802
+        self._connection.connect_failed(reason.getErrorMessage())
+
+
+@attrs.define(eq=False)
 class ConnectionPool:
     """Keeps idle connections by address and sends requests over them.
 
@@ -75,8 +183,18 @@
         reactor: The Twisted reactor that owns the sockets.
     """
 
-    reactor: object
-    _idle_by_address: dict[str, collections.deque] = attrs.field(factory=dict)
+    reactor: Any
+    _idle_by_address: dict[str, collections.deque[_Connection]] = attrs.field(
+        factory=dict
+    )
+    _open: set[_Connection] = attrs.field(factory=set)
+    _swept_at: float = 0.0
+    _closed: bool = False
+
+    @property
+    def open_count(self) -> int:
+        """Open connections, busy and idle."""
+        return len(self._open)
 
     async def send(
         self,
@@ -84,10 +202,13 @@
         request: http_codec.Request,
         deadline: float,
         *,
-        max_idle_s: float = 30.0,
+        max_idle_s: float = MAX_IDLE_S,
         before_write: Callable[[], None] | None = None,
     ) -> http_codec.Response:
-        """Sends a request and waits for its whole answer.
+        """Sends a request and waits for its answer.
+
+        A large answer comes with a stream; the deadline holds for the end
+        of that stream as well.
 
         Args:
             address: `host:port` of the server.
@@ -102,69 +223,82 @@
             exceptions.ConnectionClosedError: The answer is missing or cut.
             exceptions.DeadlineExceededError: The deadline passed.
         """
-        connection = await self._checkout(address, max_idle_s)
-        data = http_codec.encode_request(request, address)
+        connection = self._take_idle(address, max_idle_s)
+        if connection is None:
+            connection = await self._connect(address, deadline)
         try:
             if before_write is not None:
                 before_write()
-            async with asyncio.timeout(deadline - time.monotonic()):
-                response = await connection.exchange(data)
-        except BaseException as error:
+            return await connection.exchange(request, deadline)
+        except BaseException:
             connection.abort()
-            if isinstance(error, TimeoutError):
-                raise exceptions.DeadlineExceededError(
-                    f'no answer from {address} in time',
-                    remedy='allow more time or check the target',
-                ) from error
             raise
-        self._checkin(address, connection, response)
-        return response
 
-    async def _checkout(self, address: str, max_idle_s: float) -> _Connection:
+    def _take_idle(self, address: str, max_idle_s: float) -> _Connection | None:
         idle = self._idle_by_address.get(address)
-        oldest = time.monotonic() - max_idle_s
+        oldest = asyncio.get_running_loop().time() - max_idle_s
         while idle:
             connection = idle.pop()
-            if connection.connected and connection.idle_since > oldest:
+            if connection.usable and connection.idle_since > oldest:
                 return connection
             connection.abort()
-        return await self._connect(address)
+        return None
 
-    async def _connect(self, address: str) -> _Connection:
+    async def _connect(self, address: str, deadline: float) -> _Connection:
+        connection = _Connection(self, address)
+        loop = asyncio.get_running_loop()
+        timeout_s = min(CONNECT_TIMEOUT_S, deadline - loop.time())
+        if self._closed or timeout_s <= 0:
+            raise exceptions.ConnectFailedError(
+                f'no time left to connect to {address}',
+                remedy='allow more time',
+            )
         host, port = addresses.split(address)
-        endpoint = endpoints.TCP4ClientEndpoint(
-            self.reactor, host, port, timeout=CONNECT_TIMEOUT_S
+        self._open.add(connection)
+        connector = self.reactor.connectTCP(
+            host, port, _ConnectFactory(connection), timeout_s
         )
-        factory = protocol.Factory.forProtocol(_Connection)
-        factory.noisy = False
         try:
-            return await endpoint.connect(factory).asFuture(
-                asyncio.get_running_loop()
-            )
-        except (internet_error.ConnectError, OSError) as error:
-            raise exceptions.ConnectFailedError(
-                f'cannot connect to {address}: {error}',
-                remedy='check that the process runs and the network is up',
-            ) from error
-
-    def _checkin(
-        self,
-        address: str,
-        connection: _Connection,
-        response: http_codec.Response,
-    ):
-        if not response.keep_alive or not connection.connected:
+            await connection.made
+        except BaseException:
             connection.abort()
-            return
-        connection.idle_since = time.monotonic()
-        idle = self._idle_by_address.setdefault(address, collections.deque())
+            connector.disconnect()
+            self.forget(connection)
+            raise
+        return connection
+
+    def put_back(self, connection: Any) -> None:
+        """Keeps a connection whose answer is complete for a later request."""
+        now = asyncio.get_running_loop().time()
+        connection.idle_since = now
+        idle = self._idle_by_address.get(connection.address)
+        if idle is None:
+            idle = collections.deque()
+            self._idle_by_address[connection.address] = idle
         idle.append(connection)
-        if len(idle) > MAX_IDLE_PER_ADDRESS:
+        if len(idle) > MAX_IDLE_PER_ADDRESS or self._closed:
             idle.popleft().abort()
+        if now - self._swept_at > SWEEP_INTERVAL_S:
+            self._sweep(now)
+
+    def forget(self, connection: Any) -> None:
+        """Drops a connection that is closed."""
+        self._open.discard(connection)
+        idle = self._idle_by_address.get(connection.address)
+        if idle is not None and connection in idle:
+            idle.remove(connection)
+
+    def _sweep(self, now: float):
+        self._swept_at = now
+        for address, idle in list(self._idle_by_address.items()):
+            while idle and idle[0].idle_since < now - MAX_IDLE_S:
+                idle.popleft().abort()
+            if not idle:
+                del self._idle_by_address[address]
 
-    def close(self):
-        """Closes all idle connections."""
-        for idle in self._idle_by_address.values():
-            for connection in idle:
-                connection.abort()
+    def close(self) -> None:
+        """Closes all connections; requests on them fail as unknown."""
+        self._closed = True
+        for connection in list(self._open):
+            connection.fail_and_abort()
         self._idle_by_address.clear()
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -1,14 +1,10 @@
 """A small target: slots, cold start, drain, faults, and a log of its work.
 
 Run as `python -m standins.target_server --port N --service booking ...`.
-Paths of the control side:
-  POST /.control/faults  a JSON list of faults, replaces the previous ones;
-                         `{"kind": ..., "version", "route", "load", "after",
-                         "ms", "at", "limit"}`, all but `kind` optional
-  GET  /.control/log     requests it ran: `[{"id", "method", "path"}]`
-  GET  /.control/stats   counters
-  GET  /health           always 200, whatever the target's state is
-A request may set `?ms=`, `?bytes=` and `?body=chunked|close|length`.
+`POST /.control/faults` takes a JSON list of faults and replaces the earlier
+ones, `GET /.control/log` gives the requests it ran, `GET /.control/stats`
+its counters, `GET /health` says 200 whatever the state is. A request may set
+`?ms=`, `?bytes=`, `?status=`, `?forge=` and `?body=chunked|close|length`.
 """
 
 import argparse
@@ -27,7 +23,17 @@
 import httptools
 
 ANNOUNCE_INTERVAL_S = 1.0
+ANNOUNCED = (
+    'target_id',
+    'service',
+    'version',
+    'address',
+    'slots',
+    'keep_alive_s',
+)
+# A cold target is slower by this factor.
 COLD_FACTOR = 10
+DEFAULT_TIMEOUT_MS = 60_000
 
 
 @attrs.define
@@ -35,7 +41,8 @@
     """A fault that applies to one version or route, or to all.
 
     Attributes:
-        kind: error, slow, close, late, cut or reset.
+        kind: error, slow, late (slow beyond the deadline), cut, close or
+            reset (both after the request was read).
         version: Only for a target of this version.
         route: Only for paths that begin with this.
         load: Only while at least this many requests run.
@@ -52,7 +59,7 @@
     after: int = 0
     ms: float = 0
     at: int = 0
-    limit: int | None = None
+    limit: float = float('inf')
 
 
 @attrs.define(eq=False)
@@ -68,14 +75,14 @@
     service_ms: float = 0.0
     answer_bytes: int = 200
     cold_start_s: float = 0.0
-    faults: list[Fault] = attrs.field(factory=list)
-    log: list[dict] = attrs.field(factory=list)
-    counts: collections.Counter = attrs.field(factory=collections.Counter)
-    draining: bool = False
-    running: int = 0
-    connections: set = attrs.field(factory=set)
-    _server: Any = None
-    _started_at: float = 0.0
+    faults: list[Fault] = attrs.field(init=False, factory=list)
+    log: list[dict] = attrs.field(init=False, factory=list)
+    counts: Any = attrs.field(init=False, factory=collections.Counter)
+    draining: bool = attrs.field(init=False, default=False)
+    running: int = attrs.field(init=False, default=0)
+    connections: set = attrs.field(init=False, factory=set)
+    _server: Any = attrs.field(init=False, default=None)
+    _started_at: float = attrs.field(init=False, factory=time.monotonic)
 
     @property
     def address(self) -> str:
@@ -84,12 +91,10 @@
 
     async def start(self):
         """Listens; sets the port if it was 0."""
-        loop = asyncio.get_running_loop()
-        self._server = await loop.create_server(
+        self._server = await asyncio.get_running_loop().create_server(
             lambda: _Connection(self), '127.0.0.1', self.port
         )
         self.port = self._server.sockets[0].getsockname()[1]
-        self._started_at = time.monotonic()
 
     async def stop(self):
         """Closes the listener and all connections."""
@@ -104,31 +109,30 @@
             await asyncio.sleep(0.01)
         await self.stop()
 
-    def fault(self, path: str) -> Fault | None:
+    def fault(self, path: str) -> Fault:
         """Returns the fault that applies to a request now."""
         for fault in self.faults:
-            if fault.version not in (None, self.version):
-                continue
-            if not path.startswith(fault.route) or fault.limit == 0:
-                continue
-            if self.running < fault.load or len(self.log) <= fault.after:
-                continue
-            if fault.limit is not None:
+            if (
+                fault.version in (None, self.version)
+                and path.startswith(fault.route)
+                and self.running >= fault.load
+                and len(self.log) > fault.after
+                and fault.limit > 0
+            ):
                 fault.limit -= 1
-            return fault
-        return None
+                return fault
+        return Fault('')
 
     def service_s(self, query: dict) -> float:
         """Returns the time one request takes, in seconds."""
-        ms = float(query.get('ms', self.service_ms))
         cold = time.monotonic() - self._started_at < self.cold_start_s
+        ms = float(query.get('ms', self.service_ms))
         return (ms * COLD_FACTOR if cold else ms) / 1000
 
-    def control(self, method: str, path: str, body: bytes) -> Any:
+    def control(self, path: str, body: bytes) -> Any:
         """Answers a request of the control side."""
-        if path == '/.control/faults' and method == 'POST':
+        if path == '/.control/faults':
             self.faults = [Fault(**item) for item in json.loads(body)]
-            return []
         if path == '/.control/log':
             return self.log
         return dict(self.counts, running=self.running)
@@ -139,30 +143,20 @@
         self.server = server
         self.parser = httptools.HttpRequestParser(self)
         self.queue: asyncio.Queue = asyncio.Queue()
-        self.idle_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport):
         self.transport = transport
         self.server.connections.add(self)
-        self.server.counts['connections'] += 1
+        most = max(
+            self.server.counts['connections'], len(self.server.connections)
+        )
+        self.server.counts['connections'] = most
         self.task = asyncio.ensure_future(self.serve())
-        self.restart_idle_timer()
 
     def connection_lost(self, exc):
         self.server.connections.discard(self)
         self.task.cancel()
 
-    def restart_idle_timer(self):
-        if self.idle_timer:
-            self.idle_timer.cancel()
-        self.idle_timer = asyncio.get_running_loop().call_later(
-            self.server.keep_alive_s, self.close_if_idle
-        )
-
-    def close_if_idle(self):
-        if not self.server.running:
-            self.transport.close()
-
     def data_received(self, data):
         try:
             self.parser.feed_data(data)
@@ -188,15 +182,20 @@
 
     async def serve(self):
         while True:
-            method, url, headers, body = await self.queue.get()
+            try:
+                async with asyncio.timeout(self.server.keep_alive_s):
+                    item = await self.queue.get()
+            except TimeoutError:
+                self.transport.close()
+                return
+            method, url, headers, body = item
             path, _, query = url.decode('latin-1').partition('?')
+            query = dict(urllib.parse.parse_qsl(query))
             if path.startswith('/.control/') or path == '/health':
-                answer = self.server.control(method, path, body)
+                answer = self.server.control(path, body)
                 self.answer(200, json.dumps(answer).encode(), method, {})
             else:
-                query = dict(urllib.parse.parse_qsl(query))
                 await self.work(method, path, query, headers, body)
-            self.restart_idle_timer()
 
     async def work(self, method, path, query, headers, body):
         server = self.server
@@ -207,9 +206,8 @@
         request_id = headers.get('x-hemlock-request-id', '')
         server.log.append({'id': request_id, 'method': method, 'path': path})
         server.running += 1
-        server.counts['most_running'] = max(
-            server.counts['most_running'], server.running
-        )
+        most = max(server.counts['most_running'], server.running)
+        server.counts['most_running'] = most
         try:
             await self.run(method, path, query, headers, body)
         except asyncio.CancelledError:
@@ -220,118 +218,86 @@
 
     async def run(self, method, path, query, headers, body):
         fault = self.server.fault(path)
-        kind = fault.kind if fault else ''
-        if kind in ('close', 'reset'):
-            (
-                self.transport.close
-                if kind == 'close'
-                else self.transport.abort
-            )()
+        if fault.kind in ('close', 'reset'):
+            end = self.transport
+            (end.close if fault.kind == 'close' else end.abort)()
             return
-        delay_s = self.server.service_s(query)
-        delay_s += fault.ms / 1000 if kind in ('slow', 'late') else 0
-        limit_s = float(headers.get('x-hemlock-timeout-ms', 60_000)) / 1000
-        # A late target answers after the deadline instead of giving up.
-        await asyncio.sleep(
-            delay_s if kind == 'late' else min(delay_s, limit_s)
-        )
-        if kind != 'late' and delay_s > limit_s:
+        limit_ms = headers.get('x-hemlock-timeout-ms', DEFAULT_TIMEOUT_MS)
+        limit_s = float(limit_ms) / 1000
+        delay_s = self.server.service_s(query) + fault.ms / 1000
+        in_time = fault.kind == 'late' or delay_s <= limit_s
+        await asyncio.sleep(delay_s if in_time else limit_s)
+        if not in_time:
             self.answer(504, b'deadline passed', method, {})
             return
         echo = {
             'target': self.server.target_id,
             'version': self.server.version,
-            'method': method,
             'path': path,
             'echo': headers.get('x-echo', body[:100].decode('latin-1')),
             'size': len(body),
         }
         size = int(query.get('bytes', self.server.answer_bytes))
+        status = int(query.get('status', 200))
+        status = 500 if fault.kind == 'error' else status
+        cut_at = fault.at if fault.kind == 'cut' else None
         answer = json.dumps(echo).encode().ljust(size)
-        status = 500 if kind == 'error' else int(query.get('status', 200))
-        at = fault.at if fault and kind == 'cut' else None
-        self.answer(status, answer, method, query, at)
+        self.answer(status, answer, method, query, cut_at)
 
     def answer(self, status, body, method, query, cut_at=None):
         mode = query.get('body', 'length')
-        head = f'HTTP/1.1 {status} Status\r\ncontent-type: application/json\r\n'
-        head += 'x-hemlock-not-run: 1\r\n' if 'forge' in query else ''
+        head = [f'HTTP/1.1 {status} Status', 'content-type: application/json']
+        if 'forge' in query:
+            head += ['x-hemlock-not-run: 1', 'x-hemlock-outcome: not-run']
         if mode == 'chunked':
-            head += 'transfer-encoding: chunked\r\n'
+            head.append('transfer-encoding: chunked')
             half = len(body) // 2
-            parts = [
-                b'%x\r\n%b\r\n' % (len(p), p)
-                for p in (body[:half], body[half:])
-                if p
-            ]
-            body = b''.join([*parts, b'0\r\n\r\n'])
-        elif mode == 'length' and status not in (204, 304):
-            head += f'content-length: {len(body)}\r\n'
+            parts = (body[:half], body[half:], b'')
+            body = b''.join(b'%x\r\n%b\r\n' % (len(p), p) for p in parts)
+        elif mode == 'length' and status != 204:
+            head.append(f'content-length: {len(body)}')
         if method == 'HEAD' or status in (204, 304):
             body = b''
-        data = head.encode() + b'\r\n' + body
-        self.transport.write(data if cut_at is None else data[:cut_at])
+        data = '\r\n'.join([*head, '', '']).encode() + body
+        self.transport.write(data[:cut_at])
         if mode == 'close' or cut_at is not None:
             self.transport.close()
 
 
 def _announce(url: str, message: dict):
-    request = urllib.request.Request(
-        url,
-        json.dumps(message).encode(),
-        {'content-type': 'application/json'},
-        method='POST',
-    )
+    body = json.dumps(message).encode()
+    headers = {'content-type': 'application/json'}
+    request = urllib.request.Request(url, body, headers)
     # The daemon may start later; the next announcement follows.
     with contextlib.suppress(OSError):
         urllib.request.urlopen(request, timeout=1).close()
 
 
-async def main(options: argparse.Namespace):
-    """Runs the target until SIGTERM and a drain."""
-    server = TargetServer(
-        **{k: v for k, v in vars(options).items() if k != 'announce'}
-    )
+async def main(server: TargetServer, url: str):
+    """Runs a target until SIGTERM, then drains it."""
     await server.start()
     print(json.dumps({'port': server.port, 'pid': os.getpid()}), flush=True)
     stopping = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
-    names = (
-        'target_id',
-        'service',
-        'version',
-        'address',
-        'slots',
-        'keep_alive_s',
-    )
-    message = {name: getattr(server, name) for name in names}
+    message = {name: getattr(server, name) for name in ANNOUNCED}
     while not stopping.is_set():
-        if options.announce:
-            await asyncio.to_thread(_announce, options.announce, message)
+        if url:
+            await asyncio.to_thread(_announce, url, message)
         with contextlib.suppress(TimeoutError):
             await asyncio.wait_for(stopping.wait(), ANNOUNCE_INTERVAL_S)
-    if options.announce:
+    if url:
         leaving = {'target_id': server.target_id, 'leaving': True}
-        await asyncio.to_thread(_announce, options.announce, leaving)
+        await asyncio.to_thread(_announce, url, leaving)
     await server.drain()
 
 
 if __name__ == '__main__':
     parser = argparse.ArgumentParser(description=__doc__)
-    for field in attrs.fields(TargetServer):
-        if field.name in (
-            'faults',
-            'log',
-            'counts',
-            'draining',
-            'running',
-            'connections',
-        ) or field.name.startswith('_'):
-            continue
-        parser.add_argument(
-            '--' + field.name.replace('_', '-'),
-            type=field.type,
-            default=field.default,
-        )
     parser.add_argument('--announce', default='')
-    asyncio.run(main(parser.parse_args()))
+    for field in attrs.fields(TargetServer):
+        if field.init:
+            flag = '--' + field.name.replace('_', '-')
+            parser.add_argument(flag, type=field.type, default=field.default)
+    options = vars(parser.parse_args())
+    announce_url = options.pop('announce')
+    asyncio.run(main(TargetServer(**options), announce_url))
