--- a/features/steps/changelog_steps.py
+++ b/features/steps/changelog_steps.py
@@ -395,8 +395,10 @@
             for name, plan in enumerate(plans):
                 writer = self.write(f'w{name}', seed + name, rate, plan)
                 group.create_task(writer)
-        # Late requests arrive and the follower catches up.
-        await asyncio.sleep(300)
+        await asyncio.sleep(2 * fake_platform.LONGEST_DELAY_S)
+        async with asyncio.timeout(300):
+            while len(self.followed) < len(self.store.select('changes/')):
+                await asyncio.sleep(1)
         follower.cancel()
 
     def check(self):
--- a/features/support/fake_platform.py
+++ b/features/support/fake_platform.py
@@ -7,7 +7,7 @@
 from hemlockgrade import exceptions
 
 CALL_S = 0.002
-WATCH_POLL_S = 0.01
+WATCH_POLL_S = 0.05
 # Late requests arrive, and paused processes resume, within this time.
 LONGEST_DELAY_S = 8.0
 
