--- a/hemlockgrade/evidence.py
+++ b/hemlockgrade/evidence.py
@@ -385,20 +385,31 @@
 class _Tally:
     """Mutable counts of one window."""
 
-    __slots__ = ('requests', 'errors', 'buckets')
+    __slots__ = ('requests', 'errors', 'buckets', '_counts')
 
     def __init__(self):
         self.requests = 0
         self.errors = 0
         self.buckets = [0] * BUCKET_COUNT
+        self._counts: Counts | None = None
+
+    def counts(self) -> Counts:
+        """Returns the counts; most windows are compared often unchanged."""
+        if self._counts is None:
+            self._counts = Counts(
+                self.requests, self.errors, _trimmed(self.buckets)
+            )
+        return self._counts
 
     def add(self, record: Evidence) -> None:
+        self._counts = None
         self.requests += record.requests
         self.errors += record.errors
         for index, count in enumerate(record.latency_buckets):
             self.buckets[index] += count
 
     def add_tally(self, other: '_Tally') -> None:
+        self._counts = None
         self.requests += other.requests
         self.errors += other.errors
         for index, count in enumerate(other.buckets):
@@ -510,17 +521,17 @@
 
 
 def _counts(tally: _Tally | None) -> Counts:
-    if tally is None:
-        return NOTHING
-    return Counts(tally.requests, tally.errors, _trimmed(tally.buckets))
+    return NOTHING if tally is None else tally.counts()
 
 
 def _total_counts(tallies: Iterable[_Tally | None]) -> Counts:
+    present = [tally for tally in tallies if tally is not None]
+    if len(present) == 1:
+        return present[0].counts()
     total = _Tally()
-    for tally in tallies:
-        if tally is not None:
-            total.add_tally(tally)
-    return _counts(total)
+    for tally in present:
+        total.add_tally(tally)
+    return total.counts()
 
 
 def _trimmed(buckets: list[int]) -> tuple[int, ...]:
--- a/hemlockgrade/plugins/sequential_judge.py
+++ b/hemlockgrade/plugins/sequential_judge.py
@@ -23,6 +23,7 @@
 for Research Workers", 5th edition, 1934, section 21.02).
 """
 
+import collections
 from collections.abc import Iterable
 from collections.abc import Iterator
 import math
@@ -43,6 +44,7 @@
 WORSE_ERROR_DIFFERENCE = 0.02
 WORSE_SLOW_DIFFERENCE = 0.05
 MAX_WORSE_RATE = 0.9
+MAX_BASELINE_RATE = 0.45
 # Windows of the old version that p0 is taken from, the current one included.
 BASELINE_WINDOWS = 10
 # Requests for which the old version's long-term rate counts beside them.
@@ -71,7 +73,7 @@
     Attributes:
         route: Route, or all of them.
         what: What a hit is, in words.
-        samples: By window, in ascending order.
+        samples_by_window: In ascending order of the windows.
         prior_rate: The old version's rate over all its windows.
         difference: Least difference of a worse version.
         required: Whether it has to be good for the version to be good.
@@ -79,7 +81,7 @@
 
     route: str
     what: str
-    samples: tuple[_Sample, ...]
+    samples_by_window: dict[int, _Sample]
     prior_rate: float
     difference: float
     required: bool
@@ -123,18 +125,18 @@
 
     def _test(self, series: _Series, alarm: float) -> _Finding:
         accept = math.log(self._miss_rate / (1 - alarm))
+        reject = math.log((1 - self._miss_rate) * 2 / alarm)
         ratio = 0.0
         runs = 1
         accepted = False
         run: list[_Sample] = []
-        for index, sample in enumerate(series.samples):
+        baseline = _Baseline(series.prior_rate)
+        for sample in series.samples_by_window.values():
+            p0 = baseline.add(sample)
             if not sample.new_requests:
                 continue
-            p0 = _baseline(series, index)
-            p1 = _worse(p0, series.difference)
             run.append(sample)
-            ratio += _log_ratio(sample, p0, p1)
-            reject = math.log((1 - self._miss_rate) * runs * (runs + 1) / alarm)
+            ratio += _log_ratio(sample, p0, _worse(p0, series.difference))
             if ratio >= reject:
                 total = _total(run)
                 if _differs(total):
@@ -150,6 +152,9 @@
                 ratio = 0.0
                 runs += 1
                 run = []
+                reject = math.log(
+                    (1 - self._miss_rate) * runs * (runs + 1) / alarm
+                )
         good = accepted and ratio <= 0
         return _Finding(
             series=series,
@@ -166,66 +171,80 @@
         for route, pairs in pairs_by_route.items()
     }
     total = sum(requests_by_route.values())
+    failed, slow = [], []
     for route, pairs in pairs_by_route.items():
         required = requests_by_route[route] >= MIN_ROUTE_SHARE * total
         old = comparison.old_by_route[route]
-        yield from _route_series(route, pairs, old, required)
-    if len(pairs_by_route) > 1:
-        yield from _route_series(
-            OVERALL,
-            _merged(pairs_by_route.values()),
-            sum(comparison.old_by_route.values(), evidence.NOTHING),
-            True,
-        )
+        failed.append(_failed_series(route, pairs, old, required))
+        slow.append(_slow_series(route, pairs, old, required))
+    yield from failed
+    yield from slow
+    if len(failed) > 1:
+        yield _joined('failed', failed, comparison)
+        yield _joined('slower than the 95th percentile', slow, comparison)
 
 
-def _route_series(route, pairs, old, required) -> Iterator[_Series]:
-    bucket = _slow_bucket(old)
-    yield _Series(
+def _failed_series(route, pairs, old, required) -> _Series:
+    return _Series(
         route=route,
         what='failed',
-        samples=tuple(
-            _Sample(p.new.requests, p.new.errors, p.old.requests, p.old.errors)
+        samples_by_window={
+            p.window: _Sample(
+                p.new.requests, p.new.errors, p.old.requests, p.old.errors
+            )
             for p in pairs
-        ),
+        },
         prior_rate=max(_rate(old.errors, old.requests), MIN_ERROR_RATE),
         difference=WORSE_ERROR_DIFFERENCE,
         required=required,
     )
+
+
+def _slow_series(route, pairs, old, required) -> _Series:
+    bucket = _slow_bucket(old)
     slow = old.slower_than(bucket)
-    yield _Series(
+    return _Series(
         route=route,
         what=f'slower than {evidence.LATENCY_BOUNDS_S[bucket] * 1000:.0f} ms',
-        samples=tuple(
-            _Sample(
+        samples_by_window={
+            p.window: _Sample(
                 p.new.requests,
                 p.new.slower_than(bucket),
                 p.old.requests,
                 p.old.slower_than(bucket),
             )
             for p in pairs
-        ),
+        },
         prior_rate=max(_rate(slow, old.requests), MIN_SLOW_RATE),
         difference=WORSE_SLOW_DIFFERENCE,
         required=required,
     )
 
 
-def _merged(
-    all_pairs: Iterable[tuple[evidence.WindowPair, ...]],
-) -> tuple[evidence.WindowPair, ...]:
-    merged: dict[int, evidence.WindowPair] = {}
-    for pairs in all_pairs:
-        for pair in pairs:
-            other = merged.get(pair.window)
-            merged[pair.window] = (
-                pair
-                if other is None
-                else evidence.WindowPair(
-                    pair.window, pair.new + other.new, pair.old + other.old
-                )
+def _joined(
+    what: str, all_series: list[_Series], comparison: evidence.Comparison
+) -> _Series:
+    """Adds up the routes; each one keeps its own bound for slow requests."""
+    samples_by_window: dict[int, _Sample] = {}
+    for series in all_series:
+        for window, sample in series.samples_by_window.items():
+            other = samples_by_window.get(window)
+            samples_by_window[window] = (
+                sample if other is None else _total((sample, other))
             )
-    return tuple(merged[window] for window in sorted(merged))
+    weights = [
+        comparison.old_by_route[series.route].requests for series in all_series
+    ]
+    rates = [series.prior_rate for series in all_series]
+    weighted = sum(w * r for w, r in zip(weights, rates, strict=True))
+    return _Series(
+        route=OVERALL,
+        what=what,
+        samples_by_window=dict(sorted(samples_by_window.items())),
+        prior_rate=weighted / sum(weights) if sum(weights) else max(rates),
+        difference=all_series[0].difference,
+        required=True,
+    )
 
 
 def _slow_bucket(old: evidence.Counts) -> int:
@@ -239,15 +258,24 @@
     return last
 
 
-def _baseline(series: _Series, index: int) -> float:
-    """Returns p0 of a window from the old version's nearby windows."""
-    first = max(index + 1 - BASELINE_WINDOWS, 0)
-    requests: float = PRIOR_REQUESTS
-    hits = PRIOR_REQUESTS * series.prior_rate
-    for sample in series.samples[first : index + 1]:
-        requests += sample.old_requests
-        hits += sample.old_hits
-    return min(hits / requests, MAX_WORSE_RATE / 2)
+class _Baseline:
+    """Estimates p0 of each window from the old version's nearby windows."""
+
+    def __init__(self, prior_rate: float):
+        self._recent: collections.deque[_Sample] = collections.deque()
+        self._requests: float = PRIOR_REQUESTS
+        self._hits = PRIOR_REQUESTS * prior_rate
+
+    def add(self, sample: _Sample) -> float:
+        """Takes the next window and returns p0 in it."""
+        self._recent.append(sample)
+        self._requests += sample.old_requests
+        self._hits += sample.old_hits
+        if len(self._recent) > BASELINE_WINDOWS:
+            first = self._recent.popleft()
+            self._requests -= first.old_requests
+            self._hits -= first.old_hits
+        return min(self._hits / self._requests, MAX_BASELINE_RATE)
 
 
 def _worse(p0: float, difference: float) -> float:
