Wire root election, the rollout lease and evidence into the daemon

Cause of refused changes right after another daemon had accepted a label: the check ran against a daemon's own, older configuration. A refusal is now checked against the platform before it is told. Ruled out: a lost write (the log held it). The demonstration gets to both rollouts; the good one is rolled back for lack of evidence, so it does not pass yet.

--- a/hemlockgrade/admin.py
+++ b/hemlockgrade/admin.py
@@ -65,6 +65,7 @@
     def __init__(self, daemon: DaemonView, token: str):
         self._daemon = daemon
         self._token = token.encode()
+        self._appended = configuration.Configuration()
 
     @app.handle_errors(exceptions.HemlockError)
     def _expected_error(self, request, failure):
@@ -126,30 +127,26 @@
 
     @app.route('/v1/rollouts')
     def _rollouts(self, request):
-        self._authorize(request)
-        current = self._daemon.configuration
-        return _json(
-            request,
-            {
-                'version': current.version,
-                'rollouts': serialization.to_plain(
-                    list(current.rollouts_by_selector.values())
-                ),
-            },
-        )
+        return self._list(request, 'rollouts_by_selector', 'rollouts')
 
     @app.route('/v1/labels', methods=['GET'])
     def _list_labels(self, request):
-        self._authorize(request)
         return self._list(request, 'labels_by_name', 'labels')
 
     @app.route('/v1/selectors', methods=['GET'])
     def _list_selectors(self, request):
-        self._authorize(request)
         return self._list(request, 'selectors_by_name', 'selectors')
 
     def _list(self, request, field: str, name: str):
-        current = self._daemon.configuration
+        self._authorize(request)
+        return defer.ensureDeferred(self._read_list(request, field, name))
+
+    async def _read_list(self, request, field: str, name: str):
+        current = self._newest()
+        if not current.version:
+            # A daemon that has just started knows nothing of its own yet.
+            loading = asyncio.ensure_future(self._daemon.change_log.load())
+            current = await defer.Deferred.fromFuture(loading)
         objects = list(getattr(current, field).values())
         return _json(
             request,
@@ -190,16 +187,34 @@
         return defer.ensureDeferred(self._append(request, draft))
 
     async def _append(self, request, draft: model.Change):
-        base = self._daemon.configuration
-        _check_precondition(request, base, draft)
-        configuration.validate(base, draft, draft.written_at)
         # Klein awaits Deferreds and the change log runs on asyncio.
         appending = asyncio.ensure_future(
-            self._daemon.change_log.append(base, draft)
+            self._append_to_newest(request.getHeader('if-match'), draft)
         )
         after = await defer.Deferred.fromFuture(appending)
         return _json(request, {'accepted': after.version})
 
+    async def _append_to_newest(
+        self, based_on: str | None, draft: model.Change
+    ) -> configuration.Configuration:
+        base = self._newest()
+        try:
+            _check_precondition(based_on, base, draft)
+            configuration.validate(base, draft, draft.written_at)
+        except exceptions.HemlockError:
+            # A label that another daemon has accepted a moment ago may be
+            # missing here, so a refusal is checked against the platform.
+            base = await self._daemon.change_log.load()
+            _check_precondition(based_on, base, draft)
+            configuration.validate(base, draft, draft.written_at)
+        self._appended = await self._daemon.change_log.append(base, draft)
+        return self._appended
+
+    def _newest(self) -> configuration.Configuration:
+        """Returns the newer of what is in force and what was appended here."""
+        known = (self._daemon.configuration, self._appended)
+        return max(known, key=lambda c: c.version)
+
     def _authorize(self, request):
         given = request.getHeader(b'authorization') or b''
         if isinstance(given, str):
@@ -213,10 +228,11 @@
 
 
 def _check_precondition(
-    request, base: configuration.Configuration, draft: model.Change
+    expected: str | None,
+    base: configuration.Configuration,
+    draft: model.Change,
 ):
     """Refuses a change that was prepared on an older state of its object."""
-    expected = request.getHeader('if-match')
     if expected is None:
         return
     key = configuration.object_key(draft) or ''
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -1,8 +1,10 @@
 """Builds the parts of a daemon, joins them, and stops them in order."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
+import itertools
 import random
 import time
 from typing import Any
@@ -15,12 +17,15 @@
 from hemlockgrade import changelog
 from hemlockgrade import configuration as configuration_module
 from hemlockgrade import configuration_task
+from hemlockgrade import distribution
 from hemlockgrade import evidence
 from hemlockgrade import http_server
 from hemlockgrade import kernel
+from hemlockgrade import lease
 from hemlockgrade import ledger
 from hemlockgrade import listeners
 from hemlockgrade import local_api
+from hemlockgrade import mailbox
 from hemlockgrade import membership
 from hemlockgrade import membership_task
 from hemlockgrade import metrics
@@ -28,6 +33,8 @@
 from hemlockgrade import platform_api
 from hemlockgrade import proxy
 from hemlockgrade import relay
+from hemlockgrade import root_duties
+from hemlockgrade import root_election
 from hemlockgrade import timeline
 from hemlockgrade import traffic
 from hemlockgrade import upstream
@@ -35,6 +42,8 @@
 from hemlockgrade.wire import control_pb2
 
 EVIDENCE_INTERVAL_S = 1.0
+# Two other roots of the domain watch the platform meanwhile.
+ROOT_LEASE_TERM_S = 6.0
 
 
 class Daemon:
@@ -59,6 +68,7 @@
         self.settings = settings
         self._reactor = reactor
         self._boot_id = uuid.uuid4().hex[:16]
+        self._is_root: mailbox.Mailbox[bool] = mailbox.Mailbox()
         self.metrics = metrics.Metrics()
         self.time_line = timeline.Timeline(
             settings.daemon_id, timeline.LogicalClock(time.time)
@@ -114,18 +124,21 @@
                 failure_domain=settings.failure_domain,
                 admission_address=settings.admission_address,
                 slots=1,
+                control_address=settings.control_address,
                 administration_address=settings.administration_address,
             ),
         )
 
     def _make_control(self) -> None:
         settings = self.settings
+        self._received_evidence = itertools.count(1)
         self._evidence_store = evidence.EvidenceStore()
         callbacks = relay.Callbacks(
             members=self._receive_members,
             suspicions=self._receive_suspicions,
             evidence=self._receive_evidence,
             child_lost=self._suspect_host,
+            domain_link=self._domain_link,
         )
         identity = relay.Identity(
             daemon_id=settings.daemon_id,
@@ -143,12 +156,73 @@
             identity=identity,
             configuration_task=self._configurations,
             member_task=self._members,
-            candidates=lambda backups: [*backups, *settings.seed_addresses],
-            own_target_ids=lambda: self._local_api.target_ids,
+            candidates=lambda backups: self._election.candidates(backups),
             callbacks=callbacks,
             on_position=self._relay.set_position,
             random=random.Random(),
         )
+        self._root_relay = relay.RootRelay(
+            identity=identity,
+            change_source=self.change_log,
+            configuration_task=self._configurations,
+            member_task=self._members,
+            callbacks=callbacks,
+            on_position=self._relay.set_position,
+            random=random.Random(),
+        )
+        self._switch = root_election.RoleSwitch(
+            self._relay, self._uplink, self._root_relay
+        )
+        self._election = root_election.RootElection(
+            identity=identity,
+            platform=self._platform,
+            keeper_factory=self._make_root_lease,
+            parent=self._uplink,
+            known_relays=self._known_relays,
+            seeds=settings.seed_addresses,
+            slots=settings.root_slots,
+            on_role=self._role_changed,
+            on_roots=self._root_relay.set_roots,
+            random=random.Random(),
+        )
+        self._duties = root_duties.RootDuties(
+            daemon_id=settings.daemon_id,
+            address=settings.control_address,
+            platform=self._platform,
+            change_log=self.change_log,
+            configurations=self._configurations,
+            members=self._members,
+            store=self._evidence_store,
+            judge=kernel.load_plugin('judges', settings.judge)(),
+            recorded=self.time_line.record,
+        )
+
+    def _make_root_lease(self, name: str) -> lease.LeaseKeeper:
+        return lease.LeaseKeeper(
+            self._platform,
+            name,
+            self.settings.daemon_id,
+            self.settings.control_address,
+            ROOT_LEASE_TERM_S,
+        )
+
+    def _known_relays(self) -> list[distribution.KnownRelay]:
+        relays_by_id = {
+            target.daemon_id: distribution.KnownRelay(
+                daemon_id=target.daemon_id,
+                failure_domain=target.failure_domain,
+                control_address=target.control_address,
+            )
+            for target in self._members.targets_by_id.values()
+            if target.control_address
+            and target.state is not model.MemberState.GONE
+        }
+        return list(relays_by_id.values())
+
+    def _role_changed(self, role: root_election.Role) -> None:
+        self.time_line.record('role_changed', role=str(role))
+        self._switch.set_role(role)
+        self._is_root.post(role is root_election.Role.ROOT)
 
     @property
     def configuration(self) -> configuration_module.Configuration:
@@ -177,10 +251,9 @@
             await self._relay.start(settings.control_address)
             stack.push_async_callback(self._relay.close)
             tasks.start('upkeep', self._upkeep())
-            if settings.control_address in settings.seed_addresses[:1]:
-                tasks.start('follow', self._follow())
-            else:
-                tasks.start('uplink', self._uplink.run())
+            tasks.start('tree', self._switch.run())
+            tasks.start('election', self._election.run())
+            tasks.start('duties', self._follow_role())
             self.events.emit('startup', daemon_id=settings.daemon_id)
             logger.info('event=daemon_started boot={}', self._boot_id)
             await tasks.wait_for(stopping)
@@ -217,6 +290,7 @@
         deadline = time.monotonic() + self.settings.drain_timeout_s
         logger.info('event=drain_started')
         self.events.emit('drain', daemon_id=self.settings.daemon_id)
+        await asyncio.gather(self._duties.release(), self._election.release())
         for target_id in self._local_api.target_ids:
             self._local_api.drain(target_id)
         await asyncio.gather(
@@ -225,15 +299,9 @@
         self._proxy_factory.drain()
         self._admission_factory.drain()
 
-    async def _follow(self) -> None:
-        """Follows the change log of the platform as a root."""
-        self._relay.set_position(relay.Position(root=True, rooted=True))
-        loaded = await self.change_log.load()
-        self._configurations.post(configuration_task.SnapshotReceived(loaded))
-        async for change in self.change_log.follow(loaded):
-            self._configurations.post(
-                configuration_task.ChangesReceived([change])
-            )
+    async def _follow_role(self) -> None:
+        async for is_root in self._is_root:
+            await self._duties.set_root(is_root)
 
     async def _upkeep(self) -> None:
         while True:
@@ -241,6 +309,8 @@
             self._local_api.expire()
             records = self._recorder.take(time.time())
             self._evidence_store.merge(records, time.time())
+            for batch in evidence.to_wire(records):
+                self._switch.post_evidence(batch.evidence)
 
     def _configuration_changed(
         self,
@@ -269,8 +339,22 @@
         self._traffic.members_changed(targets)
         self.events.emit('members_changed', targets=targets)
 
-    def _receive_members(self, targets: list[model.Target]) -> None:
-        self._members.post(membership_task.MembersReceived(targets=targets))
+    def _receive_members(
+        self,
+        targets: list[model.Target],
+        reply: Callable[[Sequence[model.Target]], None],
+    ) -> None:
+        self._members.post(
+            membership_task.MembersReceived(targets=targets, reply=reply)
+        )
+
+    def _domain_link(self, failure_domain: str, connected: bool) -> None:
+        kind = (
+            membership_task.LinkRestored
+            if connected
+            else membership_task.LinkLost
+        )
+        self._members.post(kind(failure_domain=failure_domain))
 
     def _receive_suspicions(
         self, suspicions: list[control_pb2.Suspicion]
@@ -288,19 +372,16 @@
                 ]
             )
         )
-        self._uplink.post_suspicions(suspicions)
 
     def _suspect(self, suspicion: membership.Suspicion) -> None:
-        self._receive_suspicions(
-            [
-                control_pb2.Suspicion(
-                    target_id=suspicion.target_id,
-                    incarnation=suspicion.incarnation,
-                    observer_id=suspicion.observer_id,
-                    reason=suspicion.reason,
-                )
-            ]
+        message = control_pb2.Suspicion(
+            target_id=suspicion.target_id,
+            incarnation=suspicion.incarnation,
+            observer_id=suspicion.observer_id,
+            reason=suspicion.reason,
         )
+        self._receive_suspicions([message])
+        self._switch.post_suspicions([message])
 
     def _suspect_host(self, daemon_id: str) -> None:
         """Suspects the targets of a child whose stream broke."""
@@ -315,8 +396,18 @@
                     )
                 )
 
-    def _receive_evidence(self, batches: list[Any]) -> None:
-        self._uplink.post_evidence(batches)
+    def _receive_evidence(self, received: list[control_pb2.Evidence]) -> None:
+        """Adds evidence that relays have summed, each on one stream once."""
+        batches = [
+            control_pb2.EvidenceBatch(
+                reporter=self._boot_id,
+                first_sequence=next(self._received_evidence),
+                evidence=[item],
+            )
+            for item in received
+        ]
+        for batch in batches:
+            self._evidence_store.merge(evidence.from_wire(batch), time.time())
 
     def status(self) -> dict[str, Any]:
         """Describes this daemon."""
@@ -324,14 +415,23 @@
             'daemon_id': self.settings.daemon_id,
             'failure_domain': self.settings.failure_domain,
             'version': self.configuration.version,
-            'role': 'relay' if self._relay.children else 'leaf',
+            'role': self._role_name(),
             'parent': self._uplink.parent_address,
             'children': self._relay.children,
-            'leases': [],
+            'leases': self._lease_names(),
             'control_bytes_sent': self._relay.bytes_sent,
             'loads': self._admission.loads(),
         }
 
+    def _role_name(self) -> str:
+        if self._switch.role is not root_election.Role.SUBSCRIBER:
+            return str(self._switch.role)
+        return 'relay' if self._relay.children else 'leaf'
+
+    def _lease_names(self) -> list[str]:
+        holding = self._duties.holding
+        return [] if holding is None else [f'rollout epoch {holding.epoch}']
+
     def targets(self) -> list[model.Target]:
         """Returns the targets that this daemon knows."""
         return list(self._members.targets_by_id.values())
--- a/hemlockgrade/model.py
+++ b/hemlockgrade/model.py
@@ -94,6 +94,7 @@
         daemon_id: Identifier of the daemon in its host.
         boot_id: Identifier of that daemon's process; it changes when the
             daemon restarts and so loses its ledger of requests.
+        control_address: `host:port` at which that daemon takes subscribers.
         administration_address: `host:port` of that daemon's administration
             API, so that the command-line tool finds every daemon.
     """
@@ -108,6 +109,7 @@
     state: MemberState = MemberState.ALIVE
     daemon_id: str = ''
     boot_id: str = ''
+    control_address: str = ''
     administration_address: str = ''
 
 
--- a/scripts/run_demo.py
+++ b/scripts/run_demo.py
@@ -17,8 +17,8 @@
 TARGET_OPTIONS = ('--service-ms', '3', '--slots', '18')
 MAX_CONVERGENCE_S = 6.0
 MAX_BAD_SHARE = 0.05
-GOOD_ROLLOUT_S = 18
-BAD_ROLLOUT_S = 30
+GOOD_ROLLOUT_S = 35
+BAD_ROLLOUT_S = 35
 STARTED_AT = time.monotonic()
 
 CONFIGURATION = {
@@ -56,12 +56,13 @@
         started = move_good_version(system, hosts)
         killed = hosts[0]
         kill(system, killed)
-        outcome = wait_for_end(system, 'booking')
-        say(f'booking v2: {outcome["state"]}: {outcome["reason"]}')
+        time.sleep(3)
         restart(system, killed)
         bad_since = time.monotonic()
         bad = move_bad_version(system, hosts)
         say(f'permits v2: {bad["state"]}: {bad["reason"]}')
+        outcome = wait_for_end(system, 'booking')
+        say(f'booking v2: {outcome["state"]}: {outcome["reason"]}')
         time.sleep(2)
         load.stop()
         report = measure(system, load, bad_since, outcome, bad)
@@ -220,6 +221,8 @@
         'outcome_unknown': counts['unknown'],
         'run_twice': len(run_twice(system)),
         'refused_but_run': len(refused_but_run(system, load.results)),
+        'good_version': good['state'],
+        'bad_version': bad['state'],
         'versions_done': ends.count('done'),
         'versions_taken_back': ends.count('rolled_back'),
         'changes_applied': len(delays),
@@ -276,9 +279,9 @@
     for name in ('wrong_answers', 'run_twice', 'refused_but_run'):
         if report[name]:
             yield f'{name} is {report[name]}'
-    if report['versions_done'] != 1:
+    if report['good_version'] != 'done':
         yield 'the good version is not done'
-    if report['versions_taken_back'] != 1:
+    if report['bad_version'] != 'rolled_back':
         yield 'the bad version was not taken back'
     if not report['changes_applied']:
         yield 'no change was applied'
