--- a/features/steps/changelog_steps.py
+++ b/features/steps/changelog_steps.py
@@ -141,7 +141,7 @@
     'an entry {number:d} written by a paused writer that ended before its check'
 )
 def misplaced_entry(context, number):
-    entry = attrs.evolve(put_label('label-1'), number=number)
+    entry = attrs.evolve(put_label('label-1', 'misplaced'), number=number)
     context.store.put(
         changelog.change_key(number), serialization.to_json(entry), None
     )
@@ -345,6 +345,7 @@
     loads_as_before(context)
     snapshot_and_trim(context)
     not_in_log(context)
+    assert 'misplaced' not in ids_in_log(context)
 
 
 @given('a budget of 10 writes a second')
