--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -14,6 +14,7 @@
 
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
+from hemlockgrade import sockets
 
 Handler = Callable[[http_codec.Request], Awaitable[http_codec.Response]]
 
@@ -93,6 +94,7 @@
         self._loop = asyncio.get_running_loop()
         self._factory.connections.add(self)
         self.transport.setTcpNoDelay(True)
+        self._writer = sockets.DirectWriter(self.transport)
         self.transport.registerProducer(self, True)
         self._update()
 
@@ -144,6 +146,7 @@
     def resumeProducing(self):  # noqa: N802
         """Writes on."""
         self._write_paused = False
+        self._writer.emptied()
         if self._stream is not None:
             self._stream.resume()
         self._start_next()
@@ -156,7 +159,7 @@
         assert self._framing is not None
         if self._framing.chunked:
             data = http_codec.encode_chunk(data)
-        self.transport.write(data)
+        self._writer.write(data)
 
     def body_ended(self, complete: bool) -> None:
         """Ends a streamed body; a cut one ends with the connection."""
@@ -168,7 +171,7 @@
             self.transport.abortConnection()
             return
         if framed.chunked:
-            self.transport.write(http_codec.LAST_CHUNK)
+            self._writer.write(http_codec.LAST_CHUNK)
         self._answered(framed.close)
 
     def close_if_idle(self) -> None:
@@ -182,7 +185,7 @@
                 self._start(self._pending.popleft())
             elif self._parser.expects_continue:
                 self._parser.expects_continue = False
-                self.transport.write(http_codec.CONTINUE)
+                self._writer.write(http_codec.CONTINUE)
             elif self._ending:
                 self._close()
         self._update()
@@ -222,7 +225,7 @@
         close: bool,
     ):
         framed = http_codec.framing(response, request, close=close)
-        self.transport.write(http_codec.encode_response(response, framed))
+        self._writer.write(http_codec.encode_response(response, framed))
         if response.stream is None or framed.empty:
             self._answered(framed.close)
             return
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -12,6 +12,7 @@
 from hemlockgrade import addresses
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
+from hemlockgrade import sockets
 
 CONNECT_TIMEOUT_S = 1.0
 MAX_IDLE_PER_ADDRESS = 32
@@ -40,6 +41,7 @@
             self.transport.abortConnection()
             return
         self.transport.setTcpNoDelay(True)
+        self._writer = sockets.DirectWriter(self.transport)
         if not self.made.done():
             self.made.set_result(None)
 
@@ -50,7 +52,7 @@
         self._answer = self._loop.create_future()
         self._timer = self._loop.call_at(deadline, self._out_of_time)
         self._parser.expect(request.method)
-        self.transport.write(data)
+        self._writer.write(data)
         return self._answer
 
     def dataReceived(self, data: bytes):  # noqa: N802
