--- a/bench/request_path.py
+++ b/bench/request_path.py
@@ -4,9 +4,10 @@
 proxy side and admission side are separate processes. Rounds with the target
 called directly alternate with rounds through both hops and through two
 processes that only copy bytes, so that all meet the same state of the
-machine; the copies show what two more processes cost on it in any case. Arrivals are open loop (Poisson, seeded); a
-latency counts from the arrival, waiting for a free connection included.
-Half of the requests are POST. Prints one JSON line a rate and a path.
+machine; the copies show what two more processes cost on it in any case.
+Arrivals are open loop (Poisson, seeded); a latency counts from the arrival,
+waiting for a free connection included. Half of the requests are POST. Prints
+one JSON line a rate and a path.
 """
 
 import argparse
