Adapt the queue to standing load, share it among callers, test the decisions

The bound follows the shortest queue length in an interval. A full queue gives up a request of the caller that has most in it.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -31,6 +31,15 @@
     Then the quick ones got their own answers
     And the late ones were reported as unknown
 
+  Scenario Outline: A second answer to a request does not meet the next one
+    When a target answers a request again after <ms> ms and then gets another
+    Then the second request got its own answer and both ran once
+
+    Examples:
+      | ms |
+      | 0  |
+      | 10 |
+
   Scenario Outline: Bodies pass in every form
     When <method> <target> is requested
     Then the answer has status <status> and <size> bytes
--- /dev/null
+++ b/features/steps/limits_steps.py
@@ -0,0 +1,281 @@
+"""Steps on slots, the queue and the limiter."""
+
+import asyncio
+import os
+
+from behave import given
+from behave import then
+from behave import when
+import hypothesis
+from hypothesis import strategies
+
+from hemlockgrade import exceptions
+from hemlockgrade import limits
+from hemlockgrade.plugins import slot_limiter
+from standins import loopback
+
+SEEDS = int(os.environ.get('HEMLOCK_SEEDS', '25'))
+HISTORIES = hypothesis.settings(
+    max_examples=SEEDS * 4, derandomize=True, database=None, deadline=None
+)
+STEPS = strategies.lists(
+    strategies.tuples(
+        strategies.sampled_from(['arrive', 'arrive', 'release', 'expire']),
+        strategies.floats(0, 0.05),
+        strategies.floats(0.001, 0.5),
+        strategies.sampled_from(['a', 'b', 'c']),
+    ),
+    max_size=60,
+)
+
+
+class History:
+    """Plays steps on a queue and keeps what happened to each ticket."""
+
+    def __init__(self, slots):
+        self.queue = limits.SlotQueue(slots)
+        self.now = 0.0
+        self.running, self.waiting = [], []
+        self.ends = {}
+        self.problems = []
+
+    def play(self, step, wait_s, value, caller):
+        self.now += wait_s
+        getattr(self, step)(value, caller)
+        if not len(self.running) == self.queue.in_use <= self.queue.slots:
+            self.problems.append('slots')
+        if len(self.waiting) != self.queue.queued:
+            self.problems.append('queue')
+
+    def arrive(self, allowed_s, caller):
+        ticket = limits.Ticket(deadline=self.now + allowed_s, caller=caller)
+        try:
+            granted = self.queue.admit(ticket, self.now)
+        except exceptions.RequestNotRunError:
+            self.end(ticket)
+            return
+        self.waiting.append(ticket)
+        self.take(granted)
+
+    def release(self, service_s, _):
+        if self.running:
+            self.end(self.running.pop(0))
+            self.take(self.queue.release(service_s, self.now))
+
+    def expire(self, *_):
+        for ticket in [t for t in self.waiting if t.deadline <= self.now]:
+            self.queue.abandon(ticket)
+            self.waiting.remove(ticket)
+            self.end(ticket)
+
+    def take(self, granted):
+        for ticket in granted.refused:
+            self.waiting.remove(ticket)
+            self.end(ticket)
+        if granted.ticket is not None:
+            self.waiting.remove(granted.ticket)
+            self.running.append(granted.ticket)
+            if granted.ticket.deadline < self.now:
+                self.problems.append('late')
+            if any(t.deadline < granted.ticket.deadline for t in self.waiting):
+                self.problems.append('order')
+
+    def end(self, ticket):
+        self.ends[ticket] = self.ends.get(ticket, 0) + 1
+
+    def finish(self):
+        while self.running:
+            self.release(0.01, None)
+        if self.waiting or self.queue.in_use or self.queue.queued:
+            self.problems.append('left over')
+        if set(self.ends.values()) - {1}:
+            self.problems.append('ended twice')
+
+
+@when('generated histories of arrivals, releases and expiries are played')
+def play_histories(context):
+    context.problems = set()
+
+    @hypothesis.given(strategies.integers(1, 4), STEPS)
+    @HISTORIES
+    def play(slots, steps):
+        history = History(slots)
+        for step in steps:
+            history.play(*step)
+        history.finish()
+        context.problems.update(history.problems)
+
+    play()
+
+
+@then('never more requests ran than there are slots')
+def slots_kept(context):
+    assert not context.problems & {'slots', 'queue'}, context.problems
+
+
+@then('each request ended exactly once')
+def ended_once(context):
+    assert not context.problems & {'left over', 'ended twice'}
+
+
+@then('waiting requests got their slots in the order of their deadlines')
+def deadline_order(context):
+    assert 'order' not in context.problems
+
+
+@then('no request got a slot after its deadline')
+def never_late(context):
+    assert 'late' not in context.problems
+
+
+@when('generated cancellations meet generated releases in one limiter')
+def cancellations(context):
+    context.left = []
+
+    async def work(limiter, turns):
+        await limiter.acquire(asyncio.get_running_loop().time() + 5)
+        try:
+            for _ in range(turns):
+                await asyncio.sleep(0)
+        finally:
+            limiter.release(0.0)
+
+    async def main(plan):
+        limiter = slot_limiter.SlotLimiter(2)
+        tasks = []
+        for turns, cancel in plan:
+            tasks.append(asyncio.ensure_future(work(limiter, turns)))
+            if cancel is not None:
+                await asyncio.sleep(0)
+                tasks[cancel % len(tasks)].cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+        context.left.append((limiter.in_use, limiter.queued))
+
+    plans = strategies.lists(
+        strategies.tuples(
+            strategies.integers(0, 4),
+            strategies.one_of(strategies.none(), strategies.integers(0, 20)),
+        ),
+        max_size=12,
+    )
+
+    @hypothesis.given(plans)
+    @HISTORIES
+    def play(plan):
+        loopback.run(main(plan))
+
+    play()
+
+
+@then('all slots are free in the end')
+def all_free(context):
+    assert set(context.left) == {(0, 0)}, context.left
+
+
+@given('a queue of {slots:d} slots that measured services of {s:g} seconds')
+@given('a queue of {slots:d} slots that measured services of {s:g} second')
+def queue_with_service(context, slots, s):
+    context.queue = limits.SlotQueue(slots, service_s=s)
+    context.now = 10.0
+    context.tickets = []
+
+
+def send(context, allowed_s, caller=''):
+    ticket = limits.Ticket(deadline=context.now + allowed_s, caller=caller)
+    try:
+        granted = context.queue.admit(ticket, context.now)
+    except exceptions.RequestNotRunError:
+        return 'refused', []
+    if granted.ticket is ticket:
+        return 'slot', []
+    return 'waits', granted.refused
+
+
+@given('its slots are in use')
+def fill_slots(context):
+    for _ in range(context.queue.slots):
+        assert send(context, 100.0)[0] == 'slot'
+
+
+@when('a request with {ms:d} ms comes to the idle target')
+@when('a request with {ms:d} ms comes')
+def request_comes(context, ms):
+    context.result = send(context, ms / 1000)
+
+
+@when('caller a sends 1 request more')
+def one_more(context):
+    context.result = send(context, 100.0, 'a')
+
+
+@then('it gets a slot')
+def gets_slot(context):
+    assert context.result[0] == 'slot', context.result
+
+
+@then('it is refused before it waits')
+def refused(context):
+    assert context.result[0] == 'refused', context.result
+
+
+@then('it waits')
+def waits(context):
+    assert context.result[0] == 'waits', context.result
+
+
+@when('it stands for {seconds:d} seconds')
+def stands(context, seconds):
+    turn(context, seconds, arrivals_a_release=2)
+
+
+@when('it empties in between for {seconds:d} seconds')
+def empties(context, seconds):
+    turn(context, seconds, arrivals_a_release=1)
+
+
+def turn(context, seconds, arrivals_a_release):
+    queue = context.queue
+    end = context.now + seconds
+    while context.now < end:
+        context.now += queue.service_s / queue.slots
+        for _ in range(arrivals_a_release):
+            send(context, 100.0)
+        queue.release(queue.service_s, context.now)
+        # With one arrival a release the queue is let run empty at times.
+        while arrivals_a_release == 1 and queue.queued:
+            queue.release(queue.service_s, context.now)
+
+
+@then('it holds {count:d} requests')
+def holds(context, count):
+    assert context.queue.bound.value == count, context.queue.bound
+
+
+@when('caller a sends 10 requests and then caller b sends 1')
+def a_then_b(context):
+    context.of_a = [send(context, 100.0, 'a') for _ in range(10)]
+    context.result = send(context, 100.0, 'b')
+
+
+@then("b's request waits and one of a's was refused for it")
+def b_waits(context):
+    outcome, displaced = context.result
+    assert outcome == 'waits'
+    assert [t.caller for t in displaced] == ['a']
+    assert 'refused' in {outcome for outcome, _ in context.of_a}
+
+
+@when('2 requests wait and the queue drains')
+def two_wait(context):
+    assert [send(context, 100.0)[0] for _ in range(2)] == ['waits'] * 2
+    context.refused = context.queue.drain()
+
+
+@then('both are refused, as is a later one, and the running ones finish')
+def drained(context):
+    assert len(context.refused) == 2
+    assert send(context, 100.0)[0] == 'refused'
+    for _ in range(2):
+        granted = context.queue.release(0.05, context.now)
+        assert granted == limits.Granted()
+    assert context.queue.in_use == 0
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -228,6 +228,31 @@
     assert {outcome(a) for a in context.late} == {'unknown'}
 
 
+@when('a target answers a request again after {ms:d} ms and then gets another')
+def answered_again(context, ms):
+    async def main():
+        async with loopback.System(1) as system:
+            system.targets[0].faults = [
+                target_server.Fault('double', route='/first', ms=ms)
+            ]
+            head = 'x-echo: first\r\n'
+            await system.ask('POST', '/first', headers=head)
+            # The second answer comes while the connection is idle.
+            await until(lambda: not system.targets[0].running)
+            await asyncio.sleep(0.01)
+            head = 'x-echo: second\r\n'
+            context.answer = await system.ask('POST', '/second', headers=head)
+            context.runs = system.runs_by_path()
+
+    loopback.run(main())
+
+
+@then('the second request got its own answer and both ran once')
+def own_second(context):
+    assert echo(context.answer) == 'second', context.answer
+    assert context.runs == {'/first': 1, '/second': 1}, context.runs
+
+
 @when('{method} {target} is requested')
 def request_one(context, method, target):
     async def main():
--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -173,7 +173,7 @@
             return not_run('no-target', f'no target {target_id!r} here')
         deadline = now + _timeout_s(request.headers)
         try:
-            await place.limiter.acquire(deadline)
+            await place.limiter.acquire(deadline, _caller(request.headers))
         except exceptions.RequestNotRunError as error:
             return not_run('refused', str(error))
         return await self._run(request, place, deadline)
@@ -249,6 +249,12 @@
     return response
 
 
+def _caller(headers: http_codec.Headers) -> str:
+    """Returns the sending proxy, which is the prefix of its identifiers."""
+    text = http_codec.header(headers, b'x-hemlock-request-id') or ''
+    return text.rpartition('-')[0]
+
+
 def _timeout_s(headers: http_codec.Headers) -> float:
     text = http_codec.header(headers, b'x-hemlock-timeout-ms')
     if text is None or not (text.isascii() and text.isdecimal()):
--- a/hemlockgrade/limits.py
+++ b/hemlockgrade/limits.py
@@ -1,6 +1,7 @@
 """Slots, a short queue ordered by deadline, and early refusal."""
 
-import heapq
+import bisect
+import collections
 from typing import Protocol
 
 import attrs
@@ -10,18 +11,26 @@
 # Weight of the newest service time in the moving mean.
 SERVICE_TIME_WEIGHT = 0.05
 # Start value until a service time was measured, in seconds.
-INITIAL_SERVICE_S = 0.01
+INITIAL_SERVICE_S = 0.005
+# Interval over which the bound of the queue is adapted, in seconds, and in
+# mean service times, so that a slow target's interval sees some requests.
+ADAPT_INTERVAL_S = 0.1
+ADAPT_SERVICE_TIMES = 4
+# Bounds of the queue, as multiples of the slots.
+MIN_BOUND_SHARE = 0.5
+MAX_BOUND_SHARE = 8.0
 
 
 class Limiter(Protocol):
     """Admits work to one target."""
 
-    async def acquire(self, deadline: float) -> None:
+    async def acquire(self, deadline: float, caller: str = '') -> None:
         """Waits for a slot.
 
         Args:
             deadline: Time by which the work has to be finished, in seconds
                 on the monotonic clock.
+            caller: Who sent it; a full queue is shared among callers.
 
         Raises:
             exceptions.RequestNotRunError: The work is refused.
@@ -53,13 +62,24 @@
 
     Attributes:
         deadline: Time by which it has to be finished, in seconds.
-        queued_at: Time at which it began to wait, in seconds.
-        waiting: True while it is in the queue.
+        caller: Who sent it.
     """
 
     deadline: float
-    queued_at: float = 0.0
-    waiting: bool = False
+    caller: str = ''
+
+
+@attrs.define(kw_only=True)
+class Granted:
+    """Tickets on which a change of the queue decided.
+
+    Attributes:
+        ticket: Has a slot now.
+        refused: Left the queue without one.
+    """
+
+    ticket: Ticket | None = None
+    refused: list[Ticket] = attrs.field(factory=list)
 
 
 def refusal(reason: str) -> exceptions.RequestNotRunError:
@@ -70,6 +90,55 @@
     )
 
 
+@attrs.define
+class QueueBound:
+    """Bound of the queue, adapted to whether the queue empties in between.
+
+    A queue that absorbs bursts empties now and then; one that stands only
+    adds delay (Nichols and Jacobson, "Controlling Queue Delay", ACM Queue
+    10(5), 2012). The shortest length in an interval tells them apart. The
+    shortest wait would not: in the order of deadlines the urgent requests
+    wait little however long the queue is.
+
+    Attributes:
+        slots: Requests that the target runs at once.
+        value: Requests that may wait now.
+    """
+
+    slots: int
+    value: float = attrs.field(init=False)
+    _shortest: int | None = None
+    _interval_ends: float = 0.0
+
+    def __attrs_post_init__(self):
+        self.value = float(self.slots)
+
+    def observe(self, queued: int, service_s: float, now: float) -> None:
+        """Counts the length of the queue after a slot was taken.
+
+        Args:
+            queued: Requests that wait.
+            service_s: Mean service time, in seconds.
+            now: Time in seconds.
+        """
+        if self._shortest is None or queued < self._shortest:
+            self._shortest = queued
+        if now < self._interval_ends:
+            return
+        self._adapt(stands=self._shortest > 0)
+        self._shortest = None
+        self._interval_ends = now + max(
+            ADAPT_INTERVAL_S, ADAPT_SERVICE_TIMES * service_s
+        )
+
+    def _adapt(self, *, stands: bool):
+        if stands:
+            self.value = max(self.value / 2, self.slots * MIN_BOUND_SHARE, 1.0)
+            return
+        step = max(self.slots / 4, 1.0)
+        self.value = min(self.value + step, self.slots * MAX_BOUND_SHARE)
+
+
 @attrs.define
 class SlotQueue:
     """Decides which requests get a slot, wait or are refused.
@@ -79,85 +148,110 @@
         in_use: Slots in use.
         draining: True once new work is refused.
         service_s: Moving mean of the measured service time, in seconds.
+        bound: Bound of the queue.
     """
 
     slots: int
     in_use: int = 0
     draining: bool = False
     service_s: float = INITIAL_SERVICE_S
-    _heap: list[tuple[float, int, Ticket]] = attrs.field(factory=list)
-    _queued: int = 0
-    _sequence: int = 0
+    bound: QueueBound = attrs.field(init=False)
+    _waiting: list[Ticket] = attrs.field(factory=list)
+
+    def __attrs_post_init__(self):
+        self.bound = QueueBound(self.slots)
 
     @property
     def queued(self) -> int:
         """Requests that wait for a slot."""
-        return self._queued
+        return len(self._waiting)
 
-    def admit(self, ticket: Ticket, now: float) -> bool:
+    def admit(self, ticket: Ticket, now: float) -> Granted:
         """Gives a slot, or queues the request.
 
         Returns:
-            True if it has a slot now, False if it waits.
+            The ticket itself if it has a slot now, and a request that left
+            the full queue for it, if any.
 
         Raises:
             exceptions.RequestNotRunError: It is refused.
         """
         if self.draining:
             raise refusal('the target is draining')
-        if ticket.deadline - now < self.service_s:
-            raise refusal('it cannot finish before its deadline')
+        if ticket.deadline <= now:
+            raise refusal('its deadline has passed')
         if self.in_use < self.slots:
-            self.in_use += 1
-            return True
-        if self._queued >= self.queue_bound:
+            self._admit_at_once(ticket, now)
+            return Granted(ticket=ticket)
+        position = bisect.bisect_right(
+            self._waiting, ticket.deadline, key=_deadline
+        )
+        if not self._can_finish(ticket, now, position):
+            raise refusal('it cannot finish before its deadline')
+        granted = Granted()
+        if len(self._waiting) >= self.bound.value:
+            granted.refused.append(self._displace(ticket.caller))
+        bisect.insort_right(self._waiting, ticket, key=_deadline)
+        return granted
+
+    def _displace(self, caller: str) -> Ticket:
+        """Takes the least urgent request of who has most in the queue.
+
+        Under a retry storm of one caller the others keep their share of a
+        full queue; a fixed limit a caller protected them less, and would
+        have to know how many callers there are.
+        """
+        counts = collections.Counter(t.caller for t in self._waiting)
+        heaviest, most = counts.most_common(1)[0]
+        if most <= counts[caller] + 1:
             raise refusal('the queue is full')
-        self._push(ticket, now)
-        return False
+        for ticket in reversed(self._waiting):
+            if ticket.caller == heaviest:
+                break
+        self._waiting.remove(ticket)
+        return ticket
+
+    def _admit_at_once(self, ticket: Ticket, now: float):
+        # An idle target is always tried: were nothing admitted after a
+        # stall, no service time would be measured that ends the refusals.
+        if self.in_use and ticket.deadline - now < self.service_s / 2:
+            raise refusal('it cannot finish before its deadline')
+        self.in_use += 1
+        self.bound.observe(0, self.service_s, now)
 
-    @property
-    def queue_bound(self) -> int:
-        """Requests that may wait."""
-        return self.slots
-
-    def _push(self, ticket: Ticket, now: float):
-        ticket.waiting = True
-        ticket.queued_at = now
-        self._sequence += 1
-        heapq.heappush(self._heap, (ticket.deadline, self._sequence, ticket))
-        self._queued += 1
-
-    def release(
-        self, service_s: float | None, now: float
-    ) -> tuple[Ticket | None, list[Ticket]]:
+    def _can_finish(self, ticket: Ticket, now: float, position: int) -> bool:
+        """Tells whether a request can finish from a place in the queue."""
+        wait_s = self.service_s * (position + 1) / self.slots
+        return now + wait_s + self.service_s <= ticket.deadline
+
+    def release(self, service_s: float | None, now: float) -> Granted:
         """Gives a slot back and passes it to the next request.
 
-        Returns:
-            The request that has the slot now, if any, and the requests
-            that are refused because they can no longer finish in time.
+        Args:
+            service_s: How long the target worked, in seconds; None if that
+                says nothing about the target.
+            now: Time in seconds.
         """
         if service_s is not None:
-            self.service_s += SERVICE_TIME_WEIGHT * (service_s - self.service_s)
-        refused: list[Ticket] = []
-        while self._heap:
-            _, _, ticket = heapq.heappop(self._heap)
-            if not ticket.waiting:
-                continue
-            self._leave(ticket)
-            if ticket.deadline - now >= self.service_s:
-                return ticket, refused
-            refused.append(ticket)
+            difference = service_s - self.service_s
+            self.service_s += SERVICE_TIME_WEIGHT * difference
         self.in_use -= 1
-        return None, refused
+        granted = Granted()
+        while self._waiting and self.in_use < self.slots:
+            ticket = self._waiting.pop(0)
+            if now + self.service_s / 2 > ticket.deadline:
+                granted.refused.append(ticket)
+                continue
+            self.in_use += 1
+            self.bound.observe(len(self._waiting), self.service_s, now)
+            granted.ticket = ticket
+            break
+        return granted
 
     def abandon(self, ticket: Ticket) -> None:
-        """Takes a waiting request out of the queue."""
-        if ticket.waiting:
-            self._leave(ticket)
-
-    def _leave(self, ticket: Ticket):
-        ticket.waiting = False
-        self._queued -= 1
+        """Takes a request out of the queue, if it waits there."""
+        if ticket in self._waiting:
+            self._waiting.remove(ticket)
 
     def drain(self) -> list[Ticket]:
         """Refuses new work from now on.
@@ -166,8 +260,9 @@
             The requests that were waiting; they are refused as well.
         """
         self.draining = True
-        waiting = [t for _, _, t in self._heap if t.waiting]
-        for ticket in waiting:
-            self._leave(ticket)
-        self._heap.clear()
+        waiting, self._waiting = self._waiting, []
         return waiting
+
+
+def _deadline(ticket: Ticket) -> float:
+    return ticket.deadline
--- a/hemlockgrade/plugins/slot_limiter.py
+++ b/hemlockgrade/plugins/slot_limiter.py
@@ -23,19 +23,23 @@
         """Requests that wait for a slot."""
         return self._queue.queued
 
-    async def acquire(self, deadline: float) -> None:
+    async def acquire(self, deadline: float, caller: str = '') -> None:
         """Waits for a slot.
 
         Args:
             deadline: Time by which the work has to be finished, in seconds
                 on the monotonic clock.
+            caller: Who sent it; a full queue is shared among callers.
 
         Raises:
             exceptions.RequestNotRunError: The work is refused.
         """
         now = time.monotonic()
-        ticket = limits.Ticket(deadline=deadline)
-        if self._queue.admit(ticket, now):
+        ticket = limits.Ticket(deadline=deadline, caller=caller)
+        granted = self._queue.admit(ticket, now)
+        for displaced in granted.refused:
+            self._refuse(displaced, 'the queue is full')
+        if granted.ticket is ticket:
             return
         loop = asyncio.get_running_loop()
         future = loop.create_future()
@@ -59,10 +63,10 @@
             service_s: How long the target worked, in seconds; None if that
                 says nothing about the target.
         """
-        granted, refused = self._queue.release(service_s, time.monotonic())
-        if granted is not None:
-            self._resolve(granted)
-        for ticket in refused:
+        granted = self._queue.release(service_s, time.monotonic())
+        if granted.ticket is not None:
+            self._resolve(granted.ticket)
+        for ticket in granted.refused:
             self._refuse(ticket, 'it waited too long for a slot')
 
     def drain(self) -> None:
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -41,8 +41,9 @@
     """A fault that applies to one version or route, or to all.
 
     Attributes:
-        kind: error, slow, late (slow beyond the deadline), cut, close or
-            reset (both after the request was read).
+        kind: error, slow, late (slow beyond the deadline), cut, double (the
+            answer comes again after `ms`), close or reset (both after the
+            request was read).
         version: Only for a target of this version.
         route: Only for paths that begin with this.
         load: Only while at least this many requests run.
@@ -224,7 +225,9 @@
             return
         limit_ms = headers.get('x-hemlock-timeout-ms', DEFAULT_TIMEOUT_MS)
         limit_s = float(limit_ms) / 1000
-        delay_s = self.server.service_s(query) + fault.ms / 1000
+        extra_s = fault.ms / 1000
+        delay_s = self.server.service_s(query)
+        delay_s += 0 if fault.kind == 'double' else extra_s
         in_time = fault.kind == 'late' or delay_s <= limit_s
         await asyncio.sleep(delay_s if in_time else limit_s)
         if not in_time:
@@ -243,6 +246,9 @@
         cut_at = fault.at if fault.kind == 'cut' else None
         answer = json.dumps(echo).encode().ljust(size)
         self.answer(status, answer, method, query, cut_at)
+        if fault.kind == 'double':
+            await asyncio.sleep(extra_s)
+            self.answer(status, answer, method, query)
 
     def answer(self, status, body, method, query, cut_at=None):
         mode = query.get('body', 'length')
