--- a/hemlockgrade/rollout.py
+++ b/hemlockgrade/rollout.py
@@ -16,6 +16,9 @@
 
 # A version that is not judged good gets at most 5% of the requests.
 MAX_UNJUDGED_PERMILLE = 50
+# Before a share is raised, the evidence has to exclude that this part of all
+# requests would fail additionally at the new share.
+MAX_HARM = 0.02
 # An accepted change is in effect on every proxy within this time (I10).
 CONVERGENCE_S = 6.0
 # Longer rollouts tie up evidence and the old version's hosts for little gain.
@@ -55,8 +58,16 @@
 class Judge(Protocol):
     """Decides from a comparison whether a version is good or bad."""
 
-    def judge(self, comparison: evidence.Comparison) -> Verdict:
-        """Returns the finding; the same comparison gives the same one."""
+    def judge(
+        self, comparison: evidence.Comparison, tolerance: float = MAX_HARM
+    ) -> Verdict:
+        """Returns the finding; the same comparison gives the same one.
+
+        Args:
+            comparison: Evidence on both versions.
+            tolerance: Difference of the failure rate that a good finding
+                has to exclude.
+        """
 
 
 @attrs.frozen(kw_only=True)
@@ -171,6 +182,20 @@
     )
 
 
+def tolerance(rollout: model.Rollout) -> float:
+    """Returns the difference of the failure rate to exclude before a step.
+
+    A small share does little harm, so little evidence suffices to raise it;
+    the larger the next share, the smaller the difference that counts.
+    """
+    following = [
+        stage.progress_permille
+        for stage in STAGES
+        if stage.progress_permille > rollout.progress_permille
+    ]
+    return MAX_HARM / (min(following, default=1000) / 1000)
+
+
 def decide(
     rollout: model.Rollout,
     verdict: Verdict,
--- a/hemlockgrade/rollout_holder.py
+++ b/hemlockgrade/rollout_holder.py
@@ -288,7 +288,8 @@
                 rollout.new_version,
                 old_versions(rollout),
                 stage_started_at,
-            )
+            ),
+            rollout_module.tolerance(rollout),
         )
         return rollout_module.decide(
             rollout,
