--- a/hemlockgrade/rollout.py
+++ b/hemlockgrade/rollout.py
@@ -150,12 +150,12 @@
 # The stage before the last keeps 5% of the requests at the old version. They
 # show whether a fault hits both versions, so most of the observation is there.
 STAGES = (
-    Stage(progress_permille=10, min_s=3.0, weight=0.10),
-    Stage(progress_permille=50, min_s=4.0, weight=0.35),
-    Stage(progress_permille=200, min_s=4.0, weight=0.15),
-    Stage(progress_permille=500, min_s=4.0, weight=0.15),
-    Stage(progress_permille=950, min_s=5.0, weight=0.20),
-    Stage(progress_permille=1000, min_s=2.0, weight=0.05),
+    Stage(progress_permille=10, min_s=3.0, weight=0.06),
+    Stage(progress_permille=50, min_s=4.0, weight=0.38),
+    Stage(progress_permille=200, min_s=4.0, weight=0.22),
+    Stage(progress_permille=500, min_s=4.0, weight=0.16),
+    Stage(progress_permille=950, min_s=5.0, weight=0.15),
+    Stage(progress_permille=1000, min_s=2.0, weight=0.03),
 )
 
 
