--- a/hemlockgrade/evidence.py
+++ b/hemlockgrade/evidence.py
@@ -223,6 +223,8 @@
     def __init__(self):
         self._seen = _SeenRecords()
         self._series_by_key: dict[tuple[str, str, str], dict[int, _Tally]] = {}
+        # Windows are not joined over the start of the stage under comparison.
+        self._firsts_by_selector: dict[str, int] = {}
         self._joined_at = -math.inf
 
     def merge(self, records: Iterable[Evidence], now: float) -> int:
@@ -255,6 +257,7 @@
             since: Seconds of Unix time; earlier windows are left out.
         """
         first = math.floor(since / WINDOW_S)
+        self._firsts_by_selector[selector] = first
         routes = sorted(
             {
                 route
@@ -278,6 +281,7 @@
         """Drops the evidence on a selector whose rollout has ended."""
         for key in [k for k in self._series_by_key if k[0] == selector]:
             del self._series_by_key[key]
+        self._firsts_by_selector.pop(selector, None)
 
     def _pairs(self, selector, new, old, route, first):
         new_series = self._series_by_key.get((selector, new, route), {})
@@ -316,8 +320,9 @@
         self._seen.expire(now)
         current = int(now // WINDOW_S)
         for key, series in list(self._series_by_key.items()):
+            boundary = self._firsts_by_selector.get(key[0], 0)
             for window in list(series):
-                block = _block(window, current)
+                block = _block(window, current, boundary)
                 if block == window:
                     continue
                 tally = series.pop(window)
@@ -507,8 +512,14 @@
                 del self._above_by_reporter[reporter]
 
 
-def _block(window: int, current: int) -> int | None:
-    """Returns the first window of the block, or None for an expired one."""
+def _block(window: int, current: int, boundary: int) -> int | None:
+    """Returns the first window of the block, or None for an expired one.
+
+    Args:
+        window: Index of a window.
+        current: Index of the current window.
+        boundary: Window before which a block ends.
+    """
     age = current - window
     if age > RETENTION_S / WINDOW_S:
         return None
@@ -516,7 +527,7 @@
         # The whole block has to be old enough, or it would grow in parts.
         first = window - window % length
         if current - (first + length) >= min_age:
-            return first
+            return max(first, boundary) if window >= boundary else first
     return window
 
 
--- a/hemlockgrade/rollout.py
+++ b/hemlockgrade/rollout.py
@@ -45,6 +45,7 @@
         reason: The evidence in words, for operators.
         requests: Requests of the new version that were judged.
         errors: How many of them failed.
+        old_requests: Requests of the old versions in the same time.
         suspect: True if the evidence so far speaks against the version.
     """
 
@@ -52,6 +53,7 @@
     reason: str = ''
     requests: int = 0
     errors: int = 0
+    old_requests: int = 0
     suspect: bool = False
 
 
@@ -147,16 +149,25 @@
     reason: str
 
 
-# The stage before the last keeps 5% of the requests at the old version. They
+# The stage before the last keeps 10% of the requests at the old version. They
 # show whether a fault hits both versions, so most of the observation is there.
+# The stage at 5% lasts longest: what fails late should fail at a small share.
 STAGES = (
-    Stage(progress_permille=10, min_s=3.0, weight=0.06),
-    Stage(progress_permille=50, min_s=4.0, weight=0.38),
-    Stage(progress_permille=200, min_s=4.0, weight=0.22),
-    Stage(progress_permille=500, min_s=4.0, weight=0.16),
-    Stage(progress_permille=950, min_s=5.0, weight=0.15),
+    Stage(progress_permille=10, min_s=3.0, weight=0.04),
+    Stage(progress_permille=50, min_s=4.0, weight=0.55),
+    Stage(progress_permille=200, min_s=4.0, weight=0.12),
+    Stage(progress_permille=500, min_s=4.0, weight=0.11),
+    Stage(progress_permille=900, min_s=5.0, weight=0.15),
     Stage(progress_permille=1000, min_s=2.0, weight=0.03),
 )
+# Wald's expected number of requests for a good verdict, times the tolerance,
+# is 3 to 4 with 0.2% of failures, and up to 6.5 with 1%.
+REQUESTS_PER_VERDICT = 6.5
+# Requests of the new version that the last stage has to see without suspicion;
+# the stage before it has found the version good.
+MIN_FINAL_REQUESTS = 20
+# Spare factor on the time that later stages need for their requests.
+EVIDENCE_MARGIN = 1.3
 
 
 def plan(rollout: model.Rollout, now: float) -> Schedule:
@@ -225,8 +236,10 @@
     last = index + 1 == len(schedule.stages)
     following = stage if last else schedule.stages[index + 1]
     missing = _missing(capacity, following)
-    if now >= _paced_end(schedule, index, stage_started_at) and not missing:
-        if last and verdict.outcome is Outcome.GOOD:
+    rate = _rate(verdict, now - stage_started_at)
+    paced_end = _paced_end(schedule, index, stage_started_at, rate)
+    if now >= paced_end and not missing:
+        if last and _may_finish(verdict):
             return _finish(rollout, verdict)
         if not last and _may_raise(following, verdict):
             return _raise(rollout, following, verdict)
@@ -261,6 +274,17 @@
     )
 
 
+def _may_finish(verdict: Verdict) -> bool:
+    if verdict.outcome is Outcome.GOOD:
+        return True
+    return not verdict.suspect and verdict.requests >= MIN_FINAL_REQUESTS
+
+
+def _rate(verdict: Verdict, elapsed_s: float) -> float:
+    requests = verdict.requests + verdict.old_requests
+    return requests / max(elapsed_s, 1.0)
+
+
 def _may_raise(following: Stage, verdict: Verdict) -> bool:
     if verdict.outcome is Outcome.GOOD:
         return True
@@ -270,13 +294,40 @@
 
 
 def _paced_end(
-    schedule: Schedule, index: int, stage_started_at: float
+    schedule: Schedule, index: int, stage_started_at: float, rate: float
 ) -> float:
-    """Gives the stage its weighted part of the time that is left."""
+    """Returns the time until which a stage goes on although it is good.
+
+    The stage gets its weighted part of the time that is left, unless the
+    later stages then lack the time for enough requests.
+    """
     stage = schedule.stages[index]
     left = max(schedule.paced_until - stage_started_at, 0.0)
     weight = sum(s.weight for s in schedule.stages[index:])
-    return stage_started_at + max(stage.min_s, left * stage.weight / weight)
+    weighted = stage_started_at + left * stage.weight / weight
+    later = sum(
+        _evidence_s(schedule, following, rate)
+        for following in range(index + 1, len(schedule.stages))
+    )
+    latest = schedule.finish_by - later * EVIDENCE_MARGIN
+    return max(stage_started_at + stage.min_s, min(weighted, latest))
+
+
+def _evidence_s(schedule: Schedule, index: int, rate: float) -> float:
+    """Estimates the seconds that a stage needs for a good verdict.
+
+    Args:
+        schedule: The schedule.
+        index: Index of the stage.
+        rate: Requests of all versions a second.
+    """
+    stage = schedule.stages[index]
+    if not rate:
+        return stage.min_s
+    following = schedule.stages[min(index + 1, len(schedule.stages) - 1)]
+    tolerated = MAX_HARM / (following.progress_permille / 1000)
+    requests = REQUESTS_PER_VERDICT / tolerated
+    return max(requests / (rate * stage.progress_permille / 1000), stage.min_s)
 
 
 def _missing(capacity: Capacity, stage: Stage) -> str:
