--- a/hemlockgrade/configuration_task.py
+++ b/hemlockgrade/configuration_task.py
@@ -111,10 +111,14 @@
     async def run(self) -> None:
         """Handles messages until `close`."""
         async for message in self._mailbox:
-            if isinstance(message, SnapshotReceived):
-                self._take_snapshot(message.configuration)
-            else:
-                self._take(self._buffer.offer(message.changes))
+            self.handle(message)
+
+    def handle(self, message: Message) -> None:
+        """Handles one message at once; `run` calls it for each posted one."""
+        if isinstance(message, SnapshotReceived):
+            self._take_snapshot(message.configuration)
+        else:
+            self._take(self._buffer.offer(message.changes))
 
     def _take_snapshot(
         self, snapshot: configuration_module.Configuration
--- a/hemlockgrade/control_stream.py
+++ b/hemlockgrade/control_stream.py
@@ -197,6 +197,9 @@
         self._resync_after: int | None = None
         self._resync_at = 0.0
         self._leave_reason = ''
+        self._heard_at = 0.0
+        self._writing = asyncio.Lock()
+        self._call: Any = None
         self._admitted_at: float | None = None
         self.bytes_sent = 0
 
@@ -208,36 +211,54 @@
         """Ends the subscription at the next message."""
         self._leave_reason = self._leave_reason or reason
 
+    def abort(self) -> None:
+        """Breaks the stream, as if the process had ended."""
+        if self._call is not None:
+            self._call.cancel()
+
     async def run(self) -> StreamEnd:
         """Subscribes and stays until the stream ends."""
         async with grpc.aio.insecure_channel(
             f'ipv4:{self._address}', options=CHANNEL_OPTIONS
         ) as channel:
             call = control_pb2_grpc.ControlStub(channel).Subscribe()
+            self._call = call
+            self._heard_at = self._clock()
+            # The library cancels the stream when a pending read is cancelled,
+            # so reads have a task that outlives a cancellation of this one.
+            reader = asyncio.create_task(self._read(call))
             writer = asyncio.create_task(self._write(call))
             try:
-                return await self._read(call)
-            except TimeoutError:
-                return self._end('silent')
-            except grpc.aio.AioRpcError as error:
-                return self._end(error.code().name.lower())
-            except asyncio.CancelledError:
-                current = asyncio.current_task()
-                if current is not None and current.cancelling():
-                    raise
-                return self._end('cancelled')
-            except DECODE_ERRORS as error:
-                logger.error(
-                    'event=malformed_message parent={} error={!r}',
-                    self._address,
-                    error,
-                )
-                return self._end('malformed message')
+                return await self._watch(reader)
             finally:
+                await self._leave(call)
+                reader.cancel()
                 writer.cancel()
-                await asyncio.gather(writer, return_exceptions=True)
-                await _half_close(call)
-                call.cancel()
+                await asyncio.gather(reader, writer, return_exceptions=True)
+
+    async def _watch(self, reader: asyncio.Task) -> StreamEnd:
+        while True:
+            admitted = self._admitted_at is not None
+            limit = PARENT_SILENCE_S if admitted else ANSWER_TIMEOUT_S
+            left = self._heard_at + limit - self._clock()
+            if left <= 0:
+                return self._end('silent')
+            done, _ = await asyncio.wait({reader}, timeout=left)
+            if done:
+                break
+        try:
+            return reader.result()
+        except grpc.aio.AioRpcError as error:
+            return self._end(error.code().name.lower())
+        except asyncio.CancelledError:
+            return self._end('cancelled')
+        except DECODE_ERRORS as error:
+            logger.error(
+                'event=malformed_message parent={} error={!r}',
+                self._address,
+                error,
+            )
+            return self._end('malformed message')
 
     def _end(
         self, reason: str, redirect: control_pb2.Redirect | None = None
@@ -252,18 +273,16 @@
         )
 
     async def _read(self, call) -> StreamEnd:
-        limit = ANSWER_TIMEOUT_S
         while True:
-            async with asyncio.timeout(limit):
-                message = await call.read()
+            message = await call.read()
             if message is grpc.aio.EOF:
                 return self._end('closed')
+            self._heard_at = self._clock()
             body = message.WhichOneof('body')
             if body == 'redirect':
                 return self._end('redirected', message.redirect)
             if body == 'welcome' and self._admitted_at is None:
-                self._admitted_at = self._clock()
-                limit = PARENT_SILENCE_S
+                self._admitted_at = self._heard_at
             self._receive(message)
             if self._leave_reason:
                 return self._end(self._leave_reason)
@@ -281,10 +300,11 @@
                     continue
                 messages = [_heartbeat()]
             try:
-                while messages:
-                    self.bytes_sent += messages[0].ByteSize()
-                    await call.write(messages[0])
-                    messages.pop(0)
+                async with self._writing:
+                    while messages:
+                        self.bytes_sent += messages[0].ByteSize()
+                        await call.write(messages[0])
+                        messages.pop(0)
             finally:
                 self._put_back(messages)
             written_at = self._clock()
@@ -313,13 +333,16 @@
             messages.append(control_pb2.Upward(members=batch))
         return messages + self._reports.take()
 
+    async def _leave(self, call) -> None:
+        """Tells the relay that the end is intended and raises no suspicion."""
+        with contextlib.suppress(Exception):
+            async with asyncio.timeout(LEAVE_TIMEOUT_S), self._writing:
+                leave = control_pb2.Upward(leave=control_pb2.Leave())
+                await call.write(leave)
+                await call.done_writing()
+                # A cancelled stream would drop messages not read yet.
+                await call.code()
+
 
 def _heartbeat() -> control_pb2.Upward:
     return control_pb2.Upward(heartbeat=control_pb2.Heartbeat())
-
-
-async def _half_close(call) -> None:
-    """Lets the relay see an intended end, which raises no suspicion."""
-    with contextlib.suppress(Exception):
-        async with asyncio.timeout(LEAVE_TIMEOUT_S):
-            await call.done_writing()
--- a/hemlockgrade/relay.py
+++ b/hemlockgrade/relay.py
@@ -404,6 +404,9 @@
                 async with asyncio.timeout(CHILD_SILENCE_S):
                     message = await context.read()
                 if message is grpc.aio.EOF:
+                    session.end('broken')
+                    return
+                if message.WhichOneof('body') == 'leave':
                     session.end('left')
                     return
                 self._take(session, message)
@@ -712,6 +715,11 @@
         finally:
             unsubscribe()
 
+    def abort(self) -> None:
+        """Breaks the stream, as if the process had ended."""
+        if self._stream is not None:
+            self._stream.abort()
+
     async def _try_round(
         self, search: distribution.ParentSearch
     ) -> Sequence[str]:
