Keep daemons alive through faults in receivers and unreadable entries

A relay whose subscription soon ended is tried after the others, so that an unrooted backup cannot hold a daemon. The benchmark also starts cold trees and reports the busiest daemon.

--- a/bench/distribution.py
+++ b/bench/distribution.py
@@ -2,7 +2,8 @@
 
 Prints one line of JSON a case. All daemons of a tree share one process, so
 the times include waiting for its one processor core; processor time and
-bytes a change are sums over all daemons.
+bytes a change are sums over all daemons. Bytes are those of the messages,
+without the framing of HTTP/2 and TCP.
 
 Usage: python bench/distribution.py [--changes N] [--sizes 30,100,300]
 """
@@ -11,13 +12,14 @@
 import asyncio
 import contextlib
 import json
-import random
 import resource
 import sys
 import time
 
+import attrs
 from loguru import logger
 
+from hemlockgrade import serialization
 from standins import relay_nodes
 
 ROOTS = 3
@@ -149,6 +151,7 @@
 async def measure_burst(case, log, nodes, arrivals, changes=100, rate=10.0):
     """Ten changes a second, the largest burst planned for."""
     sent, used = bytes_sent(nodes), processor_s()
+    sent_by_name = {node.name: bytes_sent([node]) for node in nodes}
     started = time.perf_counter()
     appended = []
     for number in range(changes):
@@ -168,6 +171,7 @@
         for latency in arrivals.latencies(names, version, since)
     ]
     per_daemon = (bytes_sent(nodes) - sent) / took / case['daemons']
+    busiest = max(bytes_sent([n]) - sent_by_name[n.name] for n in nodes)
     share = (processor_s() - used) / took
     print_case(
         'burst',
@@ -175,13 +179,13 @@
         changes_per_s=rate,
         **milliseconds(latencies),
         bytes_per_s_per_daemon=round(per_daemon),
+        bytes_per_s_busiest=round(busiest / took),
         core_share_per_daemon=round(share / case['daemons'], 5),
     )
 
 
 async def measure_loss(case, log, nodes, arrivals):
     """Kills an inner relay at the moment of a change."""
-    random.seed(1)
     inner = [n for n in nodes if n.uplink and n.server.children]
     if not inner:
         return
@@ -222,6 +226,51 @@
     )
 
 
+async def run_cold_start(size, fan_out, selectors=700, targets=2000):
+    """Starts a tree whose daemons need a whole copy of everything."""
+    async with contextlib.AsyncExitStack() as stack:
+        log = relay_nodes.MemoryLog()
+        for number in range(1, selectors + 1):
+            log.append(selector_like_change(number))
+        started = time.perf_counter()
+        used = processor_s()
+        nodes = await relay_nodes.start_tree(
+            stack,
+            size,
+            ROOTS,
+            log,
+            fan_out,
+            [relay_nodes.target(f'target-{i}') for i in range(targets)],
+        )
+        await relay_nodes.until(
+            lambda: all(n.version == log.version for n in nodes), LIMIT_S
+        )
+        configured_s = time.perf_counter() - started
+        await relay_nodes.until(
+            lambda: all(len(n.members.targets_by_id) == targets for n in nodes),
+            LIMIT_S,
+        )
+        snapshot = nodes[0].configuration.configuration
+        print_case(
+            'cold_start',
+            {'daemons': size, 'fan_out': fan_out},
+            snapshot_bytes=len(serialization.to_json(snapshot)),
+            targets=targets,
+            configured_s=round(configured_s, 2),
+            members_s=round(time.perf_counter() - started, 2),
+            processor_ms_per_daemon=round(
+                (processor_s() - used) / size * 1000, 1
+            ),
+        )
+
+
+def selector_like_change(number):
+    """A change of its own name, so that the snapshot grows with each one."""
+    name = f'label-{number}'
+    body = {'name': name, 'kind': 'target', 'members': ['h' * 300]}
+    return attrs.evolve(relay_nodes.label_change(number), name=name, body=body)
+
+
 def print_case(name, case, **fields):
     print(json.dumps({'case': name, **case, **fields}), flush=True)
 
@@ -237,6 +286,7 @@
     for size in map(int, options.sizes.split(',')):
         for fan_out in map(int, options.fan_outs.split(',')):
             asyncio.run(run_case(size, fan_out, options.changes))
+            asyncio.run(run_cold_start(size, fan_out))
 
 
 if __name__ == '__main__':
--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -46,6 +46,12 @@
     When a root is killed and changes 9 to 10 are appended
     Then every daemon has applied changes 1 to 10 in order
 
+  Scenario: A parent that hangs is left
+    Given a daemon on loopback whose first parent sends nothing after its welcome
+    When a root appears
+    And changes 1 to 2 are appended
+    Then the daemon has left the silent parent and applied changes 1 to 2
+
   Scenario: A daemon that lags far behind gets one snapshot
     Given a tree of 3 daemons on loopback with 1 roots and 4 children a relay
     When changes 1 to 700 are appended
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -732,7 +732,7 @@
             lambda: all(
                 link.connected
                 for n in context.roots
-                for link in n.root_relay.links_by_name.values()
+                for link in n.root_relay.links
             )
         )
 
@@ -806,6 +806,7 @@
 def cycle(context):
     async def start():
         context.dead = []
+        context.log = relay_nodes.MemoryLog()
         one = await started(context, 'one', 'a')
         two = await started(context, 'two', 'a')
         context.addresses = []
@@ -821,12 +822,39 @@
     run(context, start())
 
 
+@given(
+    'a daemon on loopback whose first parent sends nothing after its welcome'
+)
+def silent_parent(context):
+    async def start():
+        context.log = relay_nodes.MemoryLog()
+        context.nodes, context.dead = [], []
+        context.silent = relay_nodes.SilentRelay()
+        context.addresses = [await context.silent.start()]
+        context.stack.push_async_callback(context.silent.close)
+        context.child = await started(context, 'child', 'a')
+        context.child.subscribe(lambda backups: context.addresses)
+        await relay_nodes.until(lambda: context.silent.admitted)
+
+    run(context, start())
+
+
+@then('the daemon has left the silent parent and applied changes 1 to {last:d}')
+def silent_parent_left(context, last):
+    child = context.child
+    run(context, relay_nodes.until(lambda: child.version == last))
+    assert child.uplink.parent_address == context.addresses[1]
+    assert context.silent.admitted == 1, context.silent.admitted
+    check_steps(child.steps)
+
+
 @when('a root appears')
 def root_appears(context):
     async def start():
         root = await started(context, 'root', 'a')
-        root.follow(relay_nodes.MemoryLog())
+        root.follow(context.log)
         context.addresses.append(root.address)
+        context.nodes.append(root)
 
     run(context, start())
 
@@ -836,10 +864,13 @@
     run(
         context,
         relay_nodes.until(
-            lambda: all(relay_nodes.is_attached(n) for n in context.nodes)
+            lambda: all(
+                relay_nodes.is_attached(n) for n in context.nodes if n.uplink
+            )
         ),
     )
-    paths = [n.uplink.position.ancestors for n in context.nodes]
+    nodes = [n for n in context.nodes if n.uplink]
+    paths = [n.uplink.position.ancestors for n in nodes]
     assert all(path[0] == 'root' for path in paths), paths
 
 
--- a/hemlockgrade/configuration_task.py
+++ b/hemlockgrade/configuration_task.py
@@ -178,4 +178,11 @@
 
     def _notify(self, changes: tuple[model.Change, ...]) -> None:
         for callback in list(self._subscribers):
-            callback(self._configuration, changes)
+            try:
+                callback(self._configuration, changes)
+            except Exception:
+                # One failing subscriber must not keep a version from others.
+                logger.exception(
+                    'event=subscriber_failed version={}',
+                    self._configuration.version,
+                )
--- a/hemlockgrade/control_stream.py
+++ b/hemlockgrade/control_stream.py
@@ -259,6 +259,10 @@
                 error,
             )
             return self._end('malformed message')
+        except Exception:
+            # A fault in a receiver must not end the daemon's only link.
+            logger.exception('event=receiver_failed parent={}', self._address)
+            return self._end('receiver failed')
 
     def _end(
         self, reason: str, redirect: control_pb2.Redirect | None = None
--- a/hemlockgrade/distribution.py
+++ b/hemlockgrade/distribution.py
@@ -487,28 +487,45 @@
     return [a for a in dict.fromkeys(addresses) if a and a != own_address]
 
 
-def peer_order(
+@attrs.frozen(kw_only=True)
+class PeerStream:
+    """A stream that a root keeps to another root.
+
+    Attributes:
+        name: Address of the peer in the own domain, or the other domain.
+        local: True if the peer is in the own failure domain.
+        addresses: Roots to try, in order.
+    """
+
+    name: str
+    local: bool
+    addresses: tuple[str, ...]
+
+
+def peer_streams(
     own: KnownRelay, roots: Iterable[KnownRelay]
-) -> dict[str, list[str]]:
-    """Returns the roots to keep a peer stream to, by name of the stream.
+) -> list[PeerStream]:
+    """Returns the streams that a root keeps to other roots.
 
     A root keeps one stream to each other root of its failure domain and
     one to each other domain, which moves along the domain's roots when one
     fails: 12 streams for 11 domains of 3 roots, where a full mesh has 32.
-
-    Returns:
-        Addresses to try, in order, by the name of the stream.
     """
     others = [r for r in roots if r.control_address != own.control_address]
-    addresses_by_stream: dict[str, list[str]] = {}
+    addresses_by_stream: dict[tuple[str, bool], list[str]] = {}
     for root in others:
         local = root.failure_domain == own.failure_domain
         name = root.control_address if local else root.failure_domain
-        addresses_by_stream.setdefault(name, []).append(root.control_address)
-    return {
-        name: rendezvous_order(own.control_address, addresses)
-        for name, addresses in addresses_by_stream.items()
-    }
+        addresses = addresses_by_stream.setdefault((name, local), [])
+        addresses.append(root.control_address)
+    return [
+        PeerStream(
+            name=name,
+            local=local,
+            addresses=tuple(rendezvous_order(own.control_address, addresses)),
+        )
+        for (name, local), addresses in addresses_by_stream.items()
+    ]
 
 
 def _weight(key: str, address: str) -> bytes:
--- a/hemlockgrade/relay.py
+++ b/hemlockgrade/relay.py
@@ -4,7 +4,6 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
 import enum
@@ -39,6 +38,8 @@
 UNROOTED_LIMIT_S = 3.0
 # How long an address that did not answer is taken for unreachable.
 UNREACHABLE_FOR_S = 30.0
+# How long a relay whose subscription soon ended is tried after the others.
+AVOIDED_FOR_S = 10.0
 DRAIN_TIMEOUT_S = 1.0
 # A root that a peer overtakes for this time asks the peer for the changes.
 LAG_LIMIT_S = 1.0
@@ -652,8 +653,11 @@
         self._stream: control_stream.ControlStream | None = None
         self._unrooted_since: float | None = None
         self._unreachable_until_by_address: dict[str, float] = {}
+        self._avoided_until_by_address: dict[str, float] = {}
         self.parent_address = ''
         self.subscriptions = 0
+        self.has_table = False
+        self._bytes_sent = 0
         member_task.subscribe(self._members_changed)
 
     @property
@@ -661,11 +665,21 @@
         """The place in the tree as the parent described it last."""
         return self._position
 
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes of the messages sent up."""
+        running = self._stream.bytes_sent if self._stream else 0
+        return self._bytes_sent + running
+
     def is_unreachable(self, address: str) -> bool:
         """Tells whether an address did not answer a short while ago."""
         until = self._unreachable_until_by_address.get(address)
         return until is not None and self._clock() < until
 
+    def _is_avoided(self, address: str) -> bool:
+        until = self._avoided_until_by_address.get(address, 0.0)
+        return self._clock() < until or self.is_unreachable(address)
+
     def claim_root(self, claims: bool) -> None:
         """Serves as a provisional root while there is no rooted parent."""
         if claims == self._claims_root:
@@ -707,7 +721,9 @@
         handover: Sequence[str] = ()
         try:
             while True:
-                candidates = self._candidates(self._backups)
+                candidates = sorted(
+                    self._candidates(self._backups), key=self._is_avoided
+                )
                 delay = search.begin_round([*handover, *candidates])
                 if not handover:
                     await asyncio.sleep(delay)
@@ -735,6 +751,9 @@
                 self._log_loss(address, end)
                 if end.lasted_s >= STABLE_AFTER_S:
                     search.subscribed()
+                self._avoided_until_by_address[address] = (
+                    self._clock() + AVOIDED_FOR_S
+                )
                 return list(redirect.addresses) if redirect else ()
             if redirect is not None:
                 search.redirected(
@@ -781,6 +800,7 @@
             return await stream.run()
         finally:
             self._stream = None
+            self._bytes_sent += stream.bytes_sent
             self.parent_address = ''
             self._set_position(self._detached_position())
 
@@ -800,6 +820,7 @@
             targets = wire_messages.decode_members(message.members)
             self._members.note_received(targets)
             self._callbacks.members(targets, self._offer_back)
+            self.has_table = self.has_table or message.members.complete
         else:
             _post_configuration(self._configuration_task, message)
         self._check_rooted()
@@ -962,7 +983,7 @@
         self._random = random
         self._clock = clock
         self._roots: tuple[distribution.KnownRelay, ...] = ()
-        self._links_by_name: dict[str, PeerLink] = {}
+        self._links_by_key: dict[tuple[str, bool], PeerLink] = {}
         self._group: asyncio.TaskGroup | None = None
         self._gap_found = asyncio.Event()
         self._digest = distribution.MemberDigest()
@@ -970,9 +991,9 @@
         member_task.subscribe(self._members_changed)
 
     @property
-    def links_by_name(self) -> Mapping[str, 'PeerLink']:
-        """The peer streams, by address in the own domain or by domain."""
-        return self._links_by_name
+    def links(self) -> list['PeerLink']:
+        """The peer streams."""
+        return list(self._links_by_key.values())
 
     def set_roots(self, roots: Iterable[distribution.KnownRelay]) -> None:
         """Tells which roots there are now."""
@@ -1003,7 +1024,7 @@
     ) -> None:
         """Keeps entries of a peer from the streams that have them already."""
         passed_on = self._links_for(origin)
-        for link in self._links_by_name.values():
+        for link in self._links_by_key.values():
             if link not in passed_on:
                 link.members.note_received(targets)
 
@@ -1020,7 +1041,7 @@
                 group.create_task(self._repair())
         finally:
             self._group = None
-            self._links_by_name.clear()
+            self._links_by_key.clear()
             unsubscribe()
 
     def _links_for(self, origin: Origin) -> list['PeerLink']:
@@ -1028,7 +1049,7 @@
             return []
         return [
             link
-            for link in self._links_by_name.values()
+            for link in self._links_by_key.values()
             if link.local or origin is Origin.SUBTREE
         ]
 
@@ -1038,15 +1059,18 @@
             failure_domain=self._identity.failure_domain,
             control_address=self._identity.control_address,
         )
-        addresses_by_name = distribution.peer_order(own, self._roots)
-        for name in self._links_by_name.keys() - addresses_by_name.keys():
-            self._links_by_name.pop(name).stop()
-        for name, addresses in addresses_by_name.items():
-            link = self._links_by_name.get(name)
+        streams_by_key = {
+            (stream.name, stream.local): stream
+            for stream in distribution.peer_streams(own, self._roots)
+        }
+        for key in self._links_by_key.keys() - streams_by_key.keys():
+            self._links_by_key.pop(key).stop()
+        for key, stream in streams_by_key.items():
+            link = self._links_by_key.get(key)
             if link is None:
-                link = self._links_by_name[name] = self._new_link(name)
+                link = self._links_by_key[key] = self._new_link(stream)
                 link.start(group)
-            link.addresses = addresses
+            link.addresses = stream.addresses
         local = [
             r for r in self._roots if r.failure_domain == own.failure_domain
         ]
@@ -1061,10 +1085,9 @@
             )
         )
 
-    def _new_link(self, name: str) -> 'PeerLink':
+    def _new_link(self, stream: distribution.PeerStream) -> 'PeerLink':
         return PeerLink(
-            name=name,
-            local=':' in name,
+            stream=stream,
             identity=self._identity,
             configuration_task=self._configuration_task,
             member_task=self._member_task,
@@ -1082,7 +1105,7 @@
 
     def _members_changed(self, targets: Sequence[model.Target]) -> None:
         self._digest.update(targets)
-        for link in self._links_by_name.values():
+        for link in self._links_by_key.values():
             link.members.offer(targets)
 
     async def _follow(self) -> None:
@@ -1103,8 +1126,9 @@
             except exceptions.PlatformUnavailableError as error:
                 reload = reload or start.version == 0
                 self._log_interruption(error)
-            except exceptions.HemlockError as error:
+            except Exception as error:  # noqa: BLE001
                 # The position in the log may be gone, so start from the top.
+                # An entry that cannot be read must not end the daemon.
                 reload = True
                 self._log_interruption(error)
             attempt += 1
@@ -1114,7 +1138,7 @@
 
     def _log_interruption(self, error: Exception) -> None:
         logger.warning(
-            'event=log_interrupted version={} error={}',
+            'event=log_interrupted version={} error={!r}',
             self._configuration_task.configuration.version,
             error,
         )
@@ -1135,7 +1159,7 @@
             self._gap_found.clear()
             try:
                 await self._load()
-            except exceptions.HemlockError as error:
+            except Exception as error:  # noqa: BLE001
                 self._gap_found.set()
                 self._log_interruption(error)
 
@@ -1146,8 +1170,7 @@
     def __init__(
         self,
         *,
-        name: str,
-        local: bool,
+        stream: distribution.PeerStream,
         identity: Identity,
         configuration_task: configuration_task_module.ConfigurationTask,
         member_task: control_stream.MemberView,
@@ -1160,8 +1183,7 @@
         """Prepares a stream; `start` keeps it in a task.
 
         Args:
-            name: Name of the stream, the domain for another domain.
-            local: True if the peer is in the own failure domain.
+            stream: Which peers the stream leads to.
             identity: The daemon.
             configuration_task: Receives changes that the daemon lacks.
             member_task: The table from which entries are sent.
@@ -1171,9 +1193,9 @@
             random: Source of the jitter.
             clock: Monotonic time in seconds.
         """
-        self.name = name
-        self.local = local
-        self.addresses: Sequence[str] = ()
+        self.name = stream.name
+        self.local = stream.local
+        self.addresses: Sequence[str] = stream.addresses
         self.members = distribution.MemberOutbox()
         self.reports = control_stream.ReportOutbox()
         self.connected = False
--- a/hemlockgrade/root_election.py
+++ b/hemlockgrade/root_election.py
@@ -234,13 +234,12 @@
             for record in self._records
             if record.relay.failure_domain == domain
         ]
-        addresses = distribution.parent_order(
+        return distribution.parent_order(
             [*backups, *roots, *self._seeds],
             self._known_relays(),
             self._identity.control_address,
             domain,
         )
-        return sorted(addresses, key=self._parent.is_unreachable)
 
     async def run(self) -> None:
         """Takes part until cancelled; a task of its own keeps the lease."""
--- a/standins/relay_nodes.py
+++ b/standins/relay_nodes.py
@@ -5,6 +5,7 @@
 import random
 
 import attrs
+import grpc
 
 from hemlockgrade import configuration as configuration_module
 from hemlockgrade import configuration_task
@@ -12,6 +13,8 @@
 from hemlockgrade import exceptions
 from hemlockgrade import model
 from hemlockgrade import relay
+from hemlockgrade.wire import control_pb2
+from hemlockgrade.wire import control_pb2_grpc
 
 HOST = '127.0.0.1'
 
@@ -246,6 +249,33 @@
         )
 
 
+class SilentRelay(control_pb2_grpc.ControlServicer):
+    """Admits every subscriber and then sends nothing, as if it hung."""
+
+    def __init__(self):
+        self.admitted = 0
+
+    async def start(self):
+        """Serves and returns the address."""
+        self._server = grpc.aio.server()
+        control_pb2_grpc.add_ControlServicer_to_server(self, self._server)
+        port = self._server.add_insecure_port(f'{HOST}:0')
+        await self._server.start()
+        return f'{HOST}:{port}'
+
+    async def close(self):
+        """Stops at once."""
+        await self._server.stop(None)
+
+    async def Subscribe(self, request_iterator, context):  # noqa: N802
+        """Sends one Welcome."""
+        await context.read()
+        self.admitted += 1
+        welcome = control_pb2.Welcome(relay_id='silent', rooted=True)
+        await context.write(control_pb2.Downward(welcome=welcome))
+        await asyncio.sleep(3600)
+
+
 async def until(condition, limit_s=30.0):
     """Waits until a condition holds; the limit only ends a hung run."""
     async with asyncio.timeout(limit_s):
@@ -254,7 +284,12 @@
 
 
 async def start_tree(
-    stack: contextlib.AsyncExitStack, size, roots, log, max_children=8
+    stack: contextlib.AsyncExitStack,
+    size,
+    roots,
+    log,
+    max_children=8,
+    targets=(),
 ):
     """Starts a tree; the stack kills all of its daemons."""
     nodes = [
@@ -268,6 +303,7 @@
     known = [relay_of(node) for node in tops]
     seeds = [node.address for node in tops]
     for node in tops:
+        node.members.merge(targets)
         node.follow(log)
         node.root_relay.set_roots(known)
     for index, node in enumerate(nodes[roots:]):
