--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -60,11 +60,14 @@
 
   Scenario: Members, suspicions and evidence reach all roots once
     Given two domains on loopback with 2 roots and 3 subscribers each
-    When a subscriber of the first domain announces a target
-    Then every daemon of both domains knows the target
+    When a subscriber of the first domain announces target t1
+    Then every daemon of both domains knows target t1
     And no root has received the target more often than there are streams to it
     When a subscriber of the first domain reports a suspicion and evidence
     Then every root has the suspicion and has the evidence once
+    When the first root is killed
+    And a subscriber of the first domain announces target t2
+    Then every daemon of both domains knows target t2
 
   Scenario: A root that is cut off from the platform catches up from a peer
     Given two domains on loopback with 2 roots and 3 subscribers each
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -746,22 +746,29 @@
     return node
 
 
-@when('a subscriber of the first domain announces a target')
-def announce(context):
-    entry = relay_nodes.target('t1')
+@when('a subscriber of the first domain announces target {target_id}')
+def announce(context, target_id):
+    entry = relay_nodes.target(target_id, daemon_id=context.nodes[2].name)
     run(context, on_loop(context.nodes[2].members.merge, [entry]))
 
 
-@then('every daemon of both domains knows the target')
-def target_known(context):
+@then('every daemon of both domains knows target {target_id}')
+def target_known(context, target_id):
     run(
         context,
         relay_nodes.until(
-            lambda: all('t1' in n.members.targets_by_id for n in context.nodes)
+            lambda: all(
+                target_id in n.members.targets_by_id for n in lives(context)
+            )
         ),
     )
 
 
+@when('the first root is killed')
+def kill_first_root(context):
+    end(context, context.nodes[0], context.nodes[0].kill())
+
+
 @then('no root has received the target more often than there are streams to it')
 def no_echo(context):
     # An echo would go round with every batch, so 3 batches show it.
--- a/hemlockgrade/relay.py
+++ b/hemlockgrade/relay.py
@@ -324,13 +324,10 @@
             if self._position.root:
                 return None
             return _redirect(self._position.root_addresses, 0.0)
-        missing = self._configuration_task.changes_after(
-            hello.configuration_version
-        )
         admission = self._children.admit(
             hello.daemon_id,
             hello.control_address,
-            missing is None or len(missing) > distribution.MAX_CHEAP_CHANGES,
+            self._needs_full_copy(hello),
             self._clock(),
         )
         if admission.admitted:
@@ -342,6 +339,15 @@
         )
         return _redirect(admission.addresses, admission.retry_after_s)
 
+    def _needs_full_copy(self, hello: control_pb2.Hello) -> bool:
+        missing = self._configuration_task.changes_after(
+            hello.configuration_version
+        )
+        if missing is None or len(missing) > distribution.MAX_CHEAP_CHANGES:
+            return True
+        has_digests = bool(self._digest.values())
+        return has_digests and not hello.member_digests
+
     def _open_session(self, hello: control_pb2.Hello) -> _Session:
         session = _Session(hello=hello)
         if not session.is_peer:
