--- a/hemlockgrade/configuration_task.py
+++ b/hemlockgrade/configuration_task.py
@@ -111,10 +111,14 @@
     async def run(self) -> None:
         """Handles messages until `close`."""
         async for message in self._mailbox:
-            if isinstance(message, SnapshotReceived):
-                self._take_snapshot(message.configuration)
-            else:
-                self._take(self._buffer.offer(message.changes))
+            self.handle(message)
+
+    def handle(self, message: Message) -> None:
+        """Handles one message at once; `run` calls it for each posted one."""
+        if isinstance(message, SnapshotReceived):
+            self._take_snapshot(message.configuration)
+        else:
+            self._take(self._buffer.offer(message.changes))
 
     def _take_snapshot(
         self, snapshot: configuration_module.Configuration
@@ -174,4 +178,11 @@
 
     def _notify(self, changes: tuple[model.Change, ...]) -> None:
         for callback in list(self._subscribers):
-            callback(self._configuration, changes)
+            try:
+                callback(self._configuration, changes)
+            except Exception:
+                # One failing subscriber must not keep a version from others.
+                logger.exception(
+                    'event=subscriber_failed version={}',
+                    self._configuration.version,
+                )
--- a/hemlockgrade/relay.py
+++ b/hemlockgrade/relay.py
@@ -4,7 +4,6 @@
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterable
-from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
 import enum
@@ -39,6 +38,8 @@
 UNROOTED_LIMIT_S = 3.0
 # How long an address that did not answer is taken for unreachable.
 UNREACHABLE_FOR_S = 30.0
+# How long a relay whose subscription soon ended is tried after the others.
+AVOIDED_FOR_S = 10.0
 DRAIN_TIMEOUT_S = 1.0
 # A root that a peer overtakes for this time asks the peer for the changes.
 LAG_LIMIT_S = 1.0
@@ -323,13 +324,10 @@
             if self._position.root:
                 return None
             return _redirect(self._position.root_addresses, 0.0)
-        missing = self._configuration_task.changes_after(
-            hello.configuration_version
-        )
         admission = self._children.admit(
             hello.daemon_id,
             hello.control_address,
-            missing is None or len(missing) > distribution.MAX_CHEAP_CHANGES,
+            self._needs_full_copy(hello),
             self._clock(),
         )
         if admission.admitted:
@@ -341,6 +339,15 @@
         )
         return _redirect(admission.addresses, admission.retry_after_s)
 
+    def _needs_full_copy(self, hello: control_pb2.Hello) -> bool:
+        missing = self._configuration_task.changes_after(
+            hello.configuration_version
+        )
+        if missing is None or len(missing) > distribution.MAX_CHEAP_CHANGES:
+            return True
+        has_digests = bool(self._digest.values())
+        return has_digests and not hello.member_digests
+
     def _open_session(self, hello: control_pb2.Hello) -> _Session:
         session = _Session(hello=hello)
         if not session.is_peer:
@@ -404,6 +411,9 @@
                 async with asyncio.timeout(CHILD_SILENCE_S):
                     message = await context.read()
                 if message is grpc.aio.EOF:
+                    session.end('broken')
+                    return
+                if message.WhichOneof('body') == 'leave':
                     session.end('left')
                     return
                 self._take(session, message)
@@ -649,8 +659,11 @@
         self._stream: control_stream.ControlStream | None = None
         self._unrooted_since: float | None = None
         self._unreachable_until_by_address: dict[str, float] = {}
+        self._avoided_until_by_address: dict[str, float] = {}
         self.parent_address = ''
         self.subscriptions = 0
+        self.has_table = False
+        self._bytes_sent = 0
         member_task.subscribe(self._members_changed)
 
     @property
@@ -658,11 +671,21 @@
         """The place in the tree as the parent described it last."""
         return self._position
 
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes of the messages sent up."""
+        running = self._stream.bytes_sent if self._stream else 0
+        return self._bytes_sent + running
+
     def is_unreachable(self, address: str) -> bool:
         """Tells whether an address did not answer a short while ago."""
         until = self._unreachable_until_by_address.get(address)
         return until is not None and self._clock() < until
 
+    def _is_avoided(self, address: str) -> bool:
+        until = self._avoided_until_by_address.get(address, 0.0)
+        return self._clock() < until or self.is_unreachable(address)
+
     def claim_root(self, claims: bool) -> None:
         """Serves as a provisional root while there is no rooted parent."""
         if claims == self._claims_root:
@@ -704,7 +727,9 @@
         handover: Sequence[str] = ()
         try:
             while True:
-                candidates = self._candidates(self._backups)
+                candidates = sorted(
+                    self._candidates(self._backups), key=self._is_avoided
+                )
                 delay = search.begin_round([*handover, *candidates])
                 if not handover:
                     await asyncio.sleep(delay)
@@ -712,6 +737,11 @@
         finally:
             unsubscribe()
 
+    def abort(self) -> None:
+        """Breaks the stream, as if the process had ended."""
+        if self._stream is not None:
+            self._stream.abort()
+
     async def _try_round(
         self, search: distribution.ParentSearch
     ) -> Sequence[str]:
@@ -727,6 +757,9 @@
                 self._log_loss(address, end)
                 if end.lasted_s >= STABLE_AFTER_S:
                     search.subscribed()
+                self._avoided_until_by_address[address] = (
+                    self._clock() + AVOIDED_FOR_S
+                )
                 return list(redirect.addresses) if redirect else ()
             if redirect is not None:
                 search.redirected(
@@ -773,6 +806,7 @@
             return await stream.run()
         finally:
             self._stream = None
+            self._bytes_sent += stream.bytes_sent
             self.parent_address = ''
             self._set_position(self._detached_position())
 
@@ -792,6 +826,7 @@
             targets = wire_messages.decode_members(message.members)
             self._members.note_received(targets)
             self._callbacks.members(targets, self._offer_back)
+            self.has_table = self.has_table or message.members.complete
         else:
             _post_configuration(self._configuration_task, message)
         self._check_rooted()
@@ -954,7 +989,7 @@
         self._random = random
         self._clock = clock
         self._roots: tuple[distribution.KnownRelay, ...] = ()
-        self._links_by_name: dict[str, PeerLink] = {}
+        self._links_by_key: dict[tuple[str, bool], PeerLink] = {}
         self._group: asyncio.TaskGroup | None = None
         self._gap_found = asyncio.Event()
         self._digest = distribution.MemberDigest()
@@ -962,9 +997,9 @@
         member_task.subscribe(self._members_changed)
 
     @property
-    def links_by_name(self) -> Mapping[str, 'PeerLink']:
-        """The peer streams, by address in the own domain or by domain."""
-        return self._links_by_name
+    def links(self) -> list['PeerLink']:
+        """The peer streams."""
+        return list(self._links_by_key.values())
 
     def set_roots(self, roots: Iterable[distribution.KnownRelay]) -> None:
         """Tells which roots there are now."""
@@ -995,7 +1030,7 @@
     ) -> None:
         """Keeps entries of a peer from the streams that have them already."""
         passed_on = self._links_for(origin)
-        for link in self._links_by_name.values():
+        for link in self._links_by_key.values():
             if link not in passed_on:
                 link.members.note_received(targets)
 
@@ -1012,7 +1047,7 @@
                 group.create_task(self._repair())
         finally:
             self._group = None
-            self._links_by_name.clear()
+            self._links_by_key.clear()
             unsubscribe()
 
     def _links_for(self, origin: Origin) -> list['PeerLink']:
@@ -1020,7 +1055,7 @@
             return []
         return [
             link
-            for link in self._links_by_name.values()
+            for link in self._links_by_key.values()
             if link.local or origin is Origin.SUBTREE
         ]
 
@@ -1030,15 +1065,18 @@
             failure_domain=self._identity.failure_domain,
             control_address=self._identity.control_address,
         )
-        addresses_by_name = distribution.peer_order(own, self._roots)
-        for name in self._links_by_name.keys() - addresses_by_name.keys():
-            self._links_by_name.pop(name).stop()
-        for name, addresses in addresses_by_name.items():
-            link = self._links_by_name.get(name)
+        streams_by_key = {
+            (stream.name, stream.local): stream
+            for stream in distribution.peer_streams(own, self._roots)
+        }
+        for key in self._links_by_key.keys() - streams_by_key.keys():
+            self._links_by_key.pop(key).stop()
+        for key, stream in streams_by_key.items():
+            link = self._links_by_key.get(key)
             if link is None:
-                link = self._links_by_name[name] = self._new_link(name)
+                link = self._links_by_key[key] = self._new_link(stream)
                 link.start(group)
-            link.addresses = addresses
+            link.addresses = stream.addresses
         local = [
             r for r in self._roots if r.failure_domain == own.failure_domain
         ]
@@ -1053,10 +1091,9 @@
             )
         )
 
-    def _new_link(self, name: str) -> 'PeerLink':
+    def _new_link(self, stream: distribution.PeerStream) -> 'PeerLink':
         return PeerLink(
-            name=name,
-            local=':' in name,
+            stream=stream,
             identity=self._identity,
             configuration_task=self._configuration_task,
             member_task=self._member_task,
@@ -1074,7 +1111,7 @@
 
     def _members_changed(self, targets: Sequence[model.Target]) -> None:
         self._digest.update(targets)
-        for link in self._links_by_name.values():
+        for link in self._links_by_key.values():
             link.members.offer(targets)
 
     async def _follow(self) -> None:
@@ -1095,8 +1132,9 @@
             except exceptions.PlatformUnavailableError as error:
                 reload = reload or start.version == 0
                 self._log_interruption(error)
-            except exceptions.HemlockError as error:
+            except Exception as error:  # noqa: BLE001
                 # The position in the log may be gone, so start from the top.
+                # An entry that cannot be read must not end the daemon.
                 reload = True
                 self._log_interruption(error)
             attempt += 1
@@ -1106,7 +1144,7 @@
 
     def _log_interruption(self, error: Exception) -> None:
         logger.warning(
-            'event=log_interrupted version={} error={}',
+            'event=log_interrupted version={} error={!r}',
             self._configuration_task.configuration.version,
             error,
         )
@@ -1127,7 +1165,7 @@
             self._gap_found.clear()
             try:
                 await self._load()
-            except exceptions.HemlockError as error:
+            except Exception as error:  # noqa: BLE001
                 self._gap_found.set()
                 self._log_interruption(error)
 
@@ -1138,8 +1176,7 @@
     def __init__(
         self,
         *,
-        name: str,
-        local: bool,
+        stream: distribution.PeerStream,
         identity: Identity,
         configuration_task: configuration_task_module.ConfigurationTask,
         member_task: control_stream.MemberView,
@@ -1152,8 +1189,7 @@
         """Prepares a stream; `start` keeps it in a task.
 
         Args:
-            name: Name of the stream, the domain for another domain.
-            local: True if the peer is in the own failure domain.
+            stream: Which peers the stream leads to.
             identity: The daemon.
             configuration_task: Receives changes that the daemon lacks.
             member_task: The table from which entries are sent.
@@ -1163,9 +1199,9 @@
             random: Source of the jitter.
             clock: Monotonic time in seconds.
         """
-        self.name = name
-        self.local = local
-        self.addresses: Sequence[str] = ()
+        self.name = stream.name
+        self.local = stream.local
+        self.addresses: Sequence[str] = stream.addresses
         self.members = distribution.MemberOutbox()
         self.reports = control_stream.ReportOutbox()
         self.connected = False
