Let the demonstration send enough requests for a judged rollout

Cause of the good version's rollback: the judge needs about 65 requests at 5% (2% harm at the next share of 20%), and 59 came in the time that 35 s leave for that stage. Ruled out: errors of the new version (0 of 59). The callers send more, the policy is unchanged.

Before: booking v2 rolled back at 5%.

--- a/scripts/run_demo.py
+++ b/scripts/run_demo.py
@@ -49,7 +49,8 @@
         hosts = start(system)
         load = callers.Callers(
             [d.addresses['proxy_address'] for d in system.living_daemons()],
-            ['/booking', '/permits'],
+            ['/booking', '/booking', '/permits'],
+            per_address=4,
         )
         load.start()
         time.sleep(2)
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -83,7 +83,7 @@
         due = time.monotonic()
         while not self._stopping.is_set():
             number = next(self._numbers)
-            method = 'POST' if number % 3 == 0 else 'GET'
+            method = 'POST' if number % 4 == 0 else 'GET'
             prefix = self._paths[number % len(self._paths)]
             self._call(connection, method, f'{prefix}/{number}')
             due = max(due + self._interval_s, time.monotonic())
