--- a/scripts/run_demo.py
+++ b/scripts/run_demo.py
@@ -1,6 +1,5 @@
 """The demonstration: two rollouts and a killed daemon under load."""
 
-import collections
 import json
 import pathlib
 import sys
@@ -9,6 +8,7 @@
 from typing import Any
 
 from standins import callers
+from standins import checks
 from standins import cluster
 
 DOMAINS = ('county-east', 'county-north', 'county-west')
@@ -210,9 +210,8 @@
     events = system.ctl_json('timeline')
     status = system.ctl_json('status')
     ends = [good['state'], bad['state']]
-    delays = [
-        e['fields']['delay_s'] for e in events if e['kind'] == 'change_applied'
-    ]
+    delays = checks.convergence_delays(events)
+    log = checks.target_log(system)
     return {
         'requests': len(load.results),
         'answered': counts['answered'] + counts['failed'],
@@ -220,8 +219,8 @@
         'wrong_answers': counts['wrong'],
         'refused': counts['refused'],
         'outcome_unknown': counts['unknown'],
-        'run_twice': len(run_twice(system)),
-        'refused_but_run': len(refused_but_run(system, load.results)),
+        'run_twice': len(checks.run_twice(log)),
+        'refused_but_run': len(checks.refused_but_run(log, load.results)),
         'good_version': good['state'],
         'bad_version': bad['state'],
         'versions_done': ends.count('done'),
@@ -235,33 +234,6 @@
     }
 
 
-def target_logs(system: cluster.Cluster) -> list[dict[str, str]]:
-    """Reads what all targets ran."""
-    return [
-        entry
-        for target in system.targets_by_id.values()
-        for entry in cluster.get_json(
-            f'http://{target.addresses["http"]}/.control/log'
-        )
-    ]
-
-
-def run_twice(system: cluster.Cluster) -> list[str]:
-    """Lists the non-idempotent requests that targets ran more than once."""
-    runs = collections.Counter(
-        entry['path']
-        for entry in target_logs(system)
-        if entry['method'] == 'POST'
-    )
-    return [path for path, count in runs.items() if count > 1]
-
-
-def refused_but_run(system, results) -> list[str]:
-    """Lists the requests called refused that a target ran all the same."""
-    ran = {entry['path'] for entry in target_logs(system)}
-    return [r.path for r in results if r.outcome == 'refused' and r.path in ran]
-
-
 def bad_share(results, since: float) -> float:
     """Returns the bad version's share of the permits requests in its time."""
     permits = [
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,6 +1,7 @@
 """Runs formatter, linter, type checker and scenarios, and counts them."""
 
 import argparse
+import concurrent.futures
 import os
 import pathlib
 import re
@@ -9,6 +10,8 @@
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / 'KNOWN-RED.txt'
+# The scenarios over processes start about ten each; the machine has 10 cores.
+PARALLEL_FEATURES = 4
 CHECKS = (
     ('format', ['ruff', 'format', '--check', '.']),
     ('lint', ['ruff', 'check', '.']),
@@ -44,22 +47,34 @@
 
 
 def _run_scenarios(seeds: int) -> tuple[int, int]:
+    """Runs each feature in a process of its own, a few at a time."""
     print('== scenarios', flush=True)
+    features = sorted((ROOT / 'features').glob('*.feature'))
+    with concurrent.futures.ThreadPoolExecutor(PARALLEL_FEATURES) as pool:
+        counts = list(pool.map(lambda f: _run_feature(f, seeds), features))
+    return sum(ok for ok, _ in counts), sum(bad for _, bad in counts)
+
+
+def _run_feature(feature: pathlib.Path, seeds: int) -> tuple[int, int]:
     command = ['behave', '--tags=not @known_red', '--format=progress']
     process = subprocess.run(
-        _module(command),
+        _module([*command, str(feature.relative_to(ROOT))]),
         cwd=ROOT,
         env={**os.environ, 'HEMLOCK_SEEDS': str(seeds)},
         stdout=subprocess.PIPE,
+        stderr=subprocess.STDOUT,
         text=True,
     )
-    print(process.stdout)
     match = SCENARIOS_LINE.search(process.stdout)
     if match is None:
+        print(process.stdout)
         return 0, 1
     ok, bad = int(match[1]), int(match[2]) + int(match[3] or 0)
     if process.returncode and not bad:
         bad = 1
+    print(f'{feature.name}: {ok} passed, {bad} failed or in error', flush=True)
+    if bad:
+        print(process.stdout)
     return ok, bad
 
 
--- a/standins/callers.py
+++ b/standins/callers.py
@@ -24,6 +24,7 @@
         latency_s: Seconds from sending to the whole answer.
         outcome: answered, wrong, refused, unknown or failed.
         version: Version that answered, if one did.
+        proxy: Address of the proxy that was called.
     """
 
     path: str
@@ -33,6 +34,7 @@
     latency_s: float
     outcome: str
     version: str = ''
+    proxy: str = ''
 
 
 class Callers:
@@ -85,12 +87,12 @@
             number = next(self._numbers)
             method = 'POST' if number % 4 == 0 else 'GET'
             prefix = self._paths[number % len(self._paths)]
-            self._call(connection, method, f'{prefix}/{number}')
+            self._call(connection, address, method, f'{prefix}/{number}')
             due = max(due + self._interval_s, time.monotonic())
             self._stopping.wait(due - time.monotonic())
         connection.close()
 
-    def _call(self, connection, method: str, path: str) -> None:
+    def _call(self, connection, address: str, method: str, path: str) -> None:
         started = time.monotonic()
         outcome, version = 'unknown', ''
         try:
@@ -110,6 +112,7 @@
                 latency_s=ended - started,
                 outcome=outcome,
                 version=version,
+                proxy=address,
             )
         )
         if outcome == 'refused':
