Bound the time that a lost watch or call is waited for, and test the client

A watch whose answer was lost in a partition was given up only after 31 s, which exceeds the 6 s from the return of the link. It now waits 2 s and ends after 3.5 s; by calculation 33 roots then make 16.5 reads a second instead of 1.1. Other calls time out after 3 s instead of 1 s, for a platform that is slow, and the lease keeper gives its own calls up after a third of the term.

--- a/hemlockgrade/lease.py
+++ b/hemlockgrade/lease.py
@@ -8,9 +8,12 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Coroutine
 import random as random_module
 import time
+from typing import Any
 from typing import Protocol
+from typing import TypeVar
 import uuid
 
 import attrs
@@ -21,6 +24,8 @@
 from hemlockgrade import platform_api
 from hemlockgrade import serialization
 
+T = TypeVar('T')
+
 LEASES = 'leases/'
 RENEWALS_PER_TERM = 3
 # Share of the term at whose end the holder no longer acts.
@@ -318,7 +323,7 @@
 
     async def _observe(self) -> None:
         """Reads the lease, and recognises a write whose answer was lost."""
-        stored = await self._platform.get(LEASES + self._name)
+        stored = await self._call(self._platform.get(LEASES + self._name))
         lease = None
         version = 0
         if stored is not None:
@@ -359,8 +364,20 @@
         key = LEASES + self._name
         value = serialization.to_json(lease)
         if not replaces:
-            return await self._platform.create(key, value)
-        return await self._platform.update(key, value, replaces)
+            return await self._call(self._platform.create(key, value))
+        return await self._call(self._platform.update(key, value, replaces))
+
+    async def _call(self, call: Coroutine[Any, Any, T]) -> T:
+        """Gives a call up in time for another one before the margin."""
+        try:
+            async with asyncio.timeout(self._term_s / RENEWALS_PER_TERM):
+                return await call
+        except TimeoutError as error:
+            raise exceptions.PlatformUnavailableError(
+                f'the call for lease {self._name} took too long',
+                remedy='read the lease to learn whether it took effect',
+                outcome_known=False,
+            ) from error
 
     async def _write_released(self) -> None:
         if self._must_read:
--- a/hemlockgrade/plugins/http_platform.py
+++ b/hemlockgrade/plugins/http_platform.py
@@ -26,11 +26,13 @@
 from hemlockgrade import platform_api
 
 CONNECT_TIMEOUT_S = 1.0
-# The platform answers in milliseconds; a call that takes longer than this is
-# treated as lost, so that a lease of 3 s still allows for a second attempt.
-CALL_TIMEOUT_S = 1.0
-# A watch is renewed at this interval: 33 root relays cost 1.1 calls a second.
-WATCH_WAIT_S = 30.0
+# Long enough for a platform that is slow; callers in a hurry cancel earlier.
+CALL_TIMEOUT_S = 3.0
+# A watch whose answer is lost in a partition ends this long after its start,
+# so that changes arrive within 6 s of the link's return. 33 root relays that
+# renew their watches every 2 s cost 16.5 reads a second of 2,000.
+WATCH_WAIT_S = 2.0
+WATCH_TIMEOUT_S = 3.5
 MAX_CONNECTIONS = 8
 
 _CONNECT_ERRORS = (
@@ -47,6 +49,8 @@
     defer.CancelledError,
     web_error.Error,
     TimeoutError,
+    # An entity tag or a list that cannot be decoded.
+    ValueError,
 )
 
 
@@ -58,6 +62,7 @@
             `http://127.0.0.1:7000`.
         budget: Call budget of the daemon, shared by all its callers.
         client_name: Name that the platform sees as the caller.
+        call_timeout_s: Time after which a call counts as lost, in seconds.
     """
 
     def __init__(
@@ -65,12 +70,14 @@
         base_url: str,
         budget: platform_api.CallBudget | None = None,
         client_name: str = '',
+        call_timeout_s: float = CALL_TIMEOUT_S,
     ):
         # The daemon installs the asyncio reactor before the first import.
         from twisted.internet import reactor
 
         self._base_url = base_url.rstrip('/')
         self._budget = budget or platform_api.CallBudget()
+        self._call_timeout_s = call_timeout_s
         self._headers = {'x-hemlock-client': client_name}
         self._pool = client.HTTPConnectionPool(reactor)
         self._pool.maxPersistentPerHost = MAX_CONNECTIONS
@@ -151,14 +158,19 @@
         Raises:
             exceptions.PlatformUnavailableError: No usable answer came.
         """
+        # The first call does not wait: it shows at once that the platform
+        # answers, and succeeds even if that takes nearly the time-out.
+        wait_s = 0.0
+        timeout_s = self._call_timeout_s
         while True:
             await self._budget.acquire_read()
-            query = {'prefix': prefix, 'after': after, 'wait_s': WATCH_WAIT_S}
+            query = {'prefix': prefix, 'after': after, 'wait_s': wait_s}
             _, _, body = await self._exchange(
                 'GET',
                 '/v1/watch?' + urllib.parse.urlencode(query),
-                timeout_s=WATCH_WAIT_S + CALL_TIMEOUT_S,
+                timeout_s=timeout_s,
             )
+            wait_s, timeout_s = WATCH_WAIT_S, WATCH_TIMEOUT_S
             if found := _decode(body):
                 after = found[-1].key
                 yield found
@@ -184,12 +196,12 @@
         write: bool = False,
         data: bytes | None = None,
         headers: dict[str, str] | None = None,
-        timeout_s: float = CALL_TIMEOUT_S,
+        timeout_s: float | None = None,
     ) -> tuple[int, int, bytes]:
         """Sends one request and returns status, object version and body."""
         sent = self._send(method, path, data, headers or {})
         try:
-            async with asyncio.timeout(timeout_s):
+            async with asyncio.timeout(timeout_s or self._call_timeout_s):
                 status, tag, body = await sent
         except _CONNECT_ERRORS as error:
             raise self._unavailable(method, path, error, True) from error
@@ -311,11 +323,17 @@
 
 
 def _decode(body: bytes) -> list[platform_api.StoredObject]:
-    return [
-        platform_api.StoredObject(
-            key=entry['key'],
-            value=entry['value'].encode(),
-            version=entry['version'],
-        )
-        for entry in orjson.loads(body)
-    ]
+    try:
+        return [
+            platform_api.StoredObject(
+                key=entry['key'],
+                value=entry['value'].encode(),
+                version=entry['version'],
+            )
+            for entry in orjson.loads(body)
+        ]
+    except (ValueError, KeyError, TypeError) as error:
+        raise exceptions.PlatformUnavailableError(
+            'the platform answered a list that cannot be decoded',
+            remedy='check the address of the platform',
+        ) from error
--- a/standins/platform_service.py
+++ b/standins/platform_service.py
@@ -176,7 +176,14 @@
             }
         )
 
-    async def _call(self, request, kind: str, limit: str, action):
+    def _call(self, request, kind: str, limit: str, action):
+        """Runs a call to its end, even if its caller gives up before."""
+        answer: defer.Deferred = defer.Deferred()
+        call = defer.ensureDeferred(self._run(request, kind, limit, action))
+        call.addBoth(_fire, answer)
+        return answer
+
+    async def _run(self, request, kind: str, limit: str, action):
         client = (request.getHeader('x-hemlock-client') or '').strip()
         self._counts[kind] += 1
         self._counts_by_client[client] += 1
@@ -219,7 +226,7 @@
         woken: defer.Deferred = defer.Deferred()
         waiting = self._waiting_by_prefix[prefix]
         waiting.add(woken)
-        timer = self._reactor.callLater(wait_s, _fire, woken)
+        timer = self._reactor.callLater(wait_s, _fire, None, woken)
         try:
             await woken
         finally:
@@ -231,12 +238,12 @@
         for prefix, waiting in self._waiting_by_prefix.items():
             if key.startswith(prefix):
                 for woken in list(waiting):
-                    _fire(woken)
+                    _fire(None, woken)
 
 
-def _fire(waiter: defer.Deferred) -> None:
+def _fire(result, waiter: defer.Deferred) -> None:
     if not waiter.called:
-        waiter.callback(None)
+        waiter.callback(result)
 
 
 def _argument(request, name: bytes) -> str:
