--- a/features/steps/changelog_steps.py
+++ b/features/steps/changelog_steps.py
@@ -462,7 +462,7 @@
         history.check()
         context.checked += 1
 
-    check()
+    histories.run(check)
 
 
 @then('each held to one writer a number and to exactly one entry a change')
--- a/features/steps/lease_steps.py
+++ b/features/steps/lease_steps.py
@@ -287,7 +287,7 @@
         history.check()
         context.entries += len(history.store.select(changelog.CHANGES))
 
-    check()
+    histories.run(check)
 
 
 @then("in each no holder acted after another one's first action")
--- a/features/support/histories.py
+++ b/features/support/histories.py
@@ -25,6 +25,15 @@
 FAULT_RATES = strategies.sampled_from([0.0, 0.05, 0.2, 0.4])
 
 
+def run(check):
+    """Runs a property, and puts the failing example into its message."""
+    try:
+        check()
+    except AssertionError as error:
+        notes = getattr(error, '__notes__', [])
+        raise AssertionError('\n'.join([str(error), *notes])) from error
+
+
 def stored_changes(store):
     return [
         serialization.from_json(o.value, model.Change)
