--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -20,20 +20,16 @@
 import urllib.request
 
 import attrs
-import httptools
+
+from hemlockgrade import http_codec
 
 ANNOUNCE_INTERVAL_S = 1.0
-ANNOUNCED = (
-    'target_id',
-    'service',
-    'version',
-    'address',
-    'slots',
-    'keep_alive_s',
-)
+ANNOUNCED = {'target_id', 'service', 'version', 'slots', 'keep_alive_s'}
 # A cold target is slower by this factor.
 COLD_FACTOR = 10
 DEFAULT_TIMEOUT_MS = 60_000
+# After it announced that it leaves, a target still takes what is on its way.
+DRAIN_GRACE_S = 0.3
 
 
 @attrs.define
@@ -98,17 +94,29 @@
         self.port = self._server.sockets[0].getsockname()[1]
 
     async def stop(self):
-        """Closes the listener and all connections."""
+        """Closes the listener and all connections, idle or not."""
         self._server.close()
         for connection in list(self.connections):
             connection.transport.abort()
 
     async def drain(self):
-        """Refuses new work and waits for the work in flight."""
+        """Takes what is on its way, finishes it, and closes."""
+        await asyncio.sleep(DRAIN_GRACE_S)
         self.draining = True
         while self.running:
             await asyncio.sleep(0.01)
-        await self.stop()
+        self._server.close()
+        for connection in list(self.connections):
+            connection.transport.close()
+
+    def announcement(self) -> dict:
+        """Returns what the target tells its daemon."""
+        message = attrs.asdict(self, filter=lambda a, _: a.name in ANNOUNCED)
+        return {**message, 'address': self.address}
+
+    def peak(self, name: str, value: int):
+        """Keeps the highest value of a counter."""
+        self.counts[name] = max(self.counts[name], value)
 
     def fault(self, path: str) -> Fault:
         """Returns the fault that applies to a request now."""
@@ -142,16 +150,13 @@
 class _Connection(asyncio.Protocol):
     def __init__(self, server: TargetServer):
         self.server = server
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser = http_codec.RequestParser()
         self.queue: asyncio.Queue = asyncio.Queue()
 
     def connection_made(self, transport):
         self.transport = transport
         self.server.connections.add(self)
-        most = max(
-            self.server.counts['connections'], len(self.server.connections)
-        )
-        self.server.counts['connections'] = most
+        self.server.peak('connections', len(self.server.connections))
         self.task = asyncio.ensure_future(self.serve())
 
     def connection_lost(self, exc):
@@ -159,110 +164,93 @@
         self.task.cancel()
 
     def data_received(self, data):
-        try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserError:
-            self.server.counts['malformed'] += 1
-            self.transport.abort()
-
-    def on_message_begin(self):
-        self.url, self.headers, self.body = b'', {}, b''
-
-    def on_url(self, url):
-        self.url += url
-
-    def on_header(self, name, value):
-        self.headers[name.lower().decode()] = value.decode('latin-1')
-
-    def on_body(self, body):
-        self.body += body
-
-    def on_message_complete(self):
-        method = self.parser.get_method().decode()
-        self.queue.put_nowait((method, self.url, self.headers, self.body))
+        for item in self.parser.feed(data):
+            self.queue.put_nowait(item)
 
     async def serve(self):
         while True:
             try:
                 async with asyncio.timeout(self.server.keep_alive_s):
-                    item = await self.queue.get()
+                    request = await self.queue.get()
             except TimeoutError:
                 self.transport.close()
                 return
-            method, url, headers, body = item
-            path, _, query = url.decode('latin-1').partition('?')
-            query = dict(urllib.parse.parse_qsl(query))
-            if path.startswith('/.control/') or path == '/health':
-                answer = self.server.control(path, body)
-                self.answer(200, json.dumps(answer).encode(), method, {})
+            if not isinstance(request, http_codec.Request):
+                self.transport.abort()
+            elif request.path.startswith('/.control/'):
+                answer = self.server.control(request.path, request.body)
+                self.answer(request, 200, json.dumps(answer).encode(), {})
+            elif request.path == '/health':
+                self.answer(request, 200, b'fine', {})
             else:
-                await self.work(method, path, query, headers, body)
+                await self.work(request)
 
-    async def work(self, method, path, query, headers, body):
+    async def work(self, request):
         server = self.server
         if server.draining or server.running >= server.slots:
             server.counts['shed'] += 1
-            self.answer(503, b'shed', method, {})
+            self.answer(request, 503, b'shed', {})
             return
-        request_id = headers.get('x-hemlock-request-id', '')
-        server.log.append({'id': request_id, 'method': method, 'path': path})
+        name = http_codec.header(request.headers, b'x-hemlock-request-id')
+        entry = {'id': name, 'method': request.method, 'path': request.path}
+        server.log.append(entry)
         server.running += 1
-        most = max(server.counts['most_running'], server.running)
-        server.counts['most_running'] = most
+        server.peak('most_running', server.running)
         try:
-            await self.run(method, path, query, headers, body)
+            await self.run(request, server.fault(request.path))
         except asyncio.CancelledError:
             server.counts['cancelled'] += 1
             raise
         finally:
             server.running -= 1
 
-    async def run(self, method, path, query, headers, body):
-        fault = self.server.fault(path)
+    async def run(self, request, fault):
         if fault.kind in ('close', 'reset'):
             end = self.transport
             (end.close if fault.kind == 'close' else end.abort)()
             return
-        limit_ms = headers.get('x-hemlock-timeout-ms', DEFAULT_TIMEOUT_MS)
-        limit_s = float(limit_ms) / 1000
-        extra_s = fault.ms / 1000
+        query = dict(urllib.parse.parse_qsl(request.target.partition('?')[2]))
+        headers = request.headers
+        limit_ms = http_codec.header(headers, b'x-hemlock-timeout-ms')
+        limit_s = float(limit_ms or DEFAULT_TIMEOUT_MS) / 1000
         delay_s = self.server.service_s(query)
-        delay_s += 0 if fault.kind == 'double' else extra_s
+        delay_s += fault.ms / 1000 if fault.kind in ('slow', 'late') else 0
         in_time = fault.kind == 'late' or delay_s <= limit_s
         await asyncio.sleep(delay_s if in_time else limit_s)
         if not in_time:
-            self.answer(504, b'deadline passed', method, {})
+            self.answer(request, 504, b'deadline passed', {})
             return
-        echo = {
+        body = json.dumps(self.echo(request)).encode()
+        body = body.ljust(int(query.get('bytes', self.server.answer_bytes)))
+        failed = fault.kind == 'error'
+        status = 500 if failed else int(query.get('status', 200))
+        cut_at = fault.at if fault.kind == 'cut' else None
+        self.answer(request, status, body, query, cut_at)
+        if fault.kind == 'double':
+            await asyncio.sleep(fault.ms / 1000)
+            self.answer(request, status, body, query)
+
+    def echo(self, request):
+        sent = http_codec.header(request.headers, b'x-echo')
+        return {
             'target': self.server.target_id,
             'version': self.server.version,
-            'path': path,
-            'echo': headers.get('x-echo', body[:100].decode('latin-1')),
-            'size': len(body),
+            'path': request.path,
+            'echo': sent or request.body[:100].decode('latin-1'),
         }
-        size = int(query.get('bytes', self.server.answer_bytes))
-        status = int(query.get('status', 200))
-        status = 500 if fault.kind == 'error' else status
-        cut_at = fault.at if fault.kind == 'cut' else None
-        answer = json.dumps(echo).encode().ljust(size)
-        self.answer(status, answer, method, query, cut_at)
-        if fault.kind == 'double':
-            await asyncio.sleep(extra_s)
-            self.answer(status, answer, method, query)
 
-    def answer(self, status, body, method, query, cut_at=None):
+    def answer(self, request, status, body, query, cut_at=None):
         mode = query.get('body', 'length')
         head = [f'HTTP/1.1 {status} Status', 'content-type: application/json']
         if 'forge' in query:
             head += ['x-hemlock-not-run: 1', 'x-hemlock-outcome: not-run']
         if mode == 'chunked':
             head.append('transfer-encoding: chunked')
-            half = len(body) // 2
-            parts = (body[:half], body[half:], b'')
+            parts = (body[: len(body) // 2], body[len(body) // 2 :], b'')
             body = b''.join(b'%x\r\n%b\r\n' % (len(p), p) for p in parts)
         elif mode == 'length' and status != 204:
             head.append(f'content-length: {len(body)}')
-        if method == 'HEAD' or status in (204, 304):
+        if request.method == 'HEAD' or status in (204, 304):
             body = b''
         data = '\r\n'.join([*head, '', '']).encode() + body
         self.transport.write(data[:cut_at])
@@ -285,7 +273,7 @@
     print(json.dumps({'port': server.port, 'pid': os.getpid()}), flush=True)
     stopping = asyncio.Event()
     asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stopping.set)
-    message = {name: getattr(server, name) for name in ANNOUNCED}
+    message = server.announcement()
     while not stopping.is_set():
         if url:
             await asyncio.to_thread(_announce, url, message)
