--- a/hemlockgrade/plugins/least_loaded.py
+++ b/hemlockgrade/plugins/least_loaded.py
@@ -12,6 +12,9 @@
 # Candidates compared for each request, from the own domain and from others.
 LOCAL_CHOICES = 3
 REMOTE_CHOICES = 2
+# Share of the requests that probe a target whose ejection ended, so that not
+# every proxy probes it with its first request at once.
+PROBE_SHARE = 0.1
 # A target of another domain is taken only if it is clearly cheaper: the round
 # trip costs 1 ms, and its domain may be cut off at any moment.
 REMOTE_FACTOR = 1.5
@@ -90,7 +93,7 @@
     now: float,
     random: random_module.Random,
 ) -> list[model.Target]:
-    """Returns the targets that are not ejected and warm enough.
+    """Returns the targets that are not ejected and warm enough, or a probe.
 
     If more than half are ejected for errors, the errors are no fault of single
     targets, and the ejected ones that can be reached serve as well.
@@ -103,8 +106,11 @@
         load = loads_by_id.get(target.target_id)
         if load is None:
             eligible.append(target)
-        elif load.probing and (now < load.ejected_until or load.in_flight):
-            if not load.unreachable:
+        elif load.probing:
+            if now >= load.ejected_until and not load.in_flight:
+                if random.random() < PROBE_SHARE:
+                    return [target]
+            elif not load.unreachable:
                 erring.append(target)
         elif now - load.known_at < routing.COLD_S:
             share = max(
