--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -56,12 +56,13 @@
     )
 
 
-def rebuild(context, proxy_id='edge-1'):
+def rebuild(context, proxy_id='edge-1', changed=None):
     context.routes = routing.RoutingTable.build(
         context.configuration,
         context.targets,
         proxy_id,
         getattr(context, 'routes', None),
+        changed,
     )
     return context.routes
 
@@ -418,7 +419,7 @@
                 context.targets[name] = make_target(
                     name, f'v{step[0] % 3 + 1}', state=step[1]
                 )
-                rebuild(context)
+                rebuild(context, changed=[context.targets[name]])
             elif step is None:
                 selector_removed(context)
             else:
--- a/hemlockgrade/routing.py
+++ b/hemlockgrade/routing.py
@@ -394,8 +394,14 @@
         entries_by_prefix: Routes by normalised path prefix.
     """
 
-    def __init__(self, version: int, groups_by_selector: dict[str, _Group]):
+    def __init__(
+        self,
+        version: int,
+        groups_by_selector: dict[str, _Group],
+        index: '_Index | None' = None,
+    ):
         self.version = version
+        self._index = index
         self._groups_by_selector = groups_by_selector
         self.entries_by_prefix: dict[str, RouteEntry] = {}
         # A kept group gives way to a current one that took over its prefix.
@@ -426,6 +432,7 @@
         targets_by_id: Mapping[str, model.Target],
         proxy_id: str,
         previous: 'RoutingTable | None',
+        changed: Iterable[model.Target] | None = None,
     ) -> 'RoutingTable':
         """Builds the routes of a proxy.
 
@@ -440,24 +447,36 @@
             targets_by_id: All known targets.
             proxy_id: Identifier that proxy labels match.
             previous: The table in use so far, if any.
+            changed: The entries of `targets_by_id` that changed since
+                `previous` was built; without them all targets are compared.
+                Only the selectors of their services are built anew if the
+                configuration is the same object.
         """
-        usable_by_service = _usable_by_service(targets_by_id.values())
         old_groups = previous._groups_by_selector if previous else {}
+        old_index = previous._index if previous else None
+        services: set[str] | None = None
+        if old_index is None or changed is None:
+            index = _Index.of(configuration, targets_by_id.values())
+        else:
+            index, services = old_index.updated(configuration, changed)
+            if configuration is not old_index.configuration:
+                services = None
         groups = {}
         for name, selector in configuration.selectors_by_name.items():
+            old = old_groups.get(name)
+            if services is not None and not _is_affected(
+                selector, old, services
+            ):
+                if old is not None:
+                    groups[name] = old
+                continue
             proxies = configuration.labels_by_name[selector.proxies]
             if not proxies.matches(proxy_id):
                 continue
-            group = _build_group(
-                configuration,
-                selector,
-                usable_by_service.get(selector.service, {}),
-                old_groups.get(name),
-                usable_by_service,
-            )
+            group = _build_group(configuration, selector, index, old)
             if group is not None:
                 groups[name] = group
-        return cls(configuration.version, groups)
+        return cls(configuration.version, groups, index)
 
     def match(self, path: str) -> RouteEntry | None:
         """Finds the entry with the longest prefix of whole path segments.
@@ -490,28 +509,82 @@
 TargetsByVersion = dict[str, list[model.Target]]
 
 
-def _usable_by_service(
-    targets: Iterable[model.Target],
-) -> dict[str, TargetsByVersion]:
-    """Groups the targets that may get new work by service and version."""
-    usable: dict[str, TargetsByVersion] = {}
-    for target in targets:
-        if target.state <= SUSPECT:
-            versions = usable.setdefault(target.service, {})
+@attrs.frozen
+class _Index:
+    """The targets that may get new work, for building groups.
+
+    Attributes:
+        configuration: The configuration that the table was built from.
+        targets_by_id: Usable targets.
+        ids_by_service: Identifiers of usable targets by service.
+    """
+
+    configuration: configuration_module.Configuration
+    targets_by_id: dict[str, model.Target]
+    ids_by_service: dict[str, frozenset[str]]
+
+    @classmethod
+    def of(
+        cls,
+        configuration: configuration_module.Configuration,
+        targets: Iterable[model.Target],
+    ) -> '_Index':
+        usable = {t.target_id: t for t in targets if t.state <= SUSPECT}
+        ids: dict[str, set[str]] = {}
+        for target in usable.values():
+            ids.setdefault(target.service, set()).add(target.target_id)
+        frozen = {service: frozenset(i) for service, i in ids.items()}
+        return cls(configuration, usable, frozen)
+
+    def updated(
+        self,
+        configuration: configuration_module.Configuration,
+        changed: Iterable[model.Target],
+    ) -> 'tuple[_Index, set[str]]':
+        """Returns the index with changed entries and their services."""
+        usable = dict(self.targets_by_id)
+        ids = dict(self.ids_by_service)
+        services = set()
+        for target in changed:
+            target_id = target.target_id
+            old = usable.pop(target_id, None)
+            if old is not None:
+                services.add(old.service)
+                ids[old.service] -= {target_id}
+            services.add(target.service)
+            if target.state <= SUSPECT:
+                usable[target_id] = target
+                known = ids.get(target.service, frozenset())
+                ids[target.service] = known | {target_id}
+        return _Index(configuration, usable, ids), services
+
+    def versions(self, service: str) -> TargetsByVersion:
+        """Returns a service's usable targets by version."""
+        versions: TargetsByVersion = {}
+        for target_id in self.ids_by_service.get(service, ()):
+            target = self.targets_by_id[target_id]
             versions.setdefault(target.version, []).append(target)
-    return usable
+        return versions
+
+
+def _is_affected(
+    selector: model.Selector, old: _Group | None, services: set[str]
+) -> bool:
+    """Tells whether changed targets can change a selector's entries."""
+    if selector.service in services:
+        return True
+    return old is not None and old.selector.service in services
 
 
 def _build_group(
     configuration: configuration_module.Configuration,
     selector: model.Selector,
-    usable: TargetsByVersion,
+    index: _Index,
     old: _Group | None,
-    usable_by_service: dict[str, TargetsByVersion],
 ) -> _Group | None:
     shares = configuration.shares(selector.name)
     label = configuration.labels_by_name[selector.targets]
-    targets = _labelled(usable, shares, label)
+    targets = _labelled(index.versions(selector.service), shares, label)
     rollout = configuration.rollouts_by_selector.get(selector.name)
     new_version = None
     if rollout is not None and rollout.state is model.RolloutState.RUNNING:
@@ -521,7 +594,7 @@
     if old is not None:
         kept = _kept_shares(old.shares_by_version, shares)
         if kept:
-            known = usable_by_service.get(old.selector.service, {})
+            known = index.versions(old.selector.service)
             return attrs.evolve(
                 _make_group(
                     old.selector,
