--- a/bench/decisions_routing.py
+++ b/bench/decisions_routing.py
@@ -11,9 +11,11 @@
 import json
 import random
 import statistics
+import time
 
 import attrs
 
+from hemlockgrade import configuration
 from hemlockgrade import model
 from hemlockgrade import routing
 from hemlockgrade.plugins import least_loaded
@@ -177,11 +179,73 @@
     }
 
 
+def measure_costs(candidates, rounds=20000):
+    """Measures processor time of the decisions that every request takes."""
+    generator = random.Random(1)
+    targets = {
+        f't{i}': model.Target(
+            target_id=f't{i}',
+            service='s',
+            version='v1' if i < candidates else 'v2',
+            failure_domain='abc'[i % 3],
+            admission_address='',
+            slots=SLOTS,
+        )
+        for i in range(candidates + 3)
+    }
+    labels = {
+        kind.value: model.Label(name=kind.value, kind=kind, members=('*',))
+        for kind in model.LabelKind
+    }
+    selector = model.Selector(
+        name='s',
+        proxies='proxy',
+        targets='target',
+        service='s',
+        routes=(model.Route(path_prefix='/booking/fees'),),
+        shares_by_version={'v1': 95, 'v2': 5},
+    )
+    settings = configuration.Configuration(
+        labels_by_name=labels, selectors_by_name={'s': selector}
+    )
+    routes = routing.RoutingTable.build(settings, targets, 'p', None)
+    entry = routes.match('/booking/fees')
+    balancer = least_loaded.LeastLoaded('a')
+    result = {'bench': 'decision_costs', 'candidates': candidates}
+    for case in ('warm', 'one_cold_one_suspect_one_ejected'):
+        loads = routing.LoadTable()
+        loads.members_changed(targets.values(), 0.0)
+        v1 = list(entry.targets_by_version['v1'])
+        for target in v1:
+            loads.load(target.target_id).latency_s = 0.01
+        if case != 'warm':
+            loads.load(v1[0].target_id).known_at = 0.0
+            v1[1] = attrs.evolve(v1[1], state=model.MemberState.SUSPECT)
+            loads.load(v1[2].target_id).probing = True
+            loads.load(v1[2].target_id).ejected_until = 9.0
+        steps = {
+            'match': lambda: routes.match('/booking/fees/7/items?sort=asc'),
+            'choose_version': lambda: entry.choose_version(generator),
+            'choose_target': lambda v1=v1, loads=loads: balancer.choose(
+                v1, loads, 5.0, generator
+            ),
+        }
+        for name, step in steps.items():
+            begun = time.process_time()
+            for _ in range(rounds):
+                step()
+            seconds = time.process_time() - begun
+            result[f'{name}_us_{case}'] = round(seconds / rounds * 1e6, 2)
+    return result
+
+
 def main():
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--seeds', type=int, default=1)
     options = parser.parse_args()
+    for candidates in (3, 12, 60):
+        print(json.dumps(measure_costs(candidates)), flush=True)
     for faults, load, name, seed in itertools.product(
         (False, True), (0.3, 0.6), BALANCERS, range(options.seeds)
     ):
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -70,6 +70,7 @@
 def start(context, shares, targets, **options):
     context.configuration = make_configuration(shares, **options)
     context.targets = {t.target_id: t for t in targets}
+    context.routes = None
     rebuild(context)
 
 
@@ -445,6 +446,16 @@
             assert any(t.version == version for t in routed)
     if not context.configuration.selectors_by_name:
         assert not list(context.routes.entries())
+    # A whole build finds the same as the builds by changed targets.
+    whole = routing.RoutingTable.build(
+        context.configuration, context.targets, 'edge-1', context.routes
+    )
+    assert [
+        (e.shares_by_version, e.targets_by_version) for e in whole.entries()
+    ] == [
+        (e.shares_by_version, e.targets_by_version)
+        for e in context.routes.entries()
+    ]
 
 
 @then(
--- a/hemlockgrade/plugins/least_loaded.py
+++ b/hemlockgrade/plugins/least_loaded.py
@@ -41,15 +41,46 @@
         random: random_module.Random,
     ) -> model.Target | None:
         """Chooses a target; see `routing.Balancer`."""
+        unreachable = loads.unreachable_domains
+        loads_by_id = loads.loads_by_id
+        first: list[model.Target] = []
+        others = False
+        # Most requests meet warm targets only, so these are sorted out in one
+        # pass; 60 candidates took twice the time by tiers.
+        for target in candidates:
+            load = loads_by_id.get(target.target_id)
+            if (
+                target.state is not ALIVE
+                or target.failure_domain in unreachable
+                or (load is not None and not load.is_warm(now))
+            ):
+                others = True
+            else:
+                first.append(target)
+        if others:
+            return self._choose_by_tier(candidates, loads, now, random)
+        if not first:
+            return None
+        return self._cheapest(first, loads, now, random)
+
+    def _choose_by_tier(
+        self,
+        candidates: Sequence[model.Target],
+        loads: routing.LoadTable,
+        now: float,
+        random: random_module.Random,
+    ) -> model.Target | None:
+        """Chooses among alive targets, else suspect, else unreachable ones."""
         tiers: tuple[list[model.Target], ...] = ([], [], [])
         unreachable = loads.unreachable_domains
         for target in candidates:
-            state = target.state
-            if state is ALIVE or state is SUSPECT:
-                rank = 0 if state is ALIVE else 1
-                if target.failure_domain in unreachable:
-                    rank = 2
-                tiers[rank].append(target)
+            if target.failure_domain in unreachable:
+                if target.state <= SUSPECT:
+                    tiers[2].append(target)
+            elif target.state is ALIVE:
+                tiers[0].append(target)
+            elif target.state is SUSPECT:
+                tiers[1].append(target)
         panicked: model.Target | None = None
         for tier in tiers:
             eligible = _eligible(tier, loads, now, random)
@@ -70,8 +101,11 @@
         if len(targets) == 1:
             return targets[0]
         domain = self._failure_domain
-        local = [t for t in targets if t.failure_domain == domain]
-        remote = [t for t in targets if t.failure_domain != domain]
+        local: list[model.Target] = []
+        remote: list[model.Target] = []
+        for target in targets:
+            near = target.failure_domain == domain
+            (local if near else remote).append(target)
         best = None
         best_cost = float('inf')
         for target in _sample(local, LOCAL_CHOICES, random):
--- a/hemlockgrade/routing.py
+++ b/hemlockgrade/routing.py
@@ -81,6 +81,10 @@
     outcomes: int = 0
     ejections: int = 0
 
+    def is_warm(self, now: float) -> bool:
+        """Tells whether the target is neither ejected nor warming up."""
+        return not self.probing and now - self.known_at >= COLD_S
+
 
 class LoadTable:
     """Live evidence of one proxy on the targets it sends requests to.
@@ -610,8 +614,9 @@
     if not targets[largest]:
         return None
     present = {v: s for v, s in shares.items() if targets[v]}
+    found = {v: targets[v] for v in present}
     return attrs.evolve(
-        _make_group(selector, label, present, targets, new_version, old),
+        _make_group(selector, label, present, found, new_version, old),
         current=False,
     )
 
