--- a/bench/decisions_routing.py
+++ b/bench/decisions_routing.py
@@ -104,7 +104,7 @@
 
 def simulate(name, load, seed, seconds, faults):
     generator = random.Random(seed)
-    targets = [
+    targets = tuple(
         model.Target(
             target_id=f't{i}',
             service='s',
@@ -114,7 +114,7 @@
             slots=SLOTS,
         )
         for i in range(12)
-    ]
+    )
     servers = {t.target_id: Server(t) for t in targets}
     proxies = []
     for i in range(PROXIES):
@@ -132,7 +132,9 @@
     arrived = 0
 
     def send(request, now):
-        left = [t for t in targets if t.target_id not in request.tried]
+        left = targets
+        if request.tried:
+            left = [t for t in targets if t.target_id not in request.tried]
         proxy = request.proxy
         target = proxy.balancer.choose(left, proxy.loads, now, generator)
         request.tried.append(target.target_id)
@@ -226,7 +228,7 @@
         steps = {
             'match': lambda: routes.match('/booking/fees/7/items?sort=asc'),
             'choose_version': lambda: entry.choose_version(generator),
-            'choose_target': lambda v1=v1, loads=loads: balancer.choose(
+            'choose_target': lambda v1=tuple(v1), loads=loads: balancer.choose(
                 v1, loads, 5.0, generator
             ),
         }
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -283,8 +283,15 @@
 
 def choose(context, now=0.0, only=None):
     candidates = [context.targets[only]] if only else context.targets.values()
+    # Routes pass a tuple and retries a list; both ways take turns.
+    context.as_tuple = not getattr(context, 'as_tuple', False)
+    if context.as_tuple:
+        candidates = tuple(candidates)
     chosen = context.balancer.choose(
-        list(candidates), context.loads, now, context.generator
+        candidates if context.as_tuple else list(candidates),
+        context.loads,
+        now,
+        context.generator,
     )
     return chosen.target_id if chosen else None
 
--- a/hemlockgrade/plugins/least_loaded.py
+++ b/hemlockgrade/plugins/least_loaded.py
@@ -14,12 +14,19 @@
 REMOTE_CHOICES = 2
 # Share of the requests that probe a target whose ejection ended, so that not
 # every proxy probes it with its first request at once.
-PROBE_SHARE = 0.1
+PROBE_SHARE = 0.25
+# With fewer usable targets in a sample, all candidates are looked at.
+MIN_ACCEPTED = 2
+# Replaced routing tables leave their candidates here until this many.
+MAX_SPLITS = 256
 # A target of another domain is taken only if it is clearly cheaper: the round
 # trip costs 1 ms, and its domain may be cut off at any moment.
 REMOTE_FACTOR = 1.5
 REMOTE_S = 0.001
 
+_USE, _PROBE, _SKIP, _COLD, _ERRING = range(5)
+_Split = tuple[list[model.Target], list[model.Target]]
+
 
 class LeastLoaded:
     """Compares a few random candidates by their live evidence."""
@@ -32,6 +39,9 @@
                 counts as near.
         """
         self._failure_domain = failure_domain
+        self._splits_by_id: dict[
+            int, tuple[tuple[model.Target, ...], _Split]
+        ] = {}
 
     def choose(
         self,
@@ -41,27 +51,67 @@
         random: random_module.Random,
     ) -> model.Target | None:
         """Chooses a target; see `routing.Balancer`."""
-        unreachable = loads.unreachable_domains
-        loads_by_id = loads.loads_by_id
-        first: list[model.Target] = []
-        others = False
-        # Most requests meet warm targets only, so these are sorted out in one
-        # pass; 60 candidates took twice the time by tiers.
-        for target in candidates:
-            load = loads_by_id.get(target.target_id)
-            if (
-                target.state is not ALIVE
-                or target.failure_domain in unreachable
-                or (load is not None and not load.is_warm(now))
-            ):
-                others = True
-            else:
-                first.append(target)
-        if others:
-            return self._choose_by_tier(candidates, loads, now, random)
-        if not first:
+        if not candidates:
             return None
-        return self._cheapest(first, loads, now, random)
+        if type(candidates) is tuple:
+            picked = self._choose_by_sample(candidates, loads, now, random)
+            if picked is not None:
+                return picked
+        return self._choose_by_tier(candidates, loads, now, random)
+
+    def _choose_by_sample(
+        self,
+        candidates: tuple[model.Target, ...],
+        loads: routing.LoadTable,
+        now: float,
+        random: random_module.Random,
+    ) -> model.Target | None:
+        """Chooses among a few targets of a route, without looking at all.
+
+        Returns:
+            A target, or None if too few of the sampled ones can serve.
+        """
+        local, remote = self._split(candidates)
+        best = None
+        best_cost = float('inf')
+        accepted = 0
+        for target in _sample(local, LOCAL_CHOICES, random):
+            verdict = _judge(target, loads, now, random)
+            if verdict is _PROBE:
+                return target
+            if verdict is _USE:
+                accepted += 1
+                cost = _cost(target, loads, now)
+                if cost < best_cost:
+                    best, best_cost = target, cost
+        for target in _sample(remote, REMOTE_CHOICES, random):
+            verdict = _judge(target, loads, now, random)
+            if verdict is _PROBE:
+                return target
+            if verdict is _USE:
+                accepted += 1
+                cost = _cost(target, loads, now)
+                if local:
+                    cost = cost * REMOTE_FACTOR + REMOTE_S
+                if cost < best_cost:
+                    best, best_cost = target, cost
+        return best if accepted >= MIN_ACCEPTED else None
+
+    def _split(self, candidates: tuple[model.Target, ...]) -> _Split:
+        """Returns the near and the far targets of a route's candidates."""
+        known = self._splits_by_id.get(id(candidates))
+        # The entry holds the tuple, so that its id is not used again.
+        if known is not None and known[0] is candidates:
+            return known[1]
+        domain = self._failure_domain
+        split = (
+            [t for t in candidates if t.failure_domain == domain],
+            [t for t in candidates if t.failure_domain != domain],
+        )
+        if len(self._splits_by_id) >= MAX_SPLITS:
+            self._splits_by_id.clear()
+        self._splits_by_id[id(candidates)] = (candidates, split)
+        return split
 
     def _choose_by_tier(
         self,
@@ -135,25 +185,16 @@
     eligible: list[model.Target] = []
     cold: list[model.Target] = []
     erring: list[model.Target] = []
-    loads_by_id = loads.loads_by_id
     for target in targets:
-        load = loads_by_id.get(target.target_id)
-        if load is None:
-            eligible.append(target)
-        elif load.probing:
-            if now >= load.ejected_until and not load.in_flight:
-                if random.random() < PROBE_SHARE:
-                    return [target]
-            elif not load.unreachable:
-                erring.append(target)
-        elif now - load.known_at < routing.COLD_S:
-            share = max(
-                (now - load.known_at) / routing.COLD_S,
-                routing.COLD_SHARE_AT_START,
-            )
-            (eligible if random.random() < share else cold).append(target)
-        else:
+        verdict = _judge_load(target, loads, now, random)
+        if verdict is _PROBE:
+            return [target]
+        if verdict is _USE:
             eligible.append(target)
+        elif verdict is _COLD:
+            cold.append(target)
+        elif verdict is _ERRING:
+            erring.append(target)
     if not eligible:
         eligible = cold
     if 2 * len(erring) > len(targets):
@@ -161,6 +202,47 @@
     return eligible
 
 
+def _judge(
+    target: model.Target,
+    loads: routing.LoadTable,
+    now: float,
+    random: random_module.Random,
+) -> int:
+    """Judges a target by its state, its failure domain and its load."""
+    if target.state is not ALIVE:
+        return _SKIP
+    if target.failure_domain in loads.unreachable_domains:
+        return _SKIP
+    return _judge_load(target, loads, now, random)
+
+
+def _judge_load(
+    target: model.Target,
+    loads: routing.LoadTable,
+    now: float,
+    random: random_module.Random,
+) -> int:
+    """Judges a target by ejection and warm-up.
+
+    Returns:
+        `_USE`, `_PROBE` to take it at once after its ejection, `_SKIP`,
+        `_ERRING` if it is ejected for errors only, or `_COLD` if this request
+        exceeds its present share.
+    """
+    load = loads.loads_by_id.get(target.target_id)
+    if load is None:
+        return _USE
+    if load.probing:
+        if now >= load.ejected_until and not load.in_flight:
+            return _PROBE if random.random() < PROBE_SHARE else _SKIP
+        return _SKIP if load.unreachable else _ERRING
+    warm_for_s = now - load.known_at
+    if warm_for_s >= routing.COLD_S:
+        return _USE
+    share = max(warm_for_s / routing.COLD_S, routing.COLD_SHARE_AT_START)
+    return _USE if random.random() < share else _COLD
+
+
 def _cost(target: model.Target, loads: routing.LoadTable, now: float) -> float:
     """Estimates the time of one more request on a target, in seconds."""
     load = loads.loads_by_id.get(target.target_id)
--- a/hemlockgrade/routing.py
+++ b/hemlockgrade/routing.py
@@ -81,10 +81,6 @@
     outcomes: int = 0
     ejections: int = 0
 
-    def is_warm(self, now: float) -> bool:
-        """Tells whether the target is neither ejected nor warming up."""
-        return not self.probing and now - self.known_at >= COLD_S
-
 
 class LoadTable:
     """Live evidence of one proxy on the targets it sends requests to.
@@ -254,7 +250,8 @@
         """Chooses among the targets of one version.
 
         Args:
-            candidates: Targets, for a retry without those already tried.
+            candidates: Targets of a version: the tuple of the route entry,
+                or for a retry a list without those already tried.
             loads: Live evidence of this proxy.
             now: Monotonic time in seconds.
             random: Source of random numbers.
