Refute again when a target answers its daemon after a suspicion

A target whose probe failed while it was suspected stayed gone for good, because only changed entries were compared with the daemon's own. They are now compared in each tick as well.

--- a/features/membership.feature
+++ b/features/membership.feature
@@ -21,6 +21,15 @@
     Then every daemon lists t0 as alive
     And t0 has a higher incarnation than before
 
+  Scenario: A target that did not answer its daemon's probe returns later
+    Given three daemons in domains a, a and b with one target each
+    When t0 fails its daemon's probe and d1 suspects it
+    And 11 seconds pass
+    Then every daemon lists t0 as gone
+    When t0 answers its daemon's probe
+    And 1 seconds pass
+    Then every daemon lists t0 as alive
+
   Scenario: A dead target is removed by one observer and the deadline
     Given three daemons in domains a, a and b with one target each
     When d0 and its target die and d1 suspects t0
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -264,6 +264,23 @@
     context.network.deliver_all()
 
 
+def probe(context, answering):
+    context.network.tasks[0].handle(
+        membership_task.TargetProbed(target_id='t0', answering=answering)
+    )
+
+
+@when("t0 fails its daemon's probe and d1 suspects it")
+def fails_probe(context):
+    probe(context, False)
+    context.network.suspect(1, 0)
+
+
+@when("t0 answers its daemon's probe")
+def answers_probe(context):
+    probe(context, True)
+
+
 @when('the observer d9 suspects t0 as well')
 def second_observer(context):
     context.network.suspect(1, 0, 'd9')
--- a/hemlockgrade/membership_task.py
+++ b/hemlockgrade/membership_task.py
@@ -201,6 +201,9 @@
         changed = self._apply(message, now)
         # Refutations are merged as well until nothing contradicts this host.
         pending = changed
+        if isinstance(message, _Tick):
+            # A target may answer again after it could not refute at first.
+            pending = changed + self._held_own()
         while pending:
             refuted = self._own.refute(pending, now, self._wall_clock())
             pending = self._table.merge(refuted, now)
@@ -231,6 +234,11 @@
                 return own + self._table.expire(now)
         return []
 
+    def _held_own(self) -> list[model.Target]:
+        """Returns the table's entries of the targets on this host."""
+        held = self._table.targets_by_id
+        return [held[i] for i in self._own.target_ids if i in held]
+
     def _receive(
         self, message: MembersReceived, now: float
     ) -> list[model.Target]:
