--- a/features/membership.feature
+++ b/features/membership.feature
@@ -7,6 +7,17 @@
     When the drain of t0 ends and its older announcement arrives again
     Then every daemon lists t0 as gone
 
+  Scenario: Nothing but a restart ends a drain
+    Given three daemons in domains a, a and b with one target each
+    When target t0 starts to drain and its older announcement arrives again
+    And two observers take the draining t0 for dead
+    Then every daemon lists t0 as gone
+    When its drain ends but it renews for 20 seconds more
+    Then every daemon lists t0 as gone
+    When t0 stops renewing for 4 seconds
+    And t0 renews again
+    Then every daemon lists t0 as alive
+
   Scenario: A gone entry is forgotten, but its old announcement stays refused
     Given three daemons in domains a, a and b with one target each
     When target t0 is gone for 700 seconds and its older announcement arrives again
@@ -90,12 +101,20 @@
   Scenario: Two hosts claim the same target in the same millisecond
     Then tables that hear of two hosts in either order keep the same entry
 
-  Scenario: Proxies report failed connections unless the whole domain fails
-    Given a proxy in domain a that tried 3 targets in domain b
-    When its connections to 1 of them fail
-    Then it reports 1 suspicion
-    When its connections to 3 of them fail
-    Then it reports 0 suspicions
+  Scenario Outline: Proxies report failed connections unless the domain fails
+    Given a proxy in domain a that tried <tried> targets in domain <domain>
+    When its connections to <failing> of them fail
+    Then it reports <reported> of them
+
+    Examples:
+      | tried | domain | failing | reported |
+      | 3     | b      | 1       | 1        |
+      | 3     | b      | 3       | 0        |
+      | 1     | b      | 1       | 0        |
+      | 1     | a      | 1       | 1        |
+
+  Scenario: Entries of living targets are refreshed
+    Then an entry is announced anew after 6 hours
 
   Scenario: The task handles posted messages and its own deadlines
     Given a running member task
--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -27,11 +27,11 @@
 WALL = 1_700_000_000.0
 
 
-def target(target_id, domain, **fields):
+def target(target_id, domain='a', version='v1', **fields):
     return model.Target(
         target_id=target_id,
         service='booking',
-        version='v1',
+        version=version,
         failure_domain=domain,
         admission_address='127.0.0.1:1',
         slots=18,
@@ -39,6 +39,28 @@
     )
 
 
+def selector(shares, prefixes=('/booking',)):
+    return model.Selector(
+        name='booking',
+        proxies='proxy',
+        targets='target',
+        service='booking',
+        routes=tuple(model.Route(path_prefix=p) for p in prefixes),
+        shares_by_version=shares,
+    )
+
+
+def booking_configuration(shares, prefixes=('/booking',), hosts='*'):
+    patterns = {'proxy': 'edge-*', 'target': hosts}
+    return configuration.Configuration(
+        labels_by_name={
+            n: model.Label(name=n, kind=model.LabelKind(n), members=(p,))
+            for n, p in patterns.items()
+        },
+        selectors_by_name={'booking': selector(shares, prefixes)},
+    )
+
+
 class Network:
     """Daemons that send every change to every other one."""
 
@@ -347,6 +369,30 @@
     context.network.pass_time(seconds)
 
 
+@when('two observers take the draining t0 for dead')
+def draining_taken_for_dead(context):
+    for observer_id in ('x', 'y'):
+        context.network.suspect(1, 0, observer_id)
+    context.network.deliver_all()
+
+
+@when('its drain ends but it renews for {seconds:d} seconds more')
+def renews_after_drain(context, seconds):
+    context.network.tasks[0].handle(
+        membership_task.DrainFinished(target_id='t0')
+    )
+    context.network.pass_time(seconds)
+
+
+@then('an entry is announced anew after 6 hours')
+def refreshed(context):
+    own = membership.SelfEntries('d0', 'boot')
+    times = (0.0, 1.0, membership.REFRESH_S)
+    entries = [own.announce(target('t0'), None, t, WALL + t) for t in times]
+    assert entries[1] is None
+    assert entries[2].incarnation > entries[0].incarnation
+
+
 @when('t0 renews again')
 def renews(context):
     context.network.announce(0)
@@ -389,10 +435,10 @@
     context.network.set_link('b', False)
 
 
-@given('a proxy in domain a that tried {count:d} targets in domain b')
-def proxy_tried(context, count):
+@given('a proxy in domain a that tried {count:d} targets in domain {domain}')
+def proxy_tried(context, count, domain):
     context.observer = membership.ConnectionObserver('p', 'a')
-    context.targets = [target(f't{i}', 'b') for i in range(count)]
+    context.targets = [target(f't{i}', domain) for i in range(count)]
     for tried in context.targets:
         context.observer.succeeded(tried, 0.0)
 
@@ -407,8 +453,7 @@
     context.reports = [r for r in reports if r is not None]
 
 
-@then('it reports {count:d} suspicion')
-@then('it reports {count:d} suspicions')
+@then('it reports {count:d} of them')
 def reports_suspicions(context, count):
     assert len(context.reports) == count, context.reports
 
@@ -600,7 +645,10 @@
         balancer = least_loaded.LeastLoaded('a')
         for task in network.tasks.values():
             table = routing.RoutingTable.build(
-                simple_configuration(), task.targets_by_id, 'p', None
+                booking_configuration({'v1': 100}),
+                task.targets_by_id,
+                'edge-1',
+                None,
             )
             entry = table.match('/booking')
             for _ in range(50):
@@ -613,21 +661,3 @@
                 assert chosen.target_id != 't0'
 
     check()
-
-
-def simple_configuration():
-    labels = {
-        name: model.Label(name=name, kind=model.LabelKind(name), members=('*',))
-        for name in ('proxy', 'target')
-    }
-    selector = model.Selector(
-        name='booking',
-        proxies='proxy',
-        targets='target',
-        service='booking',
-        routes=(model.Route(path_prefix='/booking'),),
-        shares_by_version={'v1': 100},
-    )
-    return configuration.Configuration(
-        labels_by_name=labels, selectors_by_name={'booking': selector}
-    )
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -8,9 +8,8 @@
 from behave import when
 import hypothesis
 from hypothesis import strategies
-from membership_steps import HISTORIES
+import membership_steps as members
 
-from hemlockgrade import configuration
 from hemlockgrade import model
 from hemlockgrade import routing
 from hemlockgrade.plugins import least_loaded
@@ -18,44 +17,6 @@
 STATES = model.MemberState
 
 
-def make_target(target_id, version='v1', domain='a', **fields):
-    return model.Target(
-        target_id=target_id,
-        service='booking',
-        version=version,
-        failure_domain=domain,
-        admission_address='127.0.0.1:1',
-        slots=18,
-        **fields,
-    )
-
-
-def make_selector(shares, prefixes=('/booking',)):
-    return model.Selector(
-        name='booking',
-        proxies='edge',
-        targets='hosts',
-        service='booking',
-        routes=tuple(model.Route(path_prefix=p) for p in prefixes),
-        shares_by_version=shares,
-    )
-
-
-def make_configuration(shares, prefixes=('/booking',), hosts='*'):
-    labels = (
-        model.Label(
-            name='edge', kind=model.LabelKind.PROXY, members=('edge-*',)
-        ),
-        model.Label(
-            name='hosts', kind=model.LabelKind.TARGET, members=(hosts,)
-        ),
-    )
-    return configuration.Configuration(
-        labels_by_name={label.name: label for label in labels},
-        selectors_by_name={'booking': make_selector(shares, prefixes)},
-    )
-
-
 def rebuild(context, proxy_id='edge-1', changed=None):
     context.routes = routing.RoutingTable.build(
         context.configuration,
@@ -68,7 +29,7 @@
 
 
 def start(context, shares, targets, **options):
-    context.configuration = make_configuration(shares, **options)
+    context.configuration = members.booking_configuration(shares, **options)
     context.targets = {t.target_id: t for t in targets}
     context.routes = None
     rebuild(context)
@@ -77,7 +38,7 @@
 def set_shares(context, shares):
     context.configuration = attrs.evolve(
         context.configuration,
-        selectors_by_name={'booking': make_selector(shares)},
+        selectors_by_name={'booking': members.selector(shares)},
     )
     rebuild(context)
 
@@ -87,7 +48,7 @@
     start(
         context,
         {'v1': 100},
-        [make_target('t0')],
+        [members.target('t0')],
         prefixes=('/', '/booking', '/booking/fees'),
     )
 
@@ -100,7 +61,7 @@
 @given('version v1 on {count:d} targets, of which the label matches 2')
 def labelled_targets(context, count):
     names = [f'{"xy"[i % 2]}{i}' for i in range(count)]
-    start(context, {'v1': 100}, map(make_target, names), hosts='x*')
+    start(context, {'v1': 100}, map(members.target, names), hosts='x*')
 
 
 @then('the proxy edge-1 has routes to {count:d} targets of v1')
@@ -116,7 +77,7 @@
 
 @given('version v1 on {count:d} targets with all of the traffic')
 def v1_serves(context, count):
-    start(context, {'v1': 100}, [make_target(f't{i}') for i in range(count)])
+    start(context, {'v1': 100}, [members.target(f't{i}') for i in range(count)])
 
 
 @given('version v2 gets {share:d} percent of the traffic')
@@ -128,7 +89,7 @@
 @given('a target of v2 becomes known')
 @when('a target of v2 becomes known')
 def v2_known(context):
-    context.targets['n0'] = make_target('n0', 'v2')
+    context.targets['n0'] = members.target('n0', version='v2')
     rebuild(context)
 
 
@@ -197,7 +158,7 @@
     start(
         context,
         {'v1': 95, 'v2': 5},
-        [make_target('t0'), make_target('n0', 'v2')],
+        [members.target('t0'), members.target('n0', version='v2')],
     )
 
 
@@ -312,7 +273,7 @@
 @given('12 warm targets over the domains a, b and c')
 def warm_targets(context):
     context.targets = {
-        f't{i}': make_target(f't{i}', domain='abc'[i % 3]) for i in range(12)
+        f't{i}': members.target(f't{i}', domain='abc'[i % 3]) for i in range(12)
     }
     context.loads = routing.LoadTable()
     context.loads.members_changed(context.targets.values(), 0.0)
@@ -427,7 +388,7 @@
 
 @when('t0 was restarted')
 def restarted(context):
-    context.targets['t0'] = make_target('t0', boot_id='b2', incarnation=9)
+    context.targets['t0'] = members.target('t0', boot_id='b2', incarnation=9)
     context.loads.members_changed([context.targets['t0']], 0.0)
 
 
@@ -444,10 +405,10 @@
 @when('t0 becomes {state}')
 def becomes(context, state):
     if state == 'unreachable':
-        context.targets['t0'] = make_target('t0', domain='d')
+        context.targets['t0'] = members.target('t0', domain='d')
         context.loads.unreachable_domains = frozenset('d')
     else:
-        changed = make_target('t0', state=STATES[state.upper()])
+        changed = members.target('t0', state=STATES[state.upper()])
         context.targets['t0'] = changed
 
 
@@ -480,7 +441,7 @@
 
 @then('no generated table routes to an unknown target')
 def routes_to_known(context):
-    @HISTORIES
+    @members.HISTORIES
     @hypothesis.given(
         strategies.lists(
             strategies.one_of(SHARES, MEMBERS), min_size=5, max_size=60
@@ -491,7 +452,7 @@
         for step in steps:
             if isinstance(step, tuple):
                 name = f't{step[0]}'
-                context.targets[name] = make_target(
+                context.targets[name] = members.target(
                     name, f'v{step[0] % 3 + 1}', state=step[1]
                 )
                 rebuild(context, changed=[context.targets[name]])
@@ -536,13 +497,13 @@
     'a version never exceeds its share by more than one request in any window'
 )
 def windows(context):
-    @HISTORIES
+    @members.HISTORIES
     @hypothesis.given(strategies.integers(0, 2**32), strategies.integers(1, 50))
     def check(seed, percent):
         start(
             context,
             {'v1': 100 - percent, 'v2': percent},
-            [make_target('t0'), make_target('n0', 'v2')],
+            [members.target('t0'), members.target('n0', version='v2')],
         )
         generator = random.Random(seed)
         entry = context.routes.match('/booking')
@@ -550,7 +511,7 @@
         for number in range(400):
             if number % 37 == 0:
                 # A change of members must not start the split anew.
-                context.targets['x'] = make_target('x', incarnation=number)
+                context.targets['x'] = members.target('x', incarnation=number)
                 entry = rebuild(context).match('/booking')
             chosen.append(entry.choose_version(generator))
         for size in (20, 100):
