--- a/features/evidence.feature
+++ b/features/evidence.feature
@@ -13,12 +13,17 @@
 
   Scenario: A late record counts in the window in which its requests ended
     Given a recorder for the selector booking
-    When records of two windows arrive in reverse order, 20 seconds late
+    When records of two windows arrive in reverse order, 8 seconds late
     Then both versions stand side by side in each of the two windows
 
+  Scenario: A very late record counts in the block of windows of its time
+    Given a recorder for the selector booking
+    When records of two windows arrive in reverse order, 40 seconds late
+    Then both versions stand side by side in one block of both windows
+
   Scenario: Windows before the start of a stage are left out
     Given a recorder for the selector booking
-    When records of two windows arrive in reverse order, 20 seconds late
+    When records of two windows arrive in reverse order, 8 seconds late
     Then a comparison since the second window has one window
 
   Scenario: A record of a wrong clock does not count
--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -48,6 +48,17 @@
     And the agreed time passes
     Then the rollout is done, and v2 serves all of booking
 
+  Scenario Outline: A small sample of the old version does not prove a fault of the new one
+    Given an old version that served 2000 requests without a failure
+    When in one second <new> of 20 requests of v2 fail, and <old> of <requests> of v1
+    Then the judge finds v2 <finding>
+
+    Examples:
+      | new | old | requests | finding   |
+      | 6   | 0   | 3        | undecided |
+      | 6   | 0   | 60       | bad       |
+      | 6   | 18  | 60       | undecided |
+
   Scenario: Too little traffic to judge is a reason to roll back
     Given booking at 1 requests a second, of which 0 percent fail
     When v2 is agreed within 120 seconds
--- a/features/steps/evidence_steps.py
+++ b/features/steps/evidence_steps.py
@@ -70,13 +70,15 @@
     assert (new.requests, new.errors) == (requests, errors), new
 
 
-@when('records of two windows arrive in reverse order, 20 seconds late')
-def arrive_late(context):
+@when(
+    'records of two windows arrive in reverse order, {seconds:d} seconds late'
+)
+def arrive_late(context, seconds):
     for offset in (0, 1):
         for version in ('v1', 'v2'):
             record(context.recorder, version, NOW + offset)
     for entry in reversed(context.recorder.take(NOW + 2)):
-        context.store.merge([entry], NOW + 20)
+        context.store.merge([entry], NOW + seconds)
 
 
 @then('both versions stand side by side in each of the two windows')
@@ -87,6 +89,15 @@
     assert counts == [(first, 1, 1), (first + 1, 1, 1)], counts
 
 
+@then('both versions stand side by side in one block of both windows')
+def side_by_side_in_block(context):
+    # Windows are joined by a later merge.
+    context.store.merge([], NOW + 50)
+    _, _, pairs = totals(context.store)
+    counts = [(p.window, p.new.requests, p.old.requests) for p in pairs]
+    assert counts == [(int(NOW), 2, 2)], counts
+
+
 @then('a comparison since the second window has one window')
 def one_window(context):
     _, _, pairs = totals(context.store, NOW + 1)
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -350,6 +350,43 @@
     )
 
 
+def merge_counts(context, version, window, requests, errors):
+    context.sequence += 1
+    entry = evidence.Evidence(
+        selector='booking',
+        version=version,
+        route='/booking',
+        window=window,
+        requests=requests,
+        errors=errors,
+        latency_buckets=(0, 0, requests),
+        reporter='proxies',
+        sequence=context.sequence,
+    )
+    context.store.merge([entry], NOW)
+
+
+@given('an old version that served {requests:d} requests without a failure')
+def old_history(context, requests):
+    context.store, context.sequence = evidence.EvidenceStore(), 0
+    merge_counts(context, 'v1', int(NOW) - 20, requests, 0)
+
+
+@when(
+    'in one second {new:d} of 20 requests of v2 fail, and {old:d} of {requests:d} of v1'
+)
+def one_second(context, new, old, requests):
+    merge_counts(context, 'v2', int(NOW), 20, new)
+    merge_counts(context, 'v1', int(NOW), requests, old)
+
+
+@then('the judge finds v2 {finding}')
+def judge_finds(context, finding):
+    comparison = context.store.compare('booking', 'v2', ('v1',), NOW)
+    verdict = sequential_judge.SequentialJudge().judge(comparison)
+    assert verdict.outcome == finding, verdict
+
+
 @given('the targets of v2 come after {seconds:d} seconds')
 def late_targets(context, seconds):
     context.world.ready_after_s = seconds
--- a/hemlockgrade/evidence.py
+++ b/hemlockgrade/evidence.py
@@ -30,8 +30,8 @@
 # Clocks of hosts differ a little; a window further ahead is a wrong clock.
 MAX_CLOCK_AHEAD_S = 10.0
 # Windows older than the first number of seconds are joined to blocks of the
-# second, so that an hour of evidence stays at about 110 blocks a series.
-BLOCKS_BY_AGE_S = ((300, 60), (30, 10))
+# second, so that an hour of evidence stays at about 90 blocks a series.
+BLOCKS_BY_AGE_S = ((60, 60), (10, 5))
 # Sequences of a reporter that may be missing before the oldest are given up.
 MAX_OUT_OF_ORDER = 1024
 
@@ -223,6 +223,7 @@
     def __init__(self):
         self._seen = _SeenRecords()
         self._series_by_key: dict[tuple[str, str, str], dict[int, _Tally]] = {}
+        self._totals_by_key: dict[tuple[str, str, str], _Tally] = {}
         # Windows are not joined over the start of the stage under comparison.
         self._firsts_by_selector: dict[str, int] = {}
         self._joined_at = -math.inf
@@ -241,6 +242,7 @@
             key = (record.selector, record.version, record.route)
             series = self._series_by_key.setdefault(key, {})
             series.setdefault(record.window, _Tally()).add(record)
+            self._totals_by_key.setdefault(key, _Tally()).add(record)
             added += 1
         self._join(now)
         return added
@@ -281,6 +283,7 @@
         """Drops the evidence on a selector whose rollout has ended."""
         for key in [k for k in self._series_by_key if k[0] == selector]:
             del self._series_by_key[key]
+            del self._totals_by_key[key]
         self._firsts_by_selector.pop(selector, None)
 
     def _pairs(self, selector, new, old, route, first):
@@ -306,10 +309,8 @@
 
     def _total(self, selector, old, route):
         return _total_counts(
-            itertools.chain.from_iterable(
-                self._series_by_key.get((selector, version, route), {}).values()
-                for version in old
-            )
+            self._totals_by_key.get((selector, version, route))
+            for version in old
         )
 
     def _join(self, now: float) -> None:
@@ -326,10 +327,13 @@
                 if block == window:
                     continue
                 tally = series.pop(window)
-                if block is not None:
+                if block is None:
+                    self._totals_by_key[key].remove_tally(tally)
+                else:
                     series.setdefault(block, _Tally()).add_tally(tally)
             if not series:
                 del self._series_by_key[key]
+                del self._totals_by_key[key]
 
 
 def to_wire(records: list[Evidence]) -> list[control_pb2.EvidenceBatch]:
@@ -420,6 +424,13 @@
         for index, count in enumerate(other.buckets):
             self.buckets[index] += count
 
+    def remove_tally(self, other: '_Tally') -> None:
+        self._counts = None
+        self.requests -= other.requests
+        self.errors -= other.errors
+        for index, count in enumerate(other.buckets):
+            self.buckets[index] -= count
+
 
 class _PendingSums:
     """Counts that a reporter has not sent yet."""
