Compare versions window by window before a verdict of bad

Shares and a fault of both versions can change in the same run of windows; their sums then differ although each window shows the same rate.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -59,6 +59,12 @@
       | 6   | 0   | 60       | bad       |
       | 6   | 18  | 60       | undecided |
 
+  Scenario: A common fault that begins with a larger share does not count against v2
+    Given an old version that served 2000 requests without a failure
+    When in one second 0 of 20 requests of v2 fail, and 0 of 380 of v1
+    And in one second 30 of 100 requests of v2 fail, and 30 of 100 of v1
+    Then the judge finds v2 undecided
+
   Scenario: Too little traffic to judge is a reason to roll back
     Given booking at 1 requests a second, of which 0 percent fail
     When v2 is agreed within 120 seconds
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -373,11 +373,12 @@
 
 
 @when(
-    'in one second {new:d} of 20 requests of v2 fail, and {old:d} of {requests:d} of v1'
+    'in one second {new:d} of {part:d} requests of v2 fail, and {old:d} of {requests:d} of v1'
 )
-def one_second(context, new, old, requests):
-    merge_counts(context, 'v2', int(NOW), 20, new)
-    merge_counts(context, 'v1', int(NOW), requests, old)
+def one_second(context, new, part, old, requests):
+    window = int(NOW) + context.sequence // 2
+    merge_counts(context, 'v2', window, part, new)
+    merge_counts(context, 'v1', window, requests, old)
 
 
 @then('the judge finds v2 {finding}')
--- a/hemlockgrade/plugins/sequential_judge.py
+++ b/hemlockgrade/plugins/sequential_judge.py
@@ -19,8 +19,11 @@
 fault of the platform that hits both versions raises it. The old version's
 sample may be small; therefore a version is bad only if, in addition, the
 failures of both versions in the windows of that run are unlikely to fall on
-the new one by chance (Fisher's exact test, R. A. Fisher, "Statistical Methods
-for Research Workers", 5th edition, 1934, section 21.02).
+the new one by chance: by Fisher's exact test on their sums (R. A. Fisher,
+"Statistical Methods for Research Workers", 5th edition, 1934, section 21.02)
+and by the test of N. Mantel and W. Haenszel on single windows ("Statistical
+Aspects of the Analysis of Data From Retrospective Studies of Disease", Journal
+of the National Cancer Institute 22 (1959), pages 719 to 748).
 """
 
 import collections
@@ -55,8 +58,10 @@
 # A window with as many requests of the new version and none of the old one
 # comes from a stage that leaves the old version no share.
 MIN_ALONE_REQUESTS = 20
-# Level of the same-window test that excludes faults of both versions.
+# Level of the same-window tests that exclude faults of both versions.
 SAME_WINDOW_LEVEL = 0.001
+# Quantile of the normal distribution for that level.
+SAME_WINDOW_Z = 3.09
 # A route with a smaller part of the requests need not be judged good alone.
 MIN_ROUTE_PART = 0.15
 # The tolerated difference of a route grows as its part of all requests falls,
@@ -186,14 +191,13 @@
             if good_ratio <= accept:
                 accepted = True
             if ratio >= reject:
-                total = _total(run)
-                if _differs(total):
+                if _differs(run):
                     return _Finding(
                         series=series,
                         outcome=rollout.Outcome.BAD,
                         ratio=ratio,
                         suspect=True,
-                        run=total,
+                        run=_total(run),
                     )
                 ratio = reject
             elif ratio <= accept:
@@ -371,11 +375,17 @@
     return _Sample(new_requests, new_hits, old_requests, old_hits)
 
 
-def _differs(sample: _Sample) -> bool:
+def _differs(run: list[_Sample]) -> bool:
     """Tells whether hits fall on the new version more than by chance."""
-    if not sample.old_requests:
+    total = _total(run)
+    if not total.old_requests:
         # All requests go to the new version; only p0 is left to compare with.
         return True
+    return _fisher_rejects(total) and _mantel_haenszel_rejects(run)
+
+
+def _fisher_rejects(sample: _Sample) -> bool:
+    """Applies Fisher's exact test, which holds for few hits."""
     hits = sample.new_hits + sample.old_hits
     requests = sample.new_requests + sample.old_requests
     chance = 0.0
@@ -393,6 +403,27 @@
     return True
 
 
+def _mantel_haenszel_rejects(run: list[_Sample]) -> bool:
+    """Applies the test of Mantel and Haenszel, window by window.
+
+    When both the shares and the failure rate of both versions change, sums
+    over windows differ between versions that fail alike.
+    """
+    excess = variance = 0.0
+    for new_requests, new_hits, old_requests, old_hits in run:
+        requests = new_requests + old_requests
+        hits = new_hits + old_hits
+        if requests < 2 or not hits:
+            continue
+        part = new_requests / requests
+        excess += new_hits - hits * part
+        variance += (
+            hits * part * (1 - part) * (requests - hits) / (requests - 1)
+        )
+    corrected = excess - 0.5
+    return corrected > 0 and corrected**2 >= SAME_WINDOW_Z**2 * variance
+
+
 def _log_choose(n: int, k: int) -> float:
     return math.lgamma(n + 1) - math.lgamma(k + 1) - math.lgamma(n - k + 1)
 
