Go on after a step that the log refuses

The change log also raises StaleEpochError; every expected refusal now makes the holder load the configuration again instead of ending its task.

--- a/features/rollout.feature
+++ b/features/rollout.feature
@@ -133,6 +133,13 @@
     And the lease is lost right after the epoch is written
     Then the log has no step
 
+  Scenario: A holder whose epoch the log refuses goes on waiting
+    Given booking at 500 requests a second, of which 0.5 percent fail
+    When v2 is agreed within 180 seconds
+    And the log refuses the next step for its epoch
+    And the agreed time passes
+    Then the rollout is done, and v2 serves all of booking
+
   Scenario: An outage of the platform delays a rollout
     Given booking at 500 requests a second, of which 0.5 percent fail
     When v2 is agreed within 180 seconds
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -499,6 +499,15 @@
     assert context.world.steps() == []
 
 
+@when('the log refuses the next step for its epoch')
+def refuse_epoch(context):
+    async def refuse(draft):
+        raise exceptions.StaleEpochError('old epoch', remedy='stop acting')
+
+    run(context, 10)
+    context.world.members[0].log.before_append.append(refuse)
+
+
 @when('the platform fails from {start:d} to {end:d} seconds')
 def outage(context, start, end):
     context.world.outages.append((start, end))
--- a/hemlockgrade/rollout_holder.py
+++ b/hemlockgrade/rollout_holder.py
@@ -204,11 +204,6 @@
             return TICK_S
         try:
             await self._hold(holding.epoch)
-        except exceptions.ConflictError as error:
-            # Another writer was first; what it wrote may change the decision.
-            logger.info('event=rollout_race_lost error={!r}', str(error))
-            self._configuration = None
-            return TICK_S
         except exceptions.PlatformUnavailableError as error:
             self._configuration = None
             delay = min(TICK_S * 2**self._failures, MAX_RETRY_S)
@@ -219,6 +214,12 @@
                 str(error),
             )
             return delay
+        except exceptions.HemlockError as error:
+            # Another writer was first, or a newer holder has begun to act;
+            # what they wrote may change the decision.
+            logger.info('event=rollout_step_refused error={!r}', str(error))
+            self._configuration = None
+            return TICK_S
         self._failures = 0
         return TICK_S
 
