Linger at a planned stop, and tell a platform outage as one

Cause of 6 unknown outcomes at a planned stop: idle connections were closed while the next request of their caller was on its way. Ruled out: requests cut in flight (the drain waited for all 12). Each answer now ends its connection for one second before the idle ones are closed. Cause of the outage told as a missing daemon: the tool gave up after 10 s, as long as a daemon tries to append. It now waits 15 s.

--- a/bench/daemon_cost.py
+++ b/bench/daemon_cost.py
@@ -42,9 +42,11 @@
     options = parser.parse_args()
     for size in options.sizes.split(','):
         selectors, targets = map(int, size.split(':'))
-        with tempfile.TemporaryDirectory() as directory:
-            with cluster.Cluster(pathlib.Path(directory)) as system:
-                measure(system, selectors, targets)
+        with (
+            tempfile.TemporaryDirectory() as directory,
+            cluster.Cluster(pathlib.Path(directory)) as system,
+        ):
+            measure(system, selectors, targets)
 
 
 def measure(system, selectors, targets):
--- a/hemlockgrade/config/client.py
+++ b/hemlockgrade/config/client.py
@@ -12,9 +12,10 @@
     Attributes:
         daemon_addresses: Administration addresses to try, in this order.
         administration_token: Secret of the administration API.
-        timeout_s: Time allowed for one call.
+        timeout_s: Time allowed for one call, above the 10 s that a daemon
+            spends on a change while the platform is down.
     """
 
     daemon_addresses: tuple[str, ...] = base.address_list()
     administration_token: str = base.token()
-    timeout_s: float = base.positive(default=10.0)
+    timeout_s: float = base.positive(default=15.0)
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -42,6 +42,9 @@
 from hemlockgrade.wire import control_pb2
 
 EVIDENCE_INTERVAL_S = 1.0
+# A request that is already on its way on an idle connection is still answered
+# with a refusal; without this time its outcome would be unknown to the sender.
+DRAIN_LINGER_S = 1.0
 # Two other roots of the domain watch the platform meanwhile.
 ROOT_LEASE_TERM_S = 6.0
 
@@ -265,7 +268,7 @@
         settings = self.settings
         self._proxy_factory = http_server.HttpServerFactory(self._proxy.handle)
         self._admission_factory = http_server.HttpServerFactory(
-            self._admission.handle
+            self._admission.handle, half_close=False
         )
         for setting, factory in (
             ('proxy_address', self._proxy_factory),
@@ -290,14 +293,20 @@
         deadline = time.monotonic() + self.settings.drain_timeout_s
         logger.info('event=drain_started')
         self.events.emit('drain', daemon_id=self.settings.daemon_id)
-        await asyncio.gather(self._duties.release(), self._election.release())
+        factories = (self._proxy_factory, self._admission_factory)
+        for factory in factories:
+            factory.drain()
         for target_id in self._local_api.target_ids:
             self._local_api.drain(target_id)
         await asyncio.gather(
-            self._proxy.drain(deadline), self._admission.drain(deadline)
+            self._proxy.drain(deadline),
+            self._admission.drain(deadline),
+            self._duties.release(),
+            self._election.release(),
+            asyncio.sleep(DRAIN_LINGER_S),
         )
-        self._proxy_factory.drain()
-        self._admission_factory.drain()
+        for factory in factories:
+            factory.close_idle()
 
     async def _follow_role(self) -> None:
         async for is_root in self._is_root:
