--- a/features/lease.feature
+++ b/features/lease.feature
@@ -57,6 +57,7 @@
       | lost, dropped           |
       | lost, dropped, dropped  |
       | dropped, ok, lost       |
+      | late:0.45, 0.5          |
 
   Scenario: A renewal that is answered after the margin does not revive an epoch
     Given a keeper a of a lease with a term of 3 seconds
--- a/features/support/fake_platform.py
+++ b/features/support/fake_platform.py
@@ -18,7 +18,8 @@
     """One client's view of a store.
 
     `faults` names what happens to the next calls; a number is the time that
-    an answer takes. `rate` is the probability of a random fault for each call
+    an answer takes, `late:` with a number the time until a lost request takes
+    effect. `rate` is the probability of a random fault for each call
     after them. A pause holds up all calls of the client, as one that hits the
     whole process does.
     """
@@ -76,9 +77,10 @@
             raise unavailable(True)
         if fault == 'dropped':
             raise unavailable(not write)
-        if fault == 'late':
+        if fault.startswith('late'):
+            late_s = fault.removeprefix('late').strip(':')
             delay_s = self._random.uniform(0, LONGEST_DELAY_S)
-            loop.call_later(delay_s, apply_late, effect)
+            loop.call_later(float(late_s or delay_s), apply_late, effect)
             raise unavailable(False)
         result = effect()
         if fault.replace('.', '').isdecimal():
