Sum evidence under the outbox's own reporter, and count control bytes per daemon

Cause: relays summed evidence without reporter and sequence, and the daemon gave each item a fresh one, so a batch written again after a failed write would have been counted twice. Ruled out: summing only at the holder (each proxy's records would travel to every root). The outbox now uses EvidenceAggregator; its scenario delivers every batch twice and still compares the sums exactly. Its generated items are now consistent (errors and buckets fit the requests), because inconsistent ones are refused on decoding.

--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -5,6 +5,7 @@
 import contextlib
 import os
 import random
+import time
 
 from behave import given
 from behave import then
@@ -510,22 +511,24 @@
 @given('generated evidence')
 def generated_evidence(context):
     item = strategies.builds(
-        control_pb2.Evidence,
+        evidence_item,
         selector=strategies.sampled_from(['booking', 'fees']),
         version=strategies.sampled_from(['v1', 'v2']),
-        route=strategies.just('/'),
         window=strategies.integers(1, 3),
-        requests=strategies.integers(0, 50),
         errors=strategies.integers(0, 5),
         latency_buckets=strategies.lists(strategies.integers(0, 9), max_size=4),
     )
 
     @generated(batches=strategies.lists(strategies.lists(item, max_size=8)))
     def check(batches):
-        outbox = control_stream.ReportOutbox()
+        outbox = control_stream.ReportOutbox(wall_clock=lambda: 4.0)
         sent = []
         for turn, batch in enumerate(batches):
-            outbox.add_evidence(batch)
+            message = control_pb2.EvidenceBatch(
+                reporter=f'child-{turn}', first_sequence=1, evidence=batch
+            )
+            # A batch that arrives twice is counted once.
+            outbox.add_evidence([message, message])
             if turn % 3 == 1:
                 for message in outbox.take():
                     outbox.put_back(message)
@@ -539,6 +542,17 @@
     context.check = check
 
 
+def evidence_item(errors, latency_buckets, **fields):
+    requests = sum(latency_buckets)
+    return control_pb2.Evidence(
+        route='/',
+        requests=requests,
+        errors=min(errors, requests),
+        latency_buckets=latency_buckets,
+        **fields,
+    )
+
+
 def sums(items):
     counts = collections.Counter()
     for item in items:
@@ -781,7 +795,16 @@
 def report(context):
     uplink = context.nodes[2].uplink
     suspicion = control_pb2.Suspicion(target_id='t1', observer_id='a-0')
-    evidence = control_pb2.Evidence(selector='s', version='v', requests=7)
+    item = control_pb2.Evidence(
+        selector='s',
+        version='v',
+        window=int(time.time()),
+        requests=7,
+        latency_buckets=[7],
+    )
+    evidence = control_pb2.EvidenceBatch(
+        reporter='proxy', first_sequence=1, evidence=[item]
+    )
     run(context, on_loop(uplink.post_suspicions, [suspicion]))
     run(context, on_loop(uplink.post_evidence, [evidence]))
 
@@ -796,7 +819,8 @@
     )
     run(context, asyncio.sleep(0.7))
     for node in context.roots:
-        assert [e.requests for e in node.evidence] == [7], node.name
+        items = [e for batch in node.evidence for e in batch.evidence]
+        assert [e.requests for e in items] == [7], node.name
         assert [s.target_id for s in node.suspicions] == ['t1'], node.name
 
 
--- a/hemlockgrade/control_stream.py
+++ b/hemlockgrade/control_stream.py
@@ -6,8 +6,10 @@
 from collections.abc import Mapping
 from collections.abc import Sequence
 import contextlib
+import time
 from typing import Any
 from typing import Protocol
+import uuid
 
 import attrs
 import cattrs
@@ -16,6 +18,7 @@
 import orjson
 
 from hemlockgrade import distribution
+from hemlockgrade import evidence
 from hemlockgrade import model
 from hemlockgrade import wire_messages
 from hemlockgrade.wire import control_pb2
@@ -64,20 +67,36 @@
 
 
 @attrs.define
+class ByteCounter:
+    """Bytes of control messages, summed over the streams of a daemon.
+
+    Attributes:
+        sent: Bytes of encoded messages that were written.
+        received: Bytes of encoded messages that were read.
+    """
+
+    sent: int = 0
+    received: int = 0
+
+
 class ReportOutbox:
     """Suspicions and evidence that wait for a stream.
 
     Evidence of one window is added up, so that a relay sends one report for
-    its whole subtree. Reports are forgotten once written: counting evidence
-    twice would mislead a judgement, losing some only delays it.
+    its whole subtree. The sums have the outbox as their reporter, so that
+    the receiver recognises a batch that arrives twice.
     """
 
-    _suspicions_by_key: dict[tuple, control_pb2.Suspicion] = attrs.field(
-        factory=dict
-    )
-    _evidence_by_key: dict[tuple, control_pb2.Evidence] = attrs.field(
-        factory=dict
-    )
+    def __init__(self, wall_clock: Callable[[], float] = time.time):
+        """Starts empty.
+
+        Args:
+            wall_clock: Returns seconds of Unix time.
+        """
+        self._wall_clock = wall_clock
+        self._suspicions_by_key: dict[tuple, control_pb2.Suspicion] = {}
+        self._evidence = evidence.EvidenceAggregator(uuid.uuid4().hex)
+        self._unwritten: list[control_pb2.EvidenceBatch] = []
 
     def add_suspicions(
         self, suspicions: Iterable[control_pb2.Suspicion]
@@ -92,52 +111,35 @@
             self._suspicions_by_key[key] = suspicion
         _drop_oldest(self._suspicions_by_key)
 
-    def add_evidence(self, evidence: Iterable[control_pb2.Evidence]) -> None:
-        """Adds evidence to what is held of the same window."""
-        for item in evidence:
-            key = (item.selector, item.version, item.route, item.window)
-            held = self._evidence_by_key.get(key)
-            if held is None:
-                held = self._evidence_by_key[key] = control_pb2.Evidence()
-                held.CopyFrom(item)
-                continue
-            held.requests += item.requests
-            held.errors += item.errors
-            _add_buckets(held, item)
-        _drop_oldest(self._evidence_by_key)
+    def add_evidence(
+        self, batches: Iterable[control_pb2.EvidenceBatch]
+    ) -> None:
+        """Adds evidence to what is held of the same windows."""
+        for batch in batches:
+            self._evidence.merge(evidence.from_wire(batch), self._wall_clock())
 
     def take(self) -> list[control_pb2.Upward]:
         """Removes everything and returns it as messages."""
         messages = []
         if self._suspicions_by_key:
-            batch = control_pb2.SuspicionBatch(
+            suspicions = control_pb2.SuspicionBatch(
                 suspicions=self._suspicions_by_key.values()
             )
-            messages.append(control_pb2.Upward(suspicions=batch))
-        if self._evidence_by_key:
-            evidence = control_pb2.EvidenceBatch(
-                evidence=self._evidence_by_key.values()
-            )
-            messages.append(control_pb2.Upward(evidence=evidence))
+            messages.append(control_pb2.Upward(suspicions=suspicions))
+        sums = evidence.to_wire(self._evidence.take(self._wall_clock()))
+        messages += [
+            control_pb2.Upward(evidence=batch)
+            for batch in [*self._unwritten, *sums]
+        ]
         self._suspicions_by_key.clear()
-        self._evidence_by_key.clear()
+        self._unwritten.clear()
         return messages
 
     def put_back(self, message: control_pb2.Upward) -> None:
         """Adds a message again that could not be written."""
         self.add_suspicions(message.suspicions.suspicions)
-        self.add_evidence(message.evidence.evidence)
-
-
-def _add_buckets(
-    held: control_pb2.Evidence, item: control_pb2.Evidence
-) -> None:
-    count = max(len(held.latency_buckets), len(item.latency_buckets))
-    sums = [0] * count
-    for buckets in (held.latency_buckets, item.latency_buckets):
-        for index, value in enumerate(buckets):
-            sums[index] += value
-    held.latency_buckets[:] = sums
+        if message.WhichOneof('body') == 'evidence':
+            self._unwritten.append(message.evidence)
 
 
 def _drop_oldest(by_key: dict) -> None:
@@ -174,6 +176,7 @@
         members: distribution.MemberOutbox,
         reports: ReportOutbox,
         receive: Callable[[control_pb2.Downward], None],
+        counter: ByteCounter,
         clock: Callable[[], float],
     ):
         """Prepares a subscription.
@@ -185,6 +188,7 @@
             members: Entries to send; kept by the caller between streams.
             reports: Reports to send; kept by the caller between streams.
             receive: Called with each message but a redirect.
+            counter: Counts the bytes of the stream.
             clock: Monotonic time in seconds.
         """
         self._address = address
@@ -201,7 +205,7 @@
         self._writing = asyncio.Lock()
         self._call: Any = None
         self._admitted_at: float | None = None
-        self.bytes_sent = 0
+        self._counter = counter
 
     def resync(self, after_version: int) -> None:
         """Asks for the changes after a version, at a bounded rate."""
@@ -282,6 +286,7 @@
             if message is grpc.aio.EOF:
                 return self._end('closed')
             self._heard_at = self._clock()
+            self._counter.received += message.ByteSize()
             body = message.WhichOneof('body')
             if body == 'redirect':
                 return self._end('redirected', message.redirect)
@@ -306,7 +311,7 @@
             try:
                 async with self._writing:
                     while messages:
-                        self.bytes_sent += messages[0].ByteSize()
+                        self._counter.sent += messages[0].ByteSize()
                         await call.write(messages[0])
                         messages.pop(0)
             finally:
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -4,7 +4,6 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import contextlib
-import itertools
 import random
 import time
 from typing import Any
@@ -17,6 +16,7 @@
 from hemlockgrade import changelog
 from hemlockgrade import configuration as configuration_module
 from hemlockgrade import configuration_task
+from hemlockgrade import control_stream
 from hemlockgrade import distribution
 from hemlockgrade import evidence
 from hemlockgrade import http_server
@@ -134,7 +134,6 @@
 
     def _make_control(self) -> None:
         settings = self.settings
-        self._received_evidence = itertools.count(1)
         self._evidence_store = evidence.EvidenceStore()
         callbacks = relay.Callbacks(
             members=self._receive_members,
@@ -148,12 +147,14 @@
             failure_domain=settings.failure_domain,
             control_address=settings.control_address,
         )
+        self._control_bytes = control_stream.ByteCounter()
         self._relay = relay.RelayServer(
             identity=identity,
             configuration_task=self._configurations,
             member_task=self._members,
             callbacks=callbacks,
             max_children=settings.fan_out,
+            counter=self._control_bytes,
         )
         self._uplink = relay.Uplink(
             identity=identity,
@@ -163,6 +164,7 @@
             callbacks=callbacks,
             on_position=self._relay.set_position,
             random=random.Random(),
+            counter=self._control_bytes,
         )
         self._root_relay = relay.RootRelay(
             identity=identity,
@@ -172,6 +174,7 @@
             callbacks=callbacks,
             on_position=self._relay.set_position,
             random=random.Random(),
+            counter=self._control_bytes,
         )
         self._switch = root_election.RoleSwitch(
             self._relay, self._uplink, self._root_relay
@@ -318,8 +321,7 @@
             self._local_api.expire()
             records = self._recorder.take(time.time())
             self._evidence_store.merge(records, time.time())
-            for batch in evidence.to_wire(records):
-                self._switch.post_evidence(batch.evidence)
+            self._switch.post_evidence(evidence.to_wire(records))
 
     def _configuration_changed(
         self,
@@ -405,16 +407,12 @@
                     )
                 )
 
-    def _receive_evidence(self, received: list[control_pb2.Evidence]) -> None:
-        """Adds evidence that relays have summed, each on one stream once."""
-        batches = [
-            control_pb2.EvidenceBatch(
-                reporter=self._boot_id,
-                first_sequence=next(self._received_evidence),
-                evidence=[item],
-            )
-            for item in received
-        ]
+    def _receive_evidence(
+        self, batches: list[control_pb2.EvidenceBatch]
+    ) -> None:
+        # Only a root may hold the rollout lease and need the evidence.
+        if self._switch.role is not root_election.Role.ROOT:
+            return
         for batch in batches:
             self._evidence_store.merge(evidence.from_wire(batch), time.time())
 
@@ -428,7 +426,8 @@
             'parent': self._uplink.parent_address,
             'children': self._relay.children,
             'leases': self._lease_names(),
-            'control_bytes_sent': self._relay.bytes_sent,
+            'control_bytes_sent': self._control_bytes.sent,
+            'control_bytes_received': self._control_bytes.received,
             'loads': self._admission.loads(),
         }
 
--- a/hemlockgrade/relay.py
+++ b/hemlockgrade/relay.py
@@ -62,7 +62,7 @@
         members: Called with the entries that arrived and a function that
             sends entries back which override them.
         suspicions: Called with the `control_pb2.Suspicion` that arrived.
-        evidence: Called with the `control_pb2.Evidence` that arrived.
+        evidence: Called with the `control_pb2.EvidenceBatch` that arrived.
         child_lost: Called with the identifier of a child whose stream broke.
         domain_link: Called on a root with a failure domain and whether the
             peer stream to it stands.
@@ -70,7 +70,7 @@
 
     members: Callable[[list[model.Target], Reply], None] = _ignore
     suspicions: Callable[[list[control_pb2.Suspicion]], None] = _ignore
-    evidence: Callable[[list[control_pb2.Evidence]], None] = _ignore
+    evidence: Callable[[list[control_pb2.EvidenceBatch]], None] = _ignore
     child_lost: Callable[[str], None] = _ignore
     domain_link: Callable[[str, bool], None] = _ignore
 
@@ -129,7 +129,7 @@
 
     def post_evidence(
         self,
-        evidence: Iterable[control_pb2.Evidence],
+        evidence: Iterable[control_pb2.EvidenceBatch],
         origin: Origin = Origin.SUBTREE,
     ) -> None:
         """Sends evidence on."""
@@ -196,6 +196,7 @@
         member_task: control_stream.MemberView,
         callbacks: Callbacks | None = None,
         max_children: int = distribution.MAX_CHILDREN,
+        counter: control_stream.ByteCounter | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
         """Prepares the server; `start` serves.
@@ -206,6 +207,7 @@
             member_task: The member table; its changes go down.
             callbacks: Receives what the children send.
             max_children: Most children that are admitted.
+            counter: Counts the bytes of the streams.
             clock: Monotonic time in seconds.
         """
         self._identity = identity
@@ -224,7 +226,12 @@
         self._digest.update(member_task.targets_by_id.values())
         self._unsubscribe: Callable[[], None] = _ignore
         member_task.subscribe(self._members_changed)
-        self.bytes_sent = 0
+        self.counter = counter or control_stream.ByteCounter()
+
+    @property
+    def bytes_sent(self) -> int:
+        """Bytes of the messages sent."""
+        return self.counter.sent
 
     @property
     def children(self) -> list[str]:
@@ -423,6 +430,7 @@
             session.end(f'malformed message: {error!r}')
 
     def _take(self, session: _Session, message: control_pb2.Upward) -> None:
+        self.counter.received += message.ByteSize()
         body = message.WhichOneof('body')
         origin = self._origin(session)
         if body == 'members':
@@ -437,10 +445,9 @@
                 self._upstream.post_suspicions(suspicions, origin)
             self._callbacks.suspicions(suspicions)
         elif body == 'evidence':
-            evidence = list(message.evidence.evidence)
             if self._upstream is not None:
-                self._upstream.post_evidence(evidence, origin)
-            self._callbacks.evidence(evidence)
+                self._upstream.post_evidence([message.evidence], origin)
+            self._callbacks.evidence([message.evidence])
         elif body == 'resync':
             after = message.resync.after_version
             sent = session.sent_version
@@ -481,7 +488,7 @@
                 await session.wake.wait()
 
     async def _send(self, session: _Session, context, message) -> None:
-        self.bytes_sent += message.ByteSize()
+        self.counter.sent += message.ByteSize()
         await context.write(message)
         session.last_write_at = self._clock()
 
@@ -626,6 +633,7 @@
         callbacks: Callbacks | None = None,
         on_position: Callable[[Position], None] = _ignore,
         random: random_module.Random,
+        counter: control_stream.ByteCounter | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
         """Prepares the link; `run` keeps it.
@@ -639,6 +647,7 @@
             callbacks: Receives the members that come down.
             on_position: Called when the place in the tree changes.
             random: Source of the jitter.
+            counter: Counts the bytes of the stream.
             clock: Monotonic time in seconds.
         """
         self._identity = identity
@@ -663,7 +672,7 @@
         self.parent_address = ''
         self.subscriptions = 0
         self.has_table = False
-        self._bytes_sent = 0
+        self._counter = counter or control_stream.ByteCounter()
         member_task.subscribe(self._members_changed)
 
     @property
@@ -674,8 +683,7 @@
     @property
     def bytes_sent(self) -> int:
         """Bytes of the messages sent up."""
-        running = self._stream.bytes_sent if self._stream else 0
-        return self._bytes_sent + running
+        return self._counter.sent
 
     def is_unreachable(self, address: str) -> bool:
         """Tells whether an address did not answer a short while ago."""
@@ -709,7 +717,7 @@
 
     def post_evidence(
         self,
-        evidence: Iterable[control_pb2.Evidence],
+        evidence: Iterable[control_pb2.EvidenceBatch],
         origin: Origin = Origin.SUBTREE,
     ) -> None:
         """Sends evidence up, now or after the next subscription."""
@@ -799,6 +807,7 @@
             members=self._members,
             reports=self._reports,
             receive=lambda message: self._receive(address, message),
+            counter=self._counter,
             clock=self._clock,
         )
         self._stream = stream
@@ -806,7 +815,6 @@
             return await stream.run()
         finally:
             self._stream = None
-            self._bytes_sent += stream.bytes_sent
             self.parent_address = ''
             self._set_position(self._detached_position())
 
@@ -966,6 +974,7 @@
         callbacks: Callbacks | None = None,
         on_position: Callable[[Position], None] = _ignore,
         random: random_module.Random,
+        counter: control_stream.ByteCounter | None = None,
         clock: Callable[[], float] = time.monotonic,
     ):
         """Prepares the root; `run` serves as one.
@@ -978,6 +987,7 @@
             callbacks: Receives the members that peers send.
             on_position: Called with the place at the top of the tree.
             random: Source of the jitter.
+            counter: Counts the bytes of the streams.
             clock: Monotonic time in seconds.
         """
         self._identity = identity
@@ -987,6 +997,7 @@
         self._callbacks = callbacks or Callbacks()
         self._on_position = on_position
         self._random = random
+        self._counter = counter or control_stream.ByteCounter()
         self._clock = clock
         self._roots: tuple[distribution.KnownRelay, ...] = ()
         self._links_by_key: dict[tuple[str, bool], PeerLink] = {}
@@ -1018,7 +1029,7 @@
 
     def post_evidence(
         self,
-        evidence: Iterable[control_pb2.Evidence],
+        evidence: Iterable[control_pb2.EvidenceBatch],
         origin: Origin = Origin.SUBTREE,
     ) -> None:
         """Sends evidence to the other roots."""
@@ -1101,6 +1112,7 @@
             received=self._received,
             callbacks=self._callbacks,
             random=self._random,
+            counter=self._counter,
             clock=self._clock,
         )
 
@@ -1184,6 +1196,7 @@
         received: Callable[['PeerLink', list[model.Target]], None],
         callbacks: Callbacks,
         random: random_module.Random,
+        counter: control_stream.ByteCounter,
         clock: Callable[[], float],
     ):
         """Prepares a stream; `start` keeps it in a task.
@@ -1197,6 +1210,7 @@
             received: Called with the entries that the peer sends.
             callbacks: Told when the stream to a domain stands or is lost.
             random: Source of the jitter.
+            counter: Counts the bytes of the stream.
             clock: Monotonic time in seconds.
         """
         self.name = stream.name
@@ -1212,6 +1226,7 @@
         self._received = received
         self._callbacks = callbacks
         self._random = random
+        self._counter = counter
         self._clock = clock
         self._stream: control_stream.ControlStream | None = None
         self._behind_since: float | None = None
@@ -1268,6 +1283,7 @@
             members=self.members,
             reports=self.reports,
             receive=self._receive,
+            counter=self._counter,
             clock=self._clock,
         )
         try:
--- a/hemlockgrade/root_election.py
+++ b/hemlockgrade/root_election.py
@@ -423,7 +423,7 @@
 
     def post_evidence(
         self,
-        evidence: Iterable[control_pb2.Evidence],
+        evidence: Iterable[control_pb2.EvidenceBatch],
         origin: relay.Origin = relay.Origin.SUBTREE,
     ) -> None:
         """Sends evidence on."""
