--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -124,9 +124,9 @@
     Then the caller got status 200 and 200 bytes
 
   Scenario: What cannot be placed is not run
-    # The daemon restarted, no configuration, no route, no target.
+    # The daemon restarted, no configuration, no route, no time, no target.
     When requests come that no target may run
-    Then they are answered 503, 503, 404 and 503 as not run
+    Then they are answered 503, 503, 404, 503 and 503 as not run
 
   Scenario: Slots and connections are never exceeded
     When 200 requests come at once to a target with 6 slots
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -466,13 +466,15 @@
     context.answers.append(await system.ask('POST', '/a'))
     system.proxy.routing = system.route
     context.answers.append(await system.ask('POST', '/nowhere'))
+    head = 'x-request-timeout-ms: 0\r\n'
+    context.answers.append(await system.ask('POST', '/a', headers=head))
     system.route.targets = []
     context.answers.append(await system.ask('POST', '/a'))
 
 
-@then('they are answered 503, 503, 404 and 503 as not run')
+@then('they are answered 503, 503, 404, 503 and 503 as not run')
 def nothing_run(context):
-    assert [a.status for a in context.answers] == [503, 503, 404, 503]
+    assert [a.status for a in context.answers] == [503, 503, 404, 503, 503]
     assert {outcome(a) for a in context.answers} == {'not-run'}
     assert context.runs == {}
 
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -249,6 +249,8 @@
 
     async def _run(self, call: _Call) -> http_codec.Response:
         while True:
+            if self.clock() >= call.deadline:
+                return self._finish(call, 'its deadline has passed')
             target = self._choose(call)
             if target is None:
                 return self._finish(call, 'no target can be used')
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -119,7 +119,7 @@
             far_reader, far_writer = await asyncio.open_connection(
                 *self._address
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             near_writer.close()
             return
         # Each connection takes the next cut, if there is one.
