--- a/features/steps/evidence_steps.py
+++ b/features/steps/evidence_steps.py
@@ -1,5 +1,6 @@
 """Steps on evidence windows and their way up the tree."""
 
+import collections
 import os
 
 import attrs
@@ -169,14 +170,7 @@
     assert context.received == context.sent, context.received
 
 
-@attrs.frozen
-class Request:
-    proxy: int
-    version: str
-    second: int
-    ok: bool
-
-
+Request = collections.namedtuple('Request', 'proxy version second ok')
 REQUESTS = strategies.lists(
     strategies.builds(
         Request,
--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -4,6 +4,7 @@
 import itertools
 import os
 import random
+import types
 
 import attrs
 from behave import given
@@ -29,18 +30,6 @@
 STEP_KINDS = (model.ChangeKind.SET_PROGRESS, model.ChangeKind.END_ROLLOUT)
 
 
-@attrs.frozen
-class Holding:
-    epoch: int
-
-
-@attrs.define
-class Lease:
-    """The lease as one holder sees it."""
-
-    holding: Holding | None = None
-
-
 class Log:
     """The change log of one holder, over the world's changes."""
 
@@ -90,7 +79,7 @@
     """One daemon that may hold the lease."""
 
     def __init__(self, world, name):
-        self.lease = Lease()
+        self.lease = types.SimpleNamespace(holding=None)
         self.log = Log(world)
         self.followed = Followed()
         self.store = evidence.EvidenceStore()
@@ -218,7 +207,7 @@
         self.epoch += 1
         for other in self.members:
             other.lease.holding = None
-        member.lease.holding = Holding(self.epoch)
+        member.lease.holding = types.SimpleNamespace(epoch=self.epoch)
 
     def share(self):
         return (
@@ -303,11 +292,11 @@
 
 
 def add_fault(context, applies, rate=0.0, shift=0):
-    def fault(version, route, elapsed, share):
-        active = version == 'v2' and applies(route, elapsed, share)
-        return (rate, shift) if active else (0.0, 0)
-
-    context.world.faults.append(fault)
+    context.world.faults.append(
+        lambda version, *facts: (
+            (rate, shift) if version == 'v2' and applies(*facts) else (0, 0)
+        )
+    )
 
 
 @given('v2 fails {percent:d} percent from the first request')
@@ -400,13 +389,9 @@
 
 
 @when('the agreed time passes')
-def agreed_time_passes(context):
-    run(context, context.seconds)
-
-
 @when('{seconds:d} seconds pass')
-def seconds_pass(context, seconds):
-    run(context, seconds)
+def seconds_pass(context, seconds=None):
+    run(context, seconds or context.seconds)
 
 
 @when('the holder is killed after {seconds:d} seconds')
@@ -427,7 +412,7 @@
         context.late_id = draft.change_id
         first.alive = False
         world.epoch += 1
-        second.lease.holding = Holding(world.epoch)
+        second.lease.holding = types.SimpleNamespace(epoch=world.epoch)
         await until(second)
         first.lease.holding = None
         first.alive = True
@@ -479,7 +464,7 @@
 @when('nobody holds the lease until the agreed time')
 def no_lease(context):
     context.world.members[0].lease.holding = None
-    run(context, context.seconds)
+    seconds_pass(context)
 
 
 @when('the lease is lost right after the epoch is written')
@@ -494,11 +479,6 @@
     run(context, context.seconds)
 
 
-@then('the log has no step')
-def no_step(context):
-    assert context.world.steps() == []
-
-
 @when('the log refuses the next step for its epoch')
 def refuse_epoch(context):
     async def refuse(draft):
@@ -638,9 +618,11 @@
     assert len(progress) == len(set(progress)), progress
 
 
+@then('the log has no step')
 @then("the log has no step after the operator's change")
-def no_late_step(context):
-    assert all(c.number < context.stopped_at for c in context.world.steps())
+def no_step(context):
+    stopped_at = getattr(context, 'stopped_at', 0)
+    assert all(c.number < stopped_at for c in context.world.steps())
 
 
 EVENTS = strategies.lists(
--- a/hemlockgrade/rollout_holder.py
+++ b/hemlockgrade/rollout_holder.py
@@ -236,6 +236,8 @@
             r.selector for r in running(await self._current())
         ):
             await self._advance(epoch, selector)
+            # A verdict takes about 2 ms; requests must not wait for several.
+            await asyncio.sleep(0)
         await self._keep_snapshot(epoch)
 
     async def _current(self) -> configuration_module.Configuration:
