--- a/scripts/run_demo.py
+++ b/scripts/run_demo.py
@@ -2,6 +2,7 @@
 
 import json
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -197,10 +198,11 @@
 
 def stop(system: cluster.Cluster) -> None:
     """Stops targets and daemons gracefully."""
-    for process in system.targets_by_id.values():
-        process.stop()
-    for process in system.daemons_by_name.values():
-        process.stop()
+    for processes in (system.targets_by_id, system.daemons_by_name):
+        for process in processes.values():
+            process.signal(signal.SIGTERM)
+        for process in processes.values():
+            process.stop()
     say('stopped all processes')
 
 
