--- a/hemlockgrade/changelog.py
+++ b/hemlockgrade/changelog.py
@@ -299,7 +299,8 @@
                     attempt.in_doubt = attempt.reading = True
                 if not attempt.in_doubt:
                     raise
-                if self._monotonic() >= deadline:
+                # A slow answer does not take away the one attempt to read back.
+                if attempt.failures > 1 and self._monotonic() >= deadline:
                     raise _unknown_outcome(change) from error
                 await self._pause(attempt.failures)
         if result is not _Result.TRIMMED:
