Bound all back-offs and close the watch of the change log

The power of two of the delay overflowed after 1,024 attempts, so an outage of about 20 minutes would have ended a root relay.

--- a/hemlockgrade/relay.py
+++ b/hemlockgrade/relay.py
@@ -1,6 +1,7 @@
 """Control streams between daemons: relays, uplinks and root relays."""
 
 import asyncio
+from collections.abc import AsyncGenerator
 from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -43,7 +44,7 @@
 DRAIN_TIMEOUT_S = 1.0
 # A root that a peer overtakes for this time asks the peer for the changes.
 LAG_LIMIT_S = 1.0
-MIN_FOLLOW_DELAY_S = 0.1
+FIRST_FOLLOW_DELAY_S = 0.2
 MAX_FOLLOW_DELAY_S = 2.0
 
 
@@ -1124,11 +1125,13 @@
                 if reload:
                     start = await self._load()
                 reload = False
-                async for change in self._change_source.follow(start):
-                    attempt = 0
-                    self._configuration_task.post(
-                        configuration_task_module.ChangesReceived((change,))
-                    )
+                changes = self._change_source.follow(start)
+                async with contextlib.AsyncExitStack() as stack:
+                    if isinstance(changes, AsyncGenerator):
+                        stack.push_async_callback(changes.aclose)
+                    async for change in changes:
+                        attempt = 0
+                        self._post(change)
             except exceptions.PlatformUnavailableError as error:
                 reload = reload or start.version == 0
                 self._log_interruption(error)
@@ -1138,10 +1141,17 @@
                 reload = True
                 self._log_interruption(error)
             attempt += 1
-            limit = min(MAX_FOLLOW_DELAY_S, MIN_FOLLOW_DELAY_S * 2**attempt)
+            limit = distribution.backoff(
+                attempt, FIRST_FOLLOW_DELAY_S, MAX_FOLLOW_DELAY_S
+            )
             await asyncio.sleep(self._random.uniform(0, limit))
             start = self._configuration_task.configuration
 
+    def _post(self, change: model.Change) -> None:
+        self._configuration_task.post(
+            configuration_task_module.ChangesReceived((change,))
+        )
+
     def _log_interruption(self, error: Exception) -> None:
         logger.warning(
             'event=log_interrupted version={} error={!r}',
--- a/hemlockgrade/root_election.py
+++ b/hemlockgrade/root_election.py
@@ -37,6 +37,7 @@
 # 745 daemons read 43 times per second while a slot is vacant.
 RANK_SHARE = 0.1
 MAX_VACANT_READ_INTERVAL_S = 10.0
+FIRST_OUTAGE_READ_INTERVAL_S = 2.0
 MAX_OUTAGE_READ_INTERVAL_S = 8.0
 # A slot counts as vacant only so long after its deadline, because the clocks
 # of hosts differ; the lease itself is decided by conditional writes.
@@ -371,8 +372,11 @@
     def _read_interval(self) -> float:
         """Returns the mean time between two reads, in seconds."""
         if not self._platform_reachable:
-            backoff = VACANT_READ_INTERVAL_S * 2**self._failed_reads
-            return min(backoff, MAX_OUTAGE_READ_INTERVAL_S)
+            return distribution.backoff(
+                self._failed_reads,
+                FIRST_OUTAGE_READ_INTERVAL_S,
+                MAX_OUTAGE_READ_INTERVAL_S,
+            )
         if self._holding or self.role is Role.ROOT:
             return ROOT_READ_INTERVAL_S
         position = self._parent.position
