--- a/features/steps/membership_steps.py
+++ b/features/steps/membership_steps.py
@@ -463,7 +463,7 @@
 NAMES = 'deliver repeat lose renew drain suspect restart silence pass cut join'
 OPERATIONS = strategies.lists(
     strategies.tuples(strategies.sampled_from(NAMES.split()), POSITIONS),
-    min_size=10,
+    min_size=60,
     max_size=120,
 )
 
@@ -516,7 +516,7 @@
     @hypothesis.given(
         strategies.lists(
             strategies.tuples(INDEXES, strategies.floats(0.1, 8.0)),
-            min_size=1,
+            min_size=10,
             max_size=40,
         )
     )
@@ -540,7 +540,7 @@
     @hypothesis.given(
         strategies.lists(
             strategies.tuples(INDEXES, INDEXES, strategies.integers(1, 60)),
-            min_size=1,
+            min_size=10,
             max_size=40,
         ),
         strategies.booleans(),
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -414,7 +414,7 @@
     @members.HISTORIES
     @hypothesis.given(
         strategies.lists(
-            strategies.one_of(SHARES, MEMBERS), min_size=5, max_size=60
+            strategies.one_of(SHARES, MEMBERS), min_size=40, max_size=80
         )
     )
     def check(steps):
