Judge reachability by the proxy's own connections, and guards by route

A daemon without a way to a root judges its own domain as cut off, so that it removes no target that it merely does not hear of.

--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -71,6 +71,7 @@
         self.settings = settings
         self._reactor = reactor
         self._boot_id = uuid.uuid4().hex[:16]
+        self._rooted = False
         self._is_root: mailbox.Mailbox[bool] = mailbox.Mailbox()
         self.metrics = metrics.Metrics()
         self.time_line = timeline.Timeline(
@@ -98,7 +99,10 @@
             clock_offset_s=time.time() - time.monotonic(),
         )
         self._traffic = traffic.TrafficState(
-            settings.daemon_id, self._recorder, self._suspect
+            settings.daemon_id,
+            settings.failure_domain,
+            self._recorder,
+            self._suspect,
         )
         self._proxy = proxy.Proxy(
             proxy_id=settings.daemon_id,
@@ -162,7 +166,7 @@
             member_task=self._members,
             candidates=lambda backups: self._election.candidates(backups),
             callbacks=callbacks,
-            on_position=self._relay.set_position,
+            on_position=self._position_changed,
             random=random.Random(),
             counter=self._control_bytes,
         )
@@ -172,7 +176,7 @@
             configuration_task=self._configurations,
             member_task=self._members,
             callbacks=callbacks,
-            on_position=self._relay.set_position,
+            on_position=self._position_changed,
             random=random.Random(),
             counter=self._control_bytes,
         )
@@ -203,6 +207,15 @@
             recorded=self.time_line.record,
         )
 
+    def _position_changed(self, position: relay.Position) -> None:
+        self._relay.set_position(position)
+        if position.rooted == self._rooted:
+            return
+        # Without a way to a root, the own domain is what this daemon cannot
+        # judge: it must not remove targets that it merely does not hear of.
+        self._rooted = position.rooted
+        self._domain_link(self.settings.failure_domain, position.rooted)
+
     def _make_root_lease(self, name: str) -> lease.LeaseKeeper:
         return lease.LeaseKeeper(
             self._platform,
@@ -319,6 +332,9 @@
         while True:
             await asyncio.sleep(EVIDENCE_INTERVAL_S)
             self._local_api.expire()
+            self._traffic.set_unreachable_domains(
+                self._members.unreachable_domains
+            )
             records = self._recorder.take(time.time())
             self._evidence_store.merge(records, time.time())
             self._switch.post_evidence(evidence.to_wire(records))
--- a/hemlockgrade/listeners.py
+++ b/hemlockgrade/listeners.py
@@ -9,6 +9,9 @@
 from hemlockgrade import addresses
 from hemlockgrade import exceptions
 
+# Callers that reconnect together exceed Twisted's default of 50.
+BACKLOG = 1024
+
 
 async def listen(
     stack: contextlib.AsyncExitStack,
@@ -31,7 +34,9 @@
     """
     host, port = addresses.split(address)
     try:
-        listener = reactor.listenTCP(port, factory, interface=host)
+        listener = reactor.listenTCP(
+            port, factory, backlog=BACKLOG, interface=host
+        )
     except internet_error.CannotListenError as error:
         raise exceptions.SettingsError(
             f'{setting} {address} cannot be used: {error.socketError}',
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -2,8 +2,6 @@
 
 import asyncio
 from collections.abc import Callable
-from collections.abc import Collection
-from collections.abc import Mapping
 from collections.abc import Sequence
 import itertools
 import random as random_module
@@ -21,6 +19,7 @@
 from hemlockgrade import ledger
 from hemlockgrade import model
 from hemlockgrade import retries
+from hemlockgrade import routing as routing_module
 from hemlockgrade import upstream
 
 # Longest time a caller may ask for; the ledgers' retention is twice this.
@@ -35,65 +34,32 @@
 SHEDDING_STATUSES = frozenset({502, 503, 504})
 RESERVED_PREFIX = '/.hemlock/'
 
-
-class RouteEntry(Protocol):
-    """A route of the routing view."""
-
-    selector: str
-    route: model.Route
-    targets_by_version: Mapping[str, Sequence[model.Target]]
-
-    def choose_version(
-        self, random: random_module.Random, stopped_versions: Collection[str]
-    ) -> str | None:
-        """Chooses a version by its traffic share."""
+OK = routing_module.Outcome.OK
+ERROR = routing_module.Outcome.ERROR
+REJECTED = routing_module.Outcome.REJECTED
+UNREACHABLE = routing_module.Outcome.UNREACHABLE
+TIMEOUT = routing_module.Outcome.TIMEOUT
 
 
 class RoutingView(Protocol):
     """What the proxy knows of the configuration and the targets."""
 
-    def match(self, path: str) -> RouteEntry | None:
+    def match(self, path: str) -> routing_module.RouteEntry | None:
         """Finds the route of a path."""
 
 
-class Balancer(Protocol):
-    """Chooses among the targets of one version."""
-
-    def choose(
-        self,
-        candidates: Sequence[model.Target],
-        loads: Any,
-        now: float,
-        random: random_module.Random,
-    ) -> model.Target | None:
-        """Chooses a target, or None if none may be used."""
-
-
-class LoadTable(Protocol):
-    """Live evidence on targets."""
-
-    def started(self, target_id: str, now: float) -> Any:
-        """Counts a request that was sent."""
-
-    def finished(
-        self, target_id: str, latency_s: float, outcome: Any, now: float
-    ) -> Any:
-        """Counts the end of a request."""
-
-
 class EvidenceRecorder(Protocol):
     """Collects evidence on versions."""
 
     def record(
         self,
-        selector: str,
+        entry: routing_module.RouteEntry,
         version: str,
-        route: str,
         ok: bool,
         latency_s: float,
         now: float,
     ) -> Any:
-        """Counts one answered or failed request."""
+        """Counts one answered or failed request of a route."""
 
 
 @attrs.define
@@ -101,7 +67,7 @@
     """A caller's request on its way through the attempts."""
 
     request: http_codec.Request
-    entry: RouteEntry
+    entry: routing_module.RouteEntry
     version: str
     deadline: float
     idempotent: bool
@@ -125,13 +91,13 @@
     """How an attempt ended.
 
     Attributes:
-        outcome: For the load table.
+        outcome: For the load table; None if it says nothing on the target.
         ok: For the evidence on the version; None if it says nothing.
         failure: Why it needs a decision; None for an answer.
         stream: The rest of the answer's body.
     """
 
-    outcome: str
+    outcome: routing_module.Outcome | None
     ok: bool | None = None
     failure: retries.Failure | None = None
     stream: http_codec.BodyStream | None = None
@@ -149,18 +115,20 @@
         balancer: Chooses among targets.
         random: Source of random numbers.
         routing: Current routing view; None before the first configuration.
-        stopped_versions: Versions of a selector stopped by this proxy.
+        stopped_versions: Versions of a route stopped by this proxy.
         budget: Budget for retries.
     """
 
     proxy_id: str
     pool: upstream.ConnectionPool
-    loads: LoadTable
+    loads: routing_module.LoadTable
     evidence: EvidenceRecorder
-    balancer: Balancer
+    balancer: routing_module.Balancer
     random: random_module.Random
     routing: RoutingView | None = None
-    stopped_versions: Callable[[str], Collection[str]] = lambda _: ()
+    stopped_versions: Callable[[routing_module.RouteEntry], frozenset[str]] = (
+        lambda _: frozenset()
+    )
     budget: retries.RetryBudget = attrs.field(factory=retries.RetryBudget)
     clock: Callable[[], float] = time.monotonic
     draining: bool = False
@@ -189,7 +157,7 @@
         if entry is None:
             return plain(404, 'no route for this path', b'not-run')
         version = entry.choose_version(
-            self.random, self.stopped_versions(entry.selector)
+            self.random, self.stopped_versions(entry)
         )
         if version is None:
             return refused('no version of the service may be used')
@@ -230,7 +198,10 @@
                 return
 
     def _start(
-        self, request: http_codec.Request, entry: RouteEntry, version: str
+        self,
+        request: http_codec.Request,
+        entry: routing_module.RouteEntry,
+        version: str,
     ) -> _Call:
         timeout_s = _timeout_s(request.headers, entry.route.timeout_ms / 1000)
         request.headers = http_codec.without_internal(request.headers)
@@ -268,7 +239,9 @@
 
     def _choose(self, call: _Call) -> model.Target | None:
         targets = call.entry.targets_by_version.get(call.version, ())
-        fresh = [t for t in targets if t.target_id not in call.tried]
+        fresh: Sequence[model.Target] = targets
+        if call.tried:
+            fresh = [t for t in targets if t.target_id not in call.tried]
         return self.balancer.choose(
             fresh or targets, self.loads, self.clock(), self.random
         )
@@ -280,15 +253,16 @@
         call.tried.add(target.target_id)
         started = self.clock()
         self.loads.started(target.target_id, started)
-        result = _Result('error')
+        # A caller that went away says nothing about the target.
+        result = _Result(None)
         try:
             result = self._classify(call, await self._send(call, target))
         except exceptions.ConnectFailedError:
-            result = _Result('unreachable', failure=retries.Failure.NOT_RUN)
+            result = _Result(UNREACHABLE, failure=retries.Failure.NOT_RUN)
         except exceptions.DeadlineExceededError:
-            result = _Result('timeout', False, retries.Failure.TIMEOUT)
+            result = _Result(TIMEOUT, False, retries.Failure.TIMEOUT)
         except exceptions.ConnectionClosedError:
-            result = _Result('error', False, retries.Failure.NO_ANSWER)
+            result = _Result(ERROR, False, retries.Failure.NO_ANSWER)
         finally:
             self._account(call, target, started, result)
         if result.failure not in (None, retries.Failure.NOT_RUN):
@@ -302,8 +276,11 @@
         latency_s = self.clock() - started
 
         def count(complete: bool):
-            outcome = result.outcome if complete else 'error'
             now = self.clock()
+            outcome = result.outcome if complete else ERROR
+            if outcome is None:
+                self.loads.cancelled(target.target_id)
+                return
             self.loads.finished(target.target_id, latency_s, outcome, now)
             if result.ok is not None:
                 ok = result.ok and complete
@@ -315,14 +292,7 @@
         count(True)
 
     def _record(self, call: _Call, ok: bool, latency_s: float, now: float):
-        self.evidence.record(
-            call.entry.selector,
-            call.version,
-            call.entry.route.path_prefix,
-            ok,
-            latency_s,
-            now,
-        )
+        self.evidence.record(call.entry, call.version, ok, latency_s, now)
 
     async def _send(
         self, call: _Call, target: model.Target
@@ -352,21 +322,21 @@
             if reason == 'unreachable':
                 # The target's host answers and the target does not, which
                 # is evidence on its version; an overload or a drain is not.
-                return _Result('unreachable', False, retries.Failure.NOT_RUN)
-            return _Result('rejected', None, retries.Failure.NOT_RUN)
+                return _Result(UNREACHABLE, False, retries.Failure.NOT_RUN)
+            return _Result(REJECTED, None, retries.Failure.NOT_RUN)
         outcome = http_codec.header(response.headers, b'x-hemlock-outcome')
         if outcome == 'unknown':
-            outcome = 'timeout' if reason == 'timeout' else 'error'
-            return _Result(outcome, False, retries.Failure.UNKNOWN)
+            kind = TIMEOUT if reason == 'timeout' else ERROR
+            return _Result(kind, False, retries.Failure.UNKNOWN)
         call.answer = response
         if (
             response.status in SHEDDING_STATUSES
             and call.idempotent
             and response.stream is None
         ):
-            return _Result('rejected', False, retries.Failure.SHED)
+            return _Result(REJECTED, False, retries.Failure.SHED)
         ok = response.status < 500
-        return _Result('ok' if ok else 'error', ok, stream=response.stream)
+        return _Result(OK if ok else ERROR, ok, stream=response.stream)
 
     async def _fence_and_decide(
         self, call: _Call, target: model.Target
--- a/hemlockgrade/traffic.py
+++ b/hemlockgrade/traffic.py
@@ -2,12 +2,11 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import time
 from typing import Any
 
-from loguru import logger
-
 from hemlockgrade import configuration as configuration_module
 from hemlockgrade import evidence
 from hemlockgrade import membership
@@ -19,29 +18,44 @@
 
 
 class ObservedLoads(routing.LoadTable):
-    """A load table that reports targets whose host cannot be reached."""
+    """A load table that also observes which targets can be reached."""
 
-    def __init__(self, unreachable: Callable[[str], None]):
+    def __init__(
+        self,
+        observer: membership.ConnectionObserver,
+        targets_by_id: Mapping[str, model.Target],
+        suspect: Callable[[membership.Suspicion], None],
+    ):
         """Starts empty.
 
         Args:
-            unreachable: Called with the identifier of such a target.
+            observer: Turns failed connections into suspicions.
+            targets_by_id: All known targets.
+            suspect: Called with each suspicion.
         """
         super().__init__()
-        self._unreachable = unreachable
+        self._observer = observer
+        self._all_targets_by_id = targets_by_id
+        self._suspect = suspect
 
     def finished(
         self,
         target_id: str,
         latency_s: float,
-        outcome: routing.Outcome | str,
+        outcome: routing.Outcome,
         now: float,
     ) -> None:
         """Notes how a request ended; see `routing.LoadTable.finished`."""
-        kind = routing.Outcome(outcome)
-        super().finished(target_id, latency_s, kind, now)
-        if kind is routing.Outcome.UNREACHABLE:
-            self._unreachable(target_id)
+        super().finished(target_id, latency_s, outcome, now)
+        target = self._all_targets_by_id.get(target_id)
+        if target is None:
+            return
+        if outcome is not routing.Outcome.UNREACHABLE:
+            self._observer.succeeded(target, now)
+            return
+        suspicion = self._observer.failed(target, 'connection failed', now)
+        if suspicion is not None:
+            self._suspect(suspicion)
 
 
 class TrafficState:
@@ -56,6 +70,7 @@
     def __init__(
         self,
         proxy_id: str,
+        failure_domain: str,
         recorder: evidence.EvidenceRecorder,
         suspect: Callable[[membership.Suspicion], None],
         clock: Callable[[], float] = time.monotonic,
@@ -64,33 +79,34 @@
 
         Args:
             proxy_id: Identifier that proxy labels match.
+            failure_domain: Failure domain of the proxy.
             recorder: Counts what the proxy sees of new versions.
-            suspect: Called when the host of a target cannot be reached.
+            suspect: Called when a target cannot be reached.
             clock: Monotonic time in seconds.
         """
         self.table: routing.RoutingTable | None = None
-        self.loads = ObservedLoads(self._raise_suspicion)
         self.recorder = recorder
         self._proxy_id = proxy_id
-        self._suspect = suspect
+        self._failure_domain = failure_domain
         self._clock = clock
         self._configuration = configuration_module.Configuration()
         self._targets_by_id: dict[str, model.Target] = {}
-        self._guards_by_selector: dict[str, routing.VersionGuard] = {}
+        self._changed_by_id: dict[str, model.Target] = {}
+        self._guards = routing.VersionGuards()
         self._rebuild_timer: asyncio.TimerHandle | None = None
+        self._observer = membership.ConnectionObserver(proxy_id, failure_domain)
+        self.loads = ObservedLoads(self._observer, self._targets_by_id, suspect)
 
     def configuration_changed(
         self, configuration: configuration_module.Configuration
     ) -> None:
         """Puts a configuration into force in one step."""
         self._configuration = configuration
-        running = {
-            name: rollout
+        self.recorder.set_selectors(
+            name
             for name, rollout in configuration.rollouts_by_selector.items()
             if rollout.state is model.RolloutState.RUNNING
-        }
-        self.recorder.set_selectors(running)
-        self._set_guards(running)
+        )
         self._rebuild()
 
     def members_changed(self, targets: Sequence[model.Target]) -> None:
@@ -98,89 +114,68 @@
         self.loads.members_changed(targets, self._clock())
         for target in targets:
             self._targets_by_id[target.target_id] = target
-            if target.state is model.MemberState.GONE:
-                del self._targets_by_id[target.target_id]
+            self._changed_by_id[target.target_id] = target
         if self._rebuild_timer is None:
             loop = asyncio.get_running_loop()
             self._rebuild_timer = loop.call_later(
                 MEMBER_REBUILD_DELAY_S, self._rebuild
             )
 
+    def set_unreachable_domains(self, domains: frozenset[str]) -> None:
+        """Routes to targets of these failure domains last.
+
+        Args:
+            domains: Domains behind a lost link; connections that fail to
+                most targets of a domain add to them.
+        """
+        failing = self._observer.failing_domains(self._clock())
+        own = {self._failure_domain}
+        self.loads.unreachable_domains = frozenset(domains | failing) - own
+
     def close(self) -> None:
         """Stops the pending rebuild."""
         if self._rebuild_timer is not None:
             self._rebuild_timer.cancel()
             self._rebuild_timer = None
 
-    def match(self, path: str) -> Any | None:
+    def match(self, path: str) -> routing.RouteEntry | None:
         """Finds the route of a path in the table in use."""
         return self.table.match(path) if self.table is not None else None
 
-    def stopped_versions(self, selector: str) -> frozenset[str]:
-        """Returns the versions of a selector that this proxy stopped."""
-        guard = self._guards_by_selector.get(selector)
-        if guard is None:
-            return frozenset()
-        return guard.stopped_versions(self._clock())
+    def stopped_versions(self, entry: routing.RouteEntry) -> frozenset[str]:
+        """Returns the versions that this proxy stopped on a route."""
+        return self._guards.stopped_versions(entry, self._clock())
 
     def record(
         self,
-        selector: str,
+        entry: routing.RouteEntry,
         version: str,
-        route: str,
         ok: bool,
         latency_s: float,
         now: float,
     ) -> None:
         """Counts a request's end for the judgement of its version."""
-        self.recorder.record(selector, version, route, ok, latency_s, now)
-        guard = self._guards_by_selector.get(selector)
-        if guard is None or self.table is None:
-            return
-        shares = self._configuration.shares(selector)
-        share = shares.get(guard.new_version, 0.0)
-        if guard.record(version, not ok, share, now):
-            logger.warning(
-                'event=version_stopped_locally selector={} version={}',
-                selector,
-                guard.new_version,
-            )
-
-    def _raise_suspicion(self, target_id: str) -> None:
-        target = self._targets_by_id.get(target_id)
-        if target is None:
-            return
-        self._suspect(
-            membership.Suspicion(
-                target_id=target_id,
-                incarnation=target.incarnation,
-                observer_id=self._proxy_id,
-                reason='connection refused or timed out',
-            )
+        self.recorder.record(
+            entry.selector, version, entry.route.path_prefix, ok, latency_s, now
         )
-
-    def _set_guards(self, running: dict[str, model.Rollout]) -> None:
-        guards = {}
-        for name, rollout in running.items():
-            guard = self._guards_by_selector.get(name)
-            if guard is None or guard.new_version != rollout.new_version:
-                old = rollout.old_shares_by_version
-                guard = routing.VersionGuard(
-                    rollout.new_version, max(old, key=lambda v: (old[v], v))
-                )
-            guards[name] = guard
-        self._guards_by_selector = guards
+        self._guards.record(entry, version, not ok, now)
 
     def _rebuild(self) -> None:
         self.close()
         if not self._configuration.version:
             return
+        changed = list(self._changed_by_id.values())
+        self._changed_by_id.clear()
         self.table = routing.RoutingTable.build(
             self._configuration,
             self._targets_by_id,
             self._proxy_id,
             self.table,
+            changed,
         )
+        for target in changed:
+            if target.state is model.MemberState.GONE:
+                self._targets_by_id.pop(target.target_id, None)
 
 
 def explain(state: TrafficState, path: str) -> dict[str, Any]:
@@ -194,7 +189,7 @@
         'selector': entry.selector,
         'timeout_ms': entry.route.timeout_ms,
         'shares': entry.shares_by_version,
-        'stopped_here': sorted(state.stopped_versions(entry.selector)),
+        'stopped_here': sorted(state.stopped_versions(entry)),
         'targets': {
             version: [target.target_id for target in targets]
             for version, targets in entry.targets_by_version.items()
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -83,11 +83,14 @@
 
     def finished(self, target_id, latency_s, outcome, now):
         """Keeps the outcome."""
-        self.outcomes.append(outcome)
+        self.outcomes.append(outcome.value)
 
-    def record(self, selector, version, route, ok, latency_s, now):
+    def cancelled(self, target_id):
+        """Does nothing."""
+
+    def record(self, entry, version, ok, latency_s, now):
         """Keeps the evidence."""
-        self.evidence.append((version, route, ok))
+        self.evidence.append((version, entry.route.path_prefix, ok))
 
 
 class CuttingLink:
