Build only the routes whose own objects in the configuration changed

Cause: each change of configuration built the routes of all selectors anew, 34.5 ms of processor time at 700 selectors and 8,200 targets, a third of a core in a burst of 10 changes a second. Ruled out: applying the change (1.1 ms). Selector, labels and rollout are now compared by identity.

Before 34.5 ms a change, after 1.9 ms. routing.feature: 31 passed, 0 failed.

--- a/hemlockgrade/routing.py
+++ b/hemlockgrade/routing.py
@@ -456,8 +456,8 @@
             previous: The table in use so far, if any.
             changed: The entries of `targets_by_id` that changed since
                 `previous` was built; without them all targets are compared.
-                Only the selectors of their services are built anew if the
-                configuration is the same object.
+                Only the selectors of their services are built anew, and
+                those whose own objects in the configuration changed.
         """
         old_groups = previous._groups_by_selector if previous else {}
         old_index = previous._index if previous else None
@@ -466,13 +466,14 @@
             index = _Index.of(configuration, targets_by_id.values())
         else:
             index, services = old_index.updated(configuration, changed)
-            if configuration is not old_index.configuration:
-                services = None
         groups = {}
         for name, selector in configuration.selectors_by_name.items():
             old = old_groups.get(name)
-            if services is not None and not _is_affected(
-                selector, old, services
+            if (
+                old_index is not None
+                and services is not None
+                and not _is_affected(selector, old, services)
+                and _is_unchanged(name, configuration, old_index.configuration)
             ):
                 if old is not None:
                     groups[name] = old
@@ -583,6 +584,28 @@
     return old is not None and old.selector.service in services
 
 
+def _is_unchanged(
+    name: str,
+    new: configuration_module.Configuration,
+    old: configuration_module.Configuration,
+) -> bool:
+    """Tells whether all that a selector's entries are made of is the same.
+
+    Objects are compared by identity, because a configuration shares every
+    object that a change left alone with the one before it.
+    """
+    selector = new.selectors_by_name[name]
+    return (
+        selector is old.selectors_by_name.get(name)
+        and new.rollouts_by_selector.get(name)
+        is old.rollouts_by_selector.get(name)
+        and all(
+            new.labels_by_name[label] is old.labels_by_name.get(label)
+            for label in (selector.proxies, selector.targets)
+        )
+    )
+
+
 def _build_group(
     configuration: configuration_module.Configuration,
     selector: model.Selector,
