--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -83,8 +83,8 @@
         invariant='I5',
         guard='a connection is closed after a failed exchange',
         module='upstream.py',
-        old='        except BaseException:\n            connection.abort()\n',
-        new='        except BaseException:\n',
+        old='            connection.abort()\n            raise',
+        new='            raise',
         feature='request_path',
     ),
     Mutation(
