--- /dev/null
+++ b/features/steps/tool_steps.py
@@ -0,0 +1,154 @@
+"""Steps on hemlockctl and the administration API of a running system."""
+
+import copy
+import json
+import urllib.error
+import urllib.request
+
+from behave import then
+from behave import when
+
+from features.steps import system_steps
+from standins import checks
+from standins import cluster
+
+
+def ctl_json(context, *arguments):
+    return context.system.ctl_json(*arguments)
+
+
+@then('hemlockctl lists the labels edge, booking and the selector booking')
+def lists(context):
+    labels = [x['name'] for x in ctl_json(context, 'labels', 'list')]
+    selectors = [x['name'] for x in ctl_json(context, 'selectors', 'list')]
+    assert (sorted(labels), selectors) == (['booking', 'edge'], ['booking'])
+
+
+@then('it explains that {path} is served by selector {name} with {version}')
+def explains(context, path, name, version):
+    found = ctl_json(context, 'explain', path)
+    assert found['selector'] == name and list(found['shares']) == [version]
+
+
+@then('it explains that {path} has no route')
+def explains_no_route(context, path):
+    assert ctl_json(context, 'explain', path)['route'] is None
+
+
+@then(
+    'its status shows {daemons:d} daemons on one version and {targets:d} targets alive'
+)
+def status_shows(context, daemons, targets):
+    found = ctl_json(context, 'status')
+    assert len(found['daemons']) == daemons and not found['unreachable']
+    assert found['lowest_version'] == found['highest_version'], found
+    alive = [t for t in found['targets'] if t['state'] == 0]
+    assert len(alive) == targets, found['targets']
+
+
+@then(
+    'its time line shows the change of selector {name} on every daemon in order'
+)
+def timeline_shows(context, name):
+    events = ctl_json(context, 'timeline')
+    assert events == sorted(events, key=lambda e: e['time'])
+    applied = {
+        e['process']
+        for e in events
+        if e['kind'] == 'change_applied' and e['fields']['name'] == name
+    }
+    copied = {e['process'] for e in events if e['kind'] == 'snapshot_applied'}
+    assert applied | copied == set(context.system.daemons_by_name), events
+
+
+@when('the {kind} {name} is removed with hemlockctl')
+def remove(context, kind, name):
+    context.result = context.system.ctl(f'{kind}s', 'remove', name)
+
+
+@then('hemlockctl ends with exit code {code:d}')
+def ends_with_code(context, code):
+    assert context.result.returncode == code, context.result
+
+
+@then('hemlockctl ends with exit code {code:d} and names the field {field}')
+def ends_and_names(context, code, field):
+    ends_with_code(context, code)
+    problems = json.loads(context.result.stdout)['problems']
+    assert any(p.startswith(f'{field}: ') for p in problems), problems
+
+
+@then('no proxy serves {path}')
+def not_served(context, path):
+    def gone():
+        return all(
+            call_proxy(process, path) == 404
+            for process in context.system.living_daemons()
+        )
+
+    cluster.wait_until(gone, f'no route for {path}')
+
+
+def call_proxy(process, path):
+    address = process.addresses['proxy_address']
+    try:
+        with urllib.request.urlopen(f'http://{address}{path}') as response:
+            return response.status
+    except urllib.error.HTTPError as error:
+        return error.code
+
+
+@when('a selector is applied with {fault}')
+def apply_bad_selector(context, fault):
+    content = copy.deepcopy(system_steps.CONFIGURATION)
+    content['labels'] = []
+    selector = content['selectors'][0]
+    selector['name'] = 'other'
+    selector['routes'] = [{'path_prefix': '/other'}]
+    if fault == 'an unknown label':
+        selector['targets'] = 'no-such-label'
+    elif fault == 'shares of 110 percent':
+        selector['shares_by_version'] = {'v1': 100, 'v2': 10}
+    elif fault == 'an agreed time in the past':
+        selector['name'] = 'booking'
+        selector['shares_by_version'] = {'v2': 100}
+        selector['agreed_by'] = 1.0
+    elif fault == 'an unknown field':
+        selector['colour'] = 'red'
+    else:
+        selector['routes'] = [
+            {'path_prefix': f'/other/{number}'} for number in range(400)
+        ]
+    path = context.system.directory / 'bad.json'
+    path.write_text(json.dumps(content))
+    context.result = context.system.ctl('selectors', 'apply', str(path))
+
+
+@then('the log has no entry of an operator beyond the first {count:d}')
+def no_new_entry(context, count):
+    changes = checks.change_log(context.system)
+    assert len([c for c in changes if not c['epoch']]) == count, changes
+
+
+@then('the metrics page shows {name}')
+def metrics_show(context, name):
+    assert name in read_metrics(context, cluster.TOKEN)[1]
+
+
+@then('the metrics page without the token answers {code:d}')
+def metrics_refused(context, code):
+    assert read_metrics(context, '')[0] == code
+
+
+def read_metrics(context, token):
+    process = context.system.living_daemons()[0]
+    address = process.addresses['administration_address']
+    call = urllib.request.Request(
+        f'http://{address}/metrics',
+        headers={'authorization': f'Bearer {token}'},
+    )
+    try:
+        with urllib.request.urlopen(call, timeout=10) as response:
+            return response.status, response.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, ''
