--- a/features/steps/rollout_steps.py
+++ b/features/steps/rollout_steps.py
@@ -304,8 +304,10 @@
 
 
 @given('v2 fails {percent:d} percent from the first request')
-def fails_at_once(context, percent):
-    add_fault(context, lambda *_: True, percent / 100)
+@given('v2 fails {percent:d} percent on {name}')
+def fails_at_once(context, percent, name=''):
+    rate = percent / 100
+    add_fault(context, lambda route, e, s: route.startswith(name), rate)
 
 
 @given('v2 fails {percent:d} percent after {seconds:d} seconds')
@@ -318,20 +320,11 @@
     add_fault(context, lambda r, e, share: share > bound / 100, percent / 100)
 
 
-@given('v2 fails {percent:d} percent on {name}')
-def fails_on_route(context, percent, name):
-    add_fault(context, lambda route, e, s: route == name, percent / 100)
-
-
 @given('v2 is 4 times slower')
-def slower(context):
-    # Bounds grow by the square root of 2.
-    add_fault(context, lambda *_: True, shift=4)
-
-
 @given('v2 is 4 times slower on {name}')
-def slower_on_route(context, name):
-    add_fault(context, lambda route, e, s: route == name, shift=4)
+def slower(context, name=''):
+    # Bounds grow by the square root of 2.
+    add_fault(context, lambda route, e, s: route.startswith(name), shift=4)
 
 
 @given(
