Split the relay module by role

Each has its own module now; what they share is in tree.py, including the Hello message that the uplink and the peer links built separately.

--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -35,8 +35,11 @@
 from hemlockgrade import relay
 from hemlockgrade import root_duties
 from hemlockgrade import root_election
+from hemlockgrade import root_relay
 from hemlockgrade import timeline
 from hemlockgrade import traffic
+from hemlockgrade import tree
+from hemlockgrade import uplink
 from hemlockgrade import upstream
 from hemlockgrade.config import daemon as daemon_settings
 from hemlockgrade.wire import control_pb2
@@ -139,14 +142,14 @@
     def _make_control(self) -> None:
         settings = self.settings
         self._evidence_store = evidence.EvidenceStore()
-        callbacks = relay.Callbacks(
+        callbacks = tree.Callbacks(
             members=self._receive_members,
             suspicions=self._receive_suspicions,
             evidence=self._receive_evidence,
             child_lost=self._suspect_host,
             domain_link=self._domain_link,
         )
-        identity = relay.Identity(
+        identity = tree.Identity(
             daemon_id=settings.daemon_id,
             failure_domain=settings.failure_domain,
             control_address=settings.control_address,
@@ -160,7 +163,7 @@
             max_children=settings.fan_out,
             counter=self._control_bytes,
         )
-        self._uplink = relay.Uplink(
+        self._uplink = uplink.Uplink(
             identity=identity,
             configuration_task=self._configurations,
             member_task=self._members,
@@ -170,7 +173,7 @@
             random=random.Random(),
             counter=self._control_bytes,
         )
-        self._root_relay = relay.RootRelay(
+        self._root_relay = root_relay.RootRelay(
             identity=identity,
             change_source=self.change_log,
             configuration_task=self._configurations,
@@ -207,7 +210,7 @@
             recorded=self.time_line.record,
         )
 
-    def _position_changed(self, position: relay.Position) -> None:
+    def _position_changed(self, position: tree.Position) -> None:
         self._relay.set_position(position)
         if position.rooted == self._rooted:
             return
--- a/hemlockgrade/root_election.py
+++ b/hemlockgrade/root_election.py
@@ -20,6 +20,9 @@
 from hemlockgrade import model
 from hemlockgrade import platform_api
 from hemlockgrade import relay
+from hemlockgrade import root_relay as root_relay_module
+from hemlockgrade import tree
+from hemlockgrade import uplink as uplink_module
 from hemlockgrade.wire import control_pb2
 
 LEASE_PREFIX = 'leases/relay.'
@@ -74,7 +77,7 @@
     """What the election needs of the uplink."""
 
     @property
-    def position(self) -> relay.Position:
+    def position(self) -> tree.Position:
         """The place in the tree."""
 
     def is_unreachable(self, address: str) -> bool:
@@ -167,7 +170,7 @@
     def __init__(
         self,
         *,
-        identity: relay.Identity,
+        identity: tree.Identity,
         platform: platform_api.Platform,
         keeper_factory: Callable[[str], LeaseKeeper],
         parent: ParentView,
@@ -397,8 +400,8 @@
     def __init__(
         self,
         server: relay.RelayServer,
-        uplink: relay.Uplink,
-        root_relay: relay.RootRelay,
+        uplink: uplink_module.Uplink,
+        root_relay: root_relay_module.RootRelay,
     ):
         self._server = server
         self._uplink = uplink
@@ -420,7 +423,7 @@
     def post_suspicions(
         self,
         suspicions: Iterable[control_pb2.Suspicion],
-        origin: relay.Origin = relay.Origin.SUBTREE,
+        origin: tree.Origin = tree.Origin.SUBTREE,
     ) -> None:
         """Sends suspicions on."""
         self._active.post_suspicions(suspicions, origin)
@@ -428,19 +431,19 @@
     def post_evidence(
         self,
         evidence: Iterable[control_pb2.EvidenceBatch],
-        origin: relay.Origin = relay.Origin.SUBTREE,
+        origin: tree.Origin = tree.Origin.SUBTREE,
     ) -> None:
         """Sends evidence on."""
         self._active.post_evidence(evidence, origin)
 
     def members_received(
-        self, targets: Sequence[model.Target], origin: relay.Origin
+        self, targets: Sequence[model.Target], origin: tree.Origin
     ) -> None:
         """Notes entries that arrived."""
         self._active.members_received(targets, origin)
 
     @property
-    def _active(self) -> relay.Upstream:
+    def _active(self) -> tree.Upstream:
         return self._root_relay if self._is_root else self._uplink
 
     @property
@@ -453,7 +456,7 @@
             is_root = self._is_root
             link = self._root_relay if is_root else self._uplink
             self._server.set_position(
-                relay.Position(root=True, rooted=True)
+                tree.Position(root=True, rooted=True)
                 if is_root
                 else self._uplink.position
             )
--- a/standins/relay_nodes.py
+++ b/standins/relay_nodes.py
@@ -13,6 +13,9 @@
 from hemlockgrade import exceptions
 from hemlockgrade import model
 from hemlockgrade import relay
+from hemlockgrade import root_relay as root_relay_module
+from hemlockgrade import tree
+from hemlockgrade import uplink as uplink_module
 from hemlockgrade.wire import control_pb2
 from hemlockgrade.wire import control_pb2_grpc
 
@@ -147,8 +150,8 @@
     links: dict = attrs.field(factory=dict)
     address: str = ''
     server: relay.RelayServer | None = None
-    uplink: relay.Uplink | None = None
-    root_relay: relay.RootRelay | None = None
+    uplink: uplink_module.Uplink | None = None
+    root_relay: root_relay_module.RootRelay | None = None
     _tasks: list = attrs.field(factory=list)
 
     @property
@@ -176,7 +179,7 @@
 
     def callbacks(self):
         """What the streams report to."""
-        return relay.Callbacks(
+        return tree.Callbacks(
             members=self.members.merge,
             evidence=self.evidence.extend,
             suspicions=self.suspicions.extend,
@@ -186,7 +189,7 @@
 
     def make_root_relay(self, log):
         """Makes the link of a root, without running it."""
-        self.root_relay = relay.RootRelay(
+        self.root_relay = root_relay_module.RootRelay(
             identity=self._identity(),
             change_source=log,
             configuration_task=self.configuration,
@@ -199,7 +202,7 @@
 
     def make_uplink(self, candidates):
         """Makes the link of a subscriber, without running it."""
-        self.uplink = relay.Uplink(
+        self.uplink = uplink_module.Uplink(
             identity=self._identity(),
             configuration_task=self.configuration,
             member_task=self.members,
@@ -242,7 +245,7 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
     def _identity(self):
-        return relay.Identity(
+        return tree.Identity(
             daemon_id=self.name,
             failure_domain=self.domain,
             control_address=self.address,
