--- a/bench/platform_calls.py
+++ b/bench/platform_calls.py
@@ -8,7 +8,7 @@
 import json
 import math
 
-from hemlockgrade import daemon
+from hemlockgrade import control_plane
 from hemlockgrade import distribution
 from hemlockgrade import lease
 from hemlockgrade import model
@@ -67,7 +67,7 @@
     others = (daemons - roots) / root_election.SETTLED_READ_INTERVAL_S
     waiting = (roots - 1) / root_duties.LEASE_TERM_S
     renewals = (
-        roots * lease.RENEWALS_PER_TERM / daemon.ROOT_LEASE_TERM_S
+        roots * lease.RENEWALS_PER_TERM / control_plane.ROOT_LEASE_TERM_S
         + lease.RENEWALS_PER_TERM / root_duties.LEASE_TERM_S
     )
     reads = watches + elections + others + waiting + changes_per_s
--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -92,3 +92,8 @@
     Then one daemon serves as provisional root and the others reach it
     When the platform is reachable again
     Then 3 daemons are roots and the others reach them
+
+  Scenario: A root that steps down takes no new peers and fails at nothing
+    Given a root whose streams take a moment to end
+    When it stops being a root and learns of another root meanwhile
+    Then it has stopped without an error
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -20,7 +20,9 @@
 from hemlockgrade import model
 from hemlockgrade import platform_api
 from hemlockgrade import root_election
+from hemlockgrade import root_relay
 from hemlockgrade import serialization
+from hemlockgrade import tree
 from hemlockgrade.wire import control_pb2
 from standins import relay_nodes
 
@@ -1058,3 +1060,53 @@
 @when('the platform is reachable again')
 def platform_back(context):
     context.leases.available = True
+
+
+class SlowSource:
+    """A change log whose follower takes a moment to end."""
+
+    async def load(self):
+        return relay_nodes.configuration_at(0)
+
+    async def follow(self, configuration):
+        try:
+            await asyncio.Event().wait()
+            yield
+        finally:
+            await asyncio.sleep(0.1)
+
+
+@given('a root whose streams take a moment to end')
+def slow_root(context):
+    async def start():
+        root = root_relay.RootRelay(
+            identity=tree.Identity(daemon_id='r', failure_domain='a'),
+            change_source=SlowSource(),
+            configuration_task=configuration_task.ConfigurationTask(),
+            member_task=relay_nodes.Members(),
+            random=random.Random(1),
+        )
+        return root, asyncio.create_task(root.run())
+
+    context.root, context.root_task = run(context, start())
+    run(context, asyncio.sleep(0.05))
+
+
+@when('it stops being a root and learns of another root meanwhile')
+def step_down(context):
+    other = distribution.KnownRelay(
+        daemon_id='s', failure_domain='b', control_address='127.0.0.1:1'
+    )
+
+    async def step():
+        context.root_task.cancel()
+        await asyncio.sleep(0.02)
+        context.root.set_roots([other])
+        await asyncio.gather(context.root_task, return_exceptions=True)
+
+    run(context, step())
+
+
+@then('it has stopped without an error')
+def stopped_without_error(context):
+    assert context.root_task.cancelled(), context.root_task
--- a/hemlockgrade/root_relay.py
+++ b/hemlockgrade/root_relay.py
@@ -133,20 +133,32 @@
 
     async def run(self) -> None:
         """Serves as a root until cancelled."""
+        self._gap_found.clear()
         unsubscribe = self._configuration_task.subscribe_gaps(
             lambda _: self._gap_found.set()
         )
         try:
             async with asyncio.TaskGroup() as group:
-                self._group = group
-                self._reconcile(group)
                 group.create_task(self._follow())
                 group.create_task(self._repair())
+                await self._accept_peers(group)
         finally:
-            self._group = None
             self._links_by_key.clear()
             unsubscribe()
 
+    async def _accept_peers(self, group: asyncio.TaskGroup) -> None:
+        """Keeps a stream to each peer until the group shuts down.
+
+        A group that shuts down refuses new tasks, and roots may still be
+        announced while its streams end.
+        """
+        self._group = group
+        try:
+            self._reconcile(group)
+            await asyncio.Event().wait()
+        finally:
+            self._group = None
+
     def _links_for(self, origin: tree.Origin) -> list['PeerLink']:
         if origin is tree.Origin.OWN_DOMAIN:
             return []
--- a/hemlockgrade/timeline.py
+++ b/hemlockgrade/timeline.py
@@ -13,6 +13,7 @@
 
 COUNTER_BITS = 16
 MAX_EVENTS = 5000
+MAX_AHEAD_S = 60.0
 
 
 @attrs.frozen(kw_only=True)
@@ -47,13 +48,19 @@
 
     def tick(self) -> int:
         """Returns a timestamp above all that were returned or observed."""
-        physical = int(self._now() * 1000) << COUNTER_BITS
-        self._last = max(self._last + 1, physical)
+        self._last = max(self._last + 1, timestamp(self._now()))
         return self._last
 
-    def observe(self, timestamp: int):
-        """Takes note of a timestamp that came with a message."""
-        self._last = max(self._last, timestamp)
+    def observe(self, unix_time: float):
+        """Takes note of the time of a cause that came with a message.
+
+        Args:
+            unix_time: Seconds of Unix time on the sender's clock; one that
+                is far ahead is ignored, or a wrong clock would shift the
+                time line of every process.
+        """
+        if unix_time < self._now() + MAX_AHEAD_S:
+            self._last = max(self._last, timestamp(unix_time))
 
 
 class Timeline:
@@ -104,3 +111,8 @@
 def unix_time(timestamp: int) -> float:
     """Returns the seconds of Unix time in a timestamp."""
     return (timestamp >> COUNTER_BITS) / 1000
+
+
+def timestamp(unix_time: float) -> int:
+    """Returns the least timestamp at a time in seconds of Unix time."""
+    return int(unix_time * 1000) << COUNTER_BITS
