--- a/features/steps/tool_steps.py
+++ b/features/steps/tool_steps.py
@@ -132,7 +132,8 @@
 
 @then('the metrics page shows {name}')
 def metrics_show(context, name):
-    assert name in read_metrics(context, cluster.TOKEN)[1]
+    page = read_metrics(context, cluster.TOKEN)[1]
+    assert name in page, page
 
 
 @then('the metrics page without the token answers {code:d}')
--- a/features/system_tool.feature
+++ b/features/system_tool.feature
@@ -29,5 +29,8 @@
 
   Scenario: The metrics page needs the token and shows the version in force
     Given a system of 1 failure domains with 1 daemons each
+    And callers send requests to every proxy
     Then the metrics page shows hemlock_configuration_version
+    And the metrics page shows hemlock_requests_total{outcome="2xx",selector="booking",version="v1"}
+    And the metrics page shows hemlock_targets{state="alive"} 1
     And the metrics page without the token answers 401
--- a/hemlockgrade/admin.py
+++ b/hemlockgrade/admin.py
@@ -17,7 +17,6 @@
 from hemlockgrade import changelog
 from hemlockgrade import configuration
 from hemlockgrade import exceptions
-from hemlockgrade import metrics
 from hemlockgrade import model
 from hemlockgrade import serialization
 from hemlockgrade import timeline
@@ -36,7 +35,6 @@
 class DaemonView(Protocol):
     """What the administration API needs of the daemon."""
 
-    metrics: metrics.Metrics
     time_line: timeline.Timeline
     change_log: changelog.ChangeLog
 
@@ -47,6 +45,9 @@
     def status(self) -> dict[str, Any]:
         """Describes this daemon."""
 
+    def render_metrics(self) -> tuple[bytes, dict[str, str]]:
+        """Returns the metrics page and its HTTP headers."""
+
     def targets(self) -> list[model.Target]:
         """Returns the targets that this daemon knows."""
 
@@ -93,7 +94,7 @@
     @app.route('/metrics')
     def _metrics(self, request):
         self._authorize(request)
-        page, headers = self._daemon.metrics.render()
+        page, headers = self._daemon.render_metrics()
         for name, value in headers.items():
             request.setHeader(name, value)
         return page
--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -1,6 +1,5 @@
 """Target side of the request path: slots, ledger, drain, local targets."""
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Iterable
 import functools
@@ -12,6 +11,7 @@
 
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
+from hemlockgrade import in_flight
 from hemlockgrade import ledger
 from hemlockgrade import limits
 from hemlockgrade import proxy
@@ -64,13 +64,15 @@
     clock: Callable[[], float] = time.monotonic
     draining: bool = False
     _place_by_target: dict[str, _Place] = attrs.field(factory=dict)
-    _in_flight: int = 0
-    _idle: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _in_flight: in_flight.InFlight = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        self._in_flight = in_flight.InFlight(self.clock)
 
     @property
     def in_flight(self) -> int:
         """Requests that are being answered."""
-        return self._in_flight
+        return self._in_flight.count
 
     def set_targets(self, targets: Iterable[LocalTarget]) -> None:
         """Replaces the local targets; a missing one gets no new work."""
@@ -103,17 +105,7 @@
         """
         if request.path == FENCE_PATH:
             return self._fence(request)
-        self._in_flight += 1
-        stream = None
-        try:
-            response = await self._admit(request)
-            stream = response.stream
-            return response
-        finally:
-            if stream is None:
-                self._leave()
-            else:
-                stream.when_done(lambda _: self._leave())
+        return await self._in_flight.track(self._admit(request))
 
     async def drain(self, deadline: float) -> None:
         """Refuses new work, waits for work in flight and then stops it.
@@ -124,23 +116,12 @@
         self.draining = True
         for place in self._place_by_target.values():
             place.limiter.drain()
-        while self._in_flight:
-            self._idle.clear()
-            try:
-                async with asyncio.timeout(deadline - self.clock()):
-                    await self._idle.wait()
-            except TimeoutError:
-                logger.warning(
-                    'event=admission_drain_cut in_flight={}', self._in_flight
-                )
-                break
+        if not await self._in_flight.wait_until_idle(deadline):
+            logger.warning(
+                'event=admission_drain_cut in_flight={}', self.in_flight
+            )
         self.pool.close()
 
-    def _leave(self):
-        self._in_flight -= 1
-        if not self._in_flight:
-            self._idle.set()
-
     def _fence(self, request: http_codec.Request) -> http_codec.Response:
         if request.method != 'POST':
             return http_codec.Response(
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -1,6 +1,7 @@
 """Builds the parts of a daemon, joins them, and stops them in order."""
 
 import asyncio
+import collections
 from collections.abc import Sequence
 import contextlib
 import random
@@ -16,6 +17,7 @@
 from hemlockgrade import configuration as configuration_module
 from hemlockgrade import control_plane
 from hemlockgrade import evidence
+from hemlockgrade import http_codec
 from hemlockgrade import http_server
 from hemlockgrade import kernel
 from hemlockgrade import ledger
@@ -25,6 +27,7 @@
 from hemlockgrade import model
 from hemlockgrade import platform_api
 from hemlockgrade import proxy
+from hemlockgrade import routing
 from hemlockgrade import timeline
 from hemlockgrade import traffic
 from hemlockgrade import upstream
@@ -103,6 +106,7 @@
             ),
             random=random.Random(),
             stopped_versions=self._traffic.stopped_versions,
+            on_finished=self._request_finished,
         )
         self._admission = admission.Admission(
             boot_id=self._boot_id,
@@ -232,10 +236,48 @@
             if rollout is not None:
                 self.events.emit('rollout_changed', rollout=rollout)
 
+    def _request_finished(
+        self,
+        entry: routing.RouteEntry,
+        version: str,
+        response: http_codec.Response,
+        seconds: float,
+    ) -> None:
+        outcome = http_codec.header(response.headers, b'x-hemlock-outcome')
+        labels = {
+            'selector': entry.selector,
+            'version': version,
+            'outcome': outcome or f'{response.status // 100}xx',
+        }
+        self.metrics.requests.inc(labels)
+        self.metrics.request_seconds.observe(
+            {'selector': entry.selector}, seconds
+        )
+        self.events.emit(
+            'request_finished',
+            selector=entry.selector,
+            version=version,
+            status=response.status,
+            seconds=seconds,
+        )
+
     def _members_changed(self, targets: list[model.Target]) -> None:
         self._traffic.members_changed(targets)
         self.events.emit('members_changed', targets=targets)
 
+    def render_metrics(self) -> tuple[bytes, dict[str, str]]:
+        """Returns the metrics page and its HTTP headers."""
+        counts = collections.Counter(t.state for t in self.targets())
+        for state in model.MemberState:
+            labels = {'state': state.name.lower()}
+            self.metrics.targets.set(labels, counts[state])
+        status = self._control.status()
+        for direction in ('sent', 'received'):
+            self.metrics.control_bytes.set(
+                {'direction': direction}, status[f'control_bytes_{direction}']
+            )
+        return self.metrics.render()
+
     def status(self) -> dict[str, Any]:
         """Describes this daemon."""
         return {
--- a/hemlockgrade/metrics.py
+++ b/hemlockgrade/metrics.py
@@ -35,8 +35,8 @@
             aioprometheus.Gauge, 'hemlock_targets', 'Known targets by state.'
         )
         self.control_bytes = self._add(
-            aioprometheus.Counter,
-            'hemlock_control_bytes_total',
+            aioprometheus.Gauge,
+            'hemlock_control_bytes',
             'Bytes of control messages by direction.',
         )
 
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -1,6 +1,5 @@
 """Caller side of the request path: route, send, retry, account."""
 
-import asyncio
 from collections.abc import Callable
 from collections.abc import Sequence
 import itertools
@@ -16,6 +15,7 @@
 
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
+from hemlockgrade import in_flight
 from hemlockgrade import ledger
 from hemlockgrade import model
 from hemlockgrade import retries
@@ -116,6 +116,8 @@
         random: Source of random numbers.
         routing: Current routing view; None before the first configuration.
         stopped_versions: Versions of a route stopped by this proxy.
+        on_finished: Called with the route, the version, the answer and the
+            seconds it took.
         budget: Budget for retries.
     """
 
@@ -129,16 +131,19 @@
     stopped_versions: Callable[[routing_module.RouteEntry], frozenset[str]] = (
         lambda _: frozenset()
     )
+    on_finished: Callable[
+        [routing_module.RouteEntry, str, http_codec.Response, float], None
+    ] = lambda *_: None
     budget: retries.RetryBudget = attrs.field(factory=retries.RetryBudget)
     clock: Callable[[], float] = time.monotonic
     draining: bool = False
-    _in_flight: int = 0
-    _idle: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _in_flight: in_flight.InFlight = attrs.field(init=False)
     _id_prefix: str = attrs.field(init=False)
     _numbers: itertools.count = attrs.field(factory=itertools.count)
 
     def __attrs_post_init__(self):
         # A restarted proxy must not repeat identifiers of its predecessor.
+        self._in_flight = in_flight.InFlight(self.clock)
         self._id_prefix = f'{self.proxy_id}.{uuid.uuid4().hex[:12]}'
 
     async def handle(self, request: http_codec.Request) -> http_codec.Response:
@@ -162,22 +167,10 @@
         if version is None:
             return refused('no version of the service may be used')
         call = self._start(request, entry, version)
-        self._in_flight += 1
-        stream = None
-        try:
-            response = await self._run(call)
-            stream = response.stream
-            return response
-        finally:
-            if stream is None:
-                self._leave()
-            else:
-                stream.when_done(lambda _: self._leave())
-
-    def _leave(self):
-        self._in_flight -= 1
-        if not self._in_flight:
-            self._idle.set()
+        started = self.clock()
+        response = await self._in_flight.track(self._run(call))
+        self.on_finished(entry, version, response, self.clock() - started)
+        return response
 
     async def drain(self, deadline: float) -> None:
         """Refuses new requests and waits for those in flight.
@@ -186,16 +179,10 @@
             deadline: Gives up waiting at this time, in monotonic seconds.
         """
         self.draining = True
-        while self._in_flight:
-            self._idle.clear()
-            try:
-                async with asyncio.timeout(deadline - self.clock()):
-                    await self._idle.wait()
-            except TimeoutError:
-                logger.warning(
-                    'event=proxy_drain_cut in_flight={}', self._in_flight
-                )
-                return
+        if not await self._in_flight.wait_until_idle(deadline):
+            logger.warning(
+                'event=proxy_drain_cut in_flight={}', self._in_flight.count
+            )
 
     def _start(
         self,
--- a/hemlockgrade/traffic.py
+++ b/hemlockgrade/traffic.py
@@ -187,6 +187,8 @@
         'path': path,
         'route': entry.route.path_prefix,
         'selector': entry.selector,
+        'why': f'{entry.route.path_prefix} is the longest prefix of the path'
+        f' on this proxy, and selector {entry.selector} has it',
         'timeout_ms': entry.route.timeout_ms,
         'shares': entry.shares_by_version,
         'stopped_here': sorted(state.stopped_versions(entry)),
