--- a/hemlockgrade/config/client.py
+++ b/hemlockgrade/config/client.py
@@ -12,7 +12,7 @@
     Attributes:
         daemon_addresses: Administration addresses to try, in this order.
         administration_token: Secret of the administration API.
-        timeout_s: Time allowed for one call, above the 10 s that a daemon
+        timeout_s: Time allowed for one call, above the 4 s that a daemon
             spends on a change while the platform is down.
     """
 
--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -130,8 +130,8 @@
     Mutation(
         invariant='I9',
         guard='a stop waits for the requests in flight',
-        module='admission.py',
-        old='        while self._in_flight:',
+        module='in_flight.py',
+        old='        while self.count:',
         new='        while False:',
         feature='request_path',
     ),
