--- a/hemlockgrade/changelog.py
+++ b/hemlockgrade/changelog.py
@@ -42,7 +42,7 @@
 # Stays below the platform's bound of 1 MB with 4 bytes a character.
 PART_CHARACTERS = 200_000
 # With the last call's time-out of 3 s this ends before hemlockctl gives up
-# after 10 s, so that the operator is told the outcome as far as it is known.
+# after 15 s, so that the operator is told the outcome as far as it is known.
 APPEND_TIMEOUT_S = 4.0
 LOAD_ATTEMPTS = 5
 RETRY_DELAY_MIN_S = 0.1
--- a/hemlockgrade/configuration.py
+++ b/hemlockgrade/configuration.py
@@ -10,7 +10,7 @@
 from hemlockgrade import model
 from hemlockgrade import serialization
 
-# Keeps 700 selectors and their labels below the platform's bound of 1 MB.
+# A change goes to every daemon; 4 KB is half a second of its control budget.
 MAX_OBJECT_BYTES = 4096
 MAX_NAME_LENGTH = 63
 MAX_TIMEOUT_MS = 600_000
--- a/hemlockgrade/root_duties.py
+++ b/hemlockgrade/root_duties.py
@@ -16,7 +16,7 @@
 from hemlockgrade import rollout_holder
 
 LEASE_NAME = 'rollout'
-# Evidence of 3 s is what a change of holder may cost a rollout.
+# No step of a rollout is written for about this time when its holder dies.
 LEASE_TERM_S = 3.0
 
 
