--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -285,6 +285,7 @@
             'failure_domain': self.settings.failure_domain,
             **self._control.status(),
             'loads': self._admission.loads(),
+            'waiting_selectors': self._traffic.waiting_selectors(),
         }
 
     def targets(self) -> list[model.Target]:
--- a/hemlockgrade/distribution.py
+++ b/hemlockgrade/distribution.py
@@ -123,10 +123,6 @@
         """Takes tokens; the balance may become negative."""
         self._tokens = self.available(now) - amount
 
-    def seconds_until(self, amount: float, now: float) -> float:
-        """Returns the time in seconds until so many tokens are available."""
-        return max(0.0, (amount - self.available(now)) / self.rate_per_s)
-
 
 @attrs.frozen(kw_only=True)
 class Admission:
--- a/hemlockgrade/membership.py
+++ b/hemlockgrade/membership.py
@@ -140,10 +140,6 @@
         """Returns all entries, for a new subscriber."""
         return list(self.targets_by_id.values())
 
-    def is_reachable(self, target: model.Target) -> bool:
-        """Tells whether a target's failure domain can be reached."""
-        return target.failure_domain not in self.unreachable_domains
-
     def merge(
         self, targets: Iterable[model.Target], now: float
     ) -> list[model.Target]:
--- a/hemlockgrade/membership_task.py
+++ b/hemlockgrade/membership_task.py
@@ -135,9 +135,6 @@
         self._own = membership.SelfEntries(daemon_id, boot_id)
         self._mailbox: mailbox.Mailbox[Message] = mailbox.Mailbox()
         self._callbacks: list[Callable[[list[model.Target]], None]] = []
-        self._reachability_callbacks: list[
-            Callable[[frozenset[str]], None]
-        ] = []
         self.targets_by_id: Mapping[str, model.Target] = types.MappingProxyType(
             self._table.targets_by_id
         )
@@ -170,17 +167,6 @@
         self._callbacks.append(callback)
         return lambda: self._callbacks.remove(callback)
 
-    def subscribe_reachability(
-        self, callback: Callable[[frozenset[str]], None]
-    ) -> Callable[[], None]:
-        """Calls back with the unreachable domains when they change.
-
-        Returns:
-            A function that ends the subscription.
-        """
-        self._reachability_callbacks.append(callback)
-        return lambda: self._reachability_callbacks.remove(callback)
-
     async def run(self) -> None:
         """Handles messages and deadlines until `close` or cancellation."""
         ticker = asyncio.ensure_future(self._tick())
@@ -292,8 +278,6 @@
             failure_domain,
             reachable,
         )
-        for callback in list(self._reachability_callbacks):
-            callback(after)
 
     def _publish(self, changed: list[model.Target]) -> None:
         """Calls back with the last entry of each changed target."""
--- a/hemlockgrade/traffic.py
+++ b/hemlockgrade/traffic.py
@@ -142,6 +142,10 @@
         """Finds the route of a path in the table in use."""
         return self.table.match(path) if self.table is not None else None
 
+    def waiting_selectors(self) -> list[str]:
+        """Names selectors whose newest routes wait for a target."""
+        return self.table.waiting_selectors() if self.table is not None else []
+
     def stopped_versions(self, entry: routing.RouteEntry) -> frozenset[str]:
         """Returns the versions that this proxy stopped on a route."""
         return self._guards.stopped_versions(entry, self._clock())
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -203,11 +203,6 @@
     _swept_at: float = 0.0
     _closed: bool = False
 
-    @property
-    def open_count(self) -> int:
-        """Open connections, busy and idle."""
-        return len(self._open)
-
     async def send(
         self,
         address: str,
--- a/standins/checks.py
+++ b/standins/checks.py
@@ -36,13 +36,6 @@
     return [r.path for r in results if r.outcome == 'refused' and r.path in ran]
 
 
-def answered_but_not_run(log: Log, results: list[callers.Result]) -> list[str]:
-    """Lists the answered requests that no target ran."""
-    ran = {entry['path'] for entry in log}
-    answered = [r for r in results if r.outcome in ('answered', 'failed')]
-    return [r.path for r in answered if r.path not in ran]
-
-
 def change_log(system: cluster.Cluster) -> list[dict[str, Any]]:
     """Reads the change log from the platform, in its order."""
     assert system.platform is not None
