Let a root learn of the roots that subscribe to it, and reserve test ports

Ruled out: the peer's lag check (it needs a stream). Suspected, not shown: test ports were taken from the range of outgoing connections. They now lie below it and stay reserved, and a failing feature prints its steps.

--- a/features/distribution.feature
+++ b/features/distribution.feature
@@ -97,3 +97,8 @@
     Given a root whose streams take a moment to end
     When it stops being a root and learns of another root meanwhile
     Then it has stopped without an error
+
+  Scenario: A root that is cut off before it knew any other learns of those that reach it
+    Given two roots of two domains of which only the first knows the other
+    When the log is unavailable to one root and changes 1 to 3 are appended
+    Then every daemon of both domains has applied changes 1 to 3 in order
--- a/features/steps/distribution_steps.py
+++ b/features/steps/distribution_steps.py
@@ -1110,3 +1110,20 @@
 @then('it has stopped without an error')
 def stopped_without_error(context):
     assert context.root_task.cancelled(), context.root_task
+
+
+@given('two roots of two domains of which only the first knows the other')
+def one_sided_roots(context):
+    async def start():
+        context.log = relay_nodes.MemoryLog()
+        context.outage = relay_nodes.MemoryLog()
+        context.dead = []
+        first = await started(context, 'a-root', 'a')
+        second = await started(context, 'b-root', 'b')
+        context.nodes = context.roots = [first, second]
+        first.follow(context.log)
+        second.follow(context.outage)
+        first.root_relay.set_roots(map(relay_nodes.relay_of, context.roots))
+        second.root_relay.set_roots([relay_nodes.relay_of(second)])
+
+    run(context, start())
--- a/hemlockgrade/control_plane.py
+++ b/hemlockgrade/control_plane.py
@@ -88,6 +88,7 @@
             evidence=self._receive_evidence,
             child_lost=self._suspect_host,
             domain_link=self._domain_link,
+            peer_root=lambda root: self._root_relay.learn_root(root),
         )
         self._relay = relay.RelayServer(
             identity=self._identity,
--- a/hemlockgrade/relay.py
+++ b/hemlockgrade/relay.py
@@ -274,6 +274,14 @@
             control_pb2.Role.Name(hello.role),
             hello.configuration_version,
         )
+        if session.is_peer:
+            self._callbacks.peer_root(
+                distribution.KnownRelay(
+                    daemon_id=hello.daemon_id,
+                    failure_domain=hello.failure_domain,
+                    control_address=hello.control_address,
+                )
+            )
         return session
 
     def _close_session(self, session: _Session) -> None:
--- a/hemlockgrade/root_relay.py
+++ b/hemlockgrade/root_relay.py
@@ -104,6 +104,16 @@
         if self._group is not None:
             self._reconcile(self._group)
 
+    def learn_root(self, root: distribution.KnownRelay) -> None:
+        """Adds a root that has subscribed here.
+
+        The platform may be unreachable before its roots were ever read, and a
+        stream from a peer alone brings no changes.
+        """
+        known = {r.control_address for r in self._roots}
+        if root.control_address not in known:
+            self.set_roots([*self._roots, root])
+
     def post_suspicions(
         self,
         suspicions: Iterable[control_pb2.Suspicion],
--- a/hemlockgrade/tree.py
+++ b/hemlockgrade/tree.py
@@ -37,6 +37,7 @@
         child_lost: Called with the identifier of a child whose stream broke.
         domain_link: Called on a root with a failure domain and whether the
             peer stream to it stands.
+        peer_root: Called with a root that has subscribed as a peer.
     """
 
     members: Callable[[list[model.Target], Reply], None] = ignore
@@ -44,6 +45,7 @@
     evidence: Callable[[list[control_pb2.EvidenceBatch]], None] = ignore
     child_lost: Callable[[str], None] = ignore
     domain_link: Callable[[str, bool], None] = ignore
+    peer_root: Callable[[distribution.KnownRelay], None] = ignore
 
 
 @attrs.frozen(kw_only=True)
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -56,7 +56,7 @@
 
 
 def _run_feature(feature: pathlib.Path, seeds: int) -> tuple[int, int]:
-    command = ['behave', '--tags=not @known_red', '--format=progress']
+    command = ['behave', '--tags=not @known_red', '--format=plain']
     process = subprocess.run(
         _module([*command, str(feature.relative_to(ROOT))]),
         cwd=ROOT,
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -3,6 +3,7 @@
 import json
 import os
 import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -16,6 +17,12 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TOKEN = 'a-token-for-loopback-trials'
 START_TIMEOUT_S = 30.0
+# Below the range that Linux gives to outgoing connections by default.
+FIRST_PORT = 12_000
+LAST_PORT = 32_000
+
+_random = random.SystemRandom()
+_reservations: list[socket.socket] = []
 
 
 @attrs.define
@@ -210,10 +217,24 @@
 
 
 def free_address() -> str:
-    """Returns a loopback address that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return f'127.0.0.1:{probe.getsockname()[1]}'
+    """Returns a loopback address that stays reserved for this process.
+
+    Connections of other tests take ports of the system's own range, so the
+    port lies below it; other test processes are kept off by a bound UDP
+    socket of the same number.
+    """
+    while True:
+        port = _random.randrange(FIRST_PORT, LAST_PORT)
+        reservation = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            reservation.bind(('127.0.0.1', port))
+            with socket.socket() as probe:
+                probe.bind(('127.0.0.1', port))
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
+        return f'127.0.0.1:{port}'
 
 
 def get_json(url: str) -> Any:
--- a/standins/relay_nodes.py
+++ b/standins/relay_nodes.py
@@ -185,6 +185,7 @@
             suspicions=self.suspicions.extend,
             child_lost=self.lost_children.append,
             domain_link=self.links.__setitem__,
+            peer_root=lambda root: self.root_relay.learn_root(root),
         )
 
     def make_root_relay(self, log):
