Use one token bucket and one map of change kinds

Cause: the call budget of the platform and the relay's rates each had a token bucket with the same filling, and the change log repeated the map from a change's kind to its object. Behaviour is the same. Ruled out: joining the two loops of the least-loaded balancer (they run for every request and differ in the cost).

--- a/hemlockgrade/changelog.py
+++ b/hemlockgrade/changelog.py
@@ -49,10 +49,7 @@
 RETRY_DELAY_MAX_S = 1.0
 
 _OBJECT_BY_KIND = {
-    model.ChangeKind.PUT_LABEL: 'label',
-    model.ChangeKind.DELETE_LABEL: 'label',
-    model.ChangeKind.PUT_SELECTOR: 'selector',
-    model.ChangeKind.DELETE_SELECTOR: 'selector',
+    **configuration_module.OBJECT_BY_KIND,
     model.ChangeKind.SET_PROGRESS: 'selector',
     model.ChangeKind.END_ROLLOUT: 'selector',
     model.ChangeKind.EPOCH: 'lease',
--- a/hemlockgrade/configuration.py
+++ b/hemlockgrade/configuration.py
@@ -15,7 +15,7 @@
 MAX_NAME_LENGTH = 63
 MAX_TIMEOUT_MS = 600_000
 
-_OBJECT_KINDS = {
+OBJECT_BY_KIND = {
     model.ChangeKind.PUT_LABEL: 'label',
     model.ChangeKind.DELETE_LABEL: 'label',
     model.ChangeKind.PUT_SELECTOR: 'selector',
@@ -142,7 +142,7 @@
 
 def object_key(change: model.Change) -> str | None:
     """Returns `kind/name` of the object that an operator's change is about."""
-    kind = _OBJECT_KINDS.get(change.kind)
+    kind = OBJECT_BY_KIND.get(change.kind)
     return None if kind is None else f'{kind}/{change.name}'
 
 
--- a/hemlockgrade/distribution.py
+++ b/hemlockgrade/distribution.py
@@ -12,6 +12,7 @@
 import attrs
 
 from hemlockgrade import model
+from hemlockgrade import token_bucket
 
 MAX_CHILDREN = 8
 FULL_COPIES_PER_S = 50.0
@@ -94,36 +95,6 @@
         )
 
 
-@attrs.define
-class TokenBucket:
-    """Limits a mean rate and lets a burst through.
-
-    Attributes:
-        rate_per_s: Tokens gained per second.
-        burst: Most tokens that can be saved.
-    """
-
-    rate_per_s: float
-    burst: float
-    _tokens: float = attrs.field(init=False)
-    _filled_at: float | None = attrs.field(default=None, init=False)
-
-    def __attrs_post_init__(self):
-        self._tokens = self.burst
-
-    def available(self, now: float) -> float:
-        """Returns the tokens that can be spent now."""
-        if self._filled_at is not None:
-            gained = max(0.0, now - self._filled_at) * self.rate_per_s
-            self._tokens = min(self.burst, self._tokens + gained)
-        self._filled_at = now
-        return self._tokens
-
-    def spend(self, amount: float, now: float) -> None:
-        """Takes tokens; the balance may become negative."""
-        self._tokens = self.available(now) - amount
-
-
 @attrs.frozen(kw_only=True)
 class Admission:
     """The answer to a subscription.
@@ -152,12 +123,12 @@
     max_children: int = MAX_CHILDREN
     full_copies_per_s: float = FULL_COPIES_PER_S
     addresses_by_id: dict[str, str] = attrs.field(factory=dict)
-    _copies: TokenBucket = attrs.field(init=False)
+    _copies: token_bucket.TokenBucket = attrs.field(init=False)
     _retry_at: float = attrs.field(default=0.0, init=False)
     _turn: int = attrs.field(default=0, init=False)
 
     def __attrs_post_init__(self):
-        self._copies = TokenBucket(
+        self._copies = token_bucket.TokenBucket(
             self.full_copies_per_s, self.full_copies_per_s
         )
 
@@ -222,8 +193,10 @@
         bucket: Limits the bytes of deltas.
     """
 
-    bucket: TokenBucket = attrs.field(
-        factory=lambda: TokenBucket(MEMBER_BYTES_PER_S, MEMBER_BURST_BYTES)
+    bucket: token_bucket.TokenBucket = attrs.field(
+        factory=lambda: token_bucket.TokenBucket(
+            MEMBER_BYTES_PER_S, MEMBER_BURST_BYTES
+        )
     )
     _delta_ids: dict[str, None] = attrs.field(factory=dict)
     _table_ids: dict[str, None] = attrs.field(factory=dict)
--- a/hemlockgrade/platform_api.py
+++ b/hemlockgrade/platform_api.py
@@ -10,6 +10,7 @@
 import attrs
 
 from hemlockgrade import exceptions
+from hemlockgrade import token_bucket
 
 # 33 root relays at these rates stay below the platform's 2,000 reads a second;
 # its writes are exceeded only if most roots write at full rate at once.
@@ -86,45 +87,6 @@
         """Closes all connections."""
 
 
-@attrs.define
-class TokenBucket:
-    """Allows calls at a mean rate, with a burst of one second's worth.
-
-    Callers reserve in the order in which they come; a reservation may lie in
-    the future.
-
-    Attributes:
-        per_s: Calls allowed a second.
-    """
-
-    per_s: float
-    _tokens: float = attrs.field(init=False)
-    _filled_at: float | None = None
-
-    def __attrs_post_init__(self) -> None:
-        self._tokens = self.per_s
-
-    def reserve(self, now: float, max_wait_s: float) -> float | None:
-        """Reserves a call.
-
-        Args:
-            now: Seconds of the monotonic clock.
-            max_wait_s: The longest wait that the caller accepts, in seconds.
-
-        Returns:
-            Seconds to wait before the call, or None if they are too many.
-        """
-        if self._filled_at is not None:
-            self._tokens += (now - self._filled_at) * self.per_s
-        self._tokens = min(self._tokens, self.per_s)
-        self._filled_at = now
-        wait_s = max(0.0, 1 - self._tokens) / self.per_s
-        if wait_s > max_wait_s:
-            return None
-        self._tokens -= 1
-        return wait_s
-
-
 class CallBudget:
     """Bounds the calls that all callers of a daemon make to the platform.
 
@@ -143,8 +105,8 @@
         monotonic: Callable[[], float] = time.monotonic,
     ):
         self._buckets_by_kind = {
-            'read': TokenBucket(reads_per_s),
-            'write': TokenBucket(writes_per_s),
+            'read': token_bucket.TokenBucket(reads_per_s, reads_per_s),
+            'write': token_bucket.TokenBucket(writes_per_s, writes_per_s),
         }
         self._max_wait_s = max_wait_s
         self._monotonic = monotonic
@@ -167,11 +129,15 @@
 
     async def _acquire(self, kind: str) -> None:
         bucket = self._buckets_by_kind[kind]
-        wait_s = bucket.reserve(self._monotonic(), self._max_wait_s)
-        if wait_s is None:
+        now = self._monotonic()
+        wait_s = max(0.0, 1 - bucket.available(now)) / bucket.rate_per_s
+        if wait_s > self._max_wait_s:
             raise exceptions.PlatformUnavailableError(
-                f'the call budget allows {bucket.per_s:g} {kind}s a second',
+                f'the call budget allows {bucket.rate_per_s:g} {kind}s a '
+                'second',
                 remedy='retry later, the call was not sent',
             )
+        # The call is taken now, so that callers go in the order they came.
+        bucket.spend(1, now)
         if wait_s:
             await asyncio.sleep(wait_s)
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -40,7 +40,7 @@
     passed += ok
     failed += bad
     if KNOWN_RED.exists():
-        print('== known failures, not run:')
+        print('== known failures:')
         print(KNOWN_RED.read_text())
     print(f'{passed} passed, {failed} failed')
     return 1 if failed or not ok else 0
