--- a/hemlockgrade/http_codec.py
+++ b/hemlockgrade/http_codec.py
@@ -308,6 +308,7 @@
     _parser: Any
 
     def __init__(self):
+        self.max_header_bytes = MAX_HEADER_BYTES
         self._headers: Headers = []
         self._header_bytes = 0
         self._raw_header_bytes = 0
@@ -345,9 +346,9 @@
 
     def _count_header(self, size: int):
         self._header_bytes += size
-        if self._header_bytes > MAX_HEADER_BYTES:
+        if self._header_bytes > self.max_header_bytes:
             raise exceptions.MalformedRequestError(
-                f'header larger than {MAX_HEADER_BYTES} bytes', status=431
+                f'header larger than {self.max_header_bytes} bytes', status=431
             )
 
     def _feed(self, data: bytes):
@@ -367,8 +368,8 @@
             # The parser reports a header only when it is complete, so one
             # that never ends has to be counted by its raw bytes.
             self._raw_header_bytes += len(data)
-            if self._raw_header_bytes > MAX_HEADER_BYTES:
-                self._count_header(MAX_HEADER_BYTES + 1)
+            if self._raw_header_bytes > self.max_header_bytes:
+                self._count_header(self.max_header_bytes + 1)
 
     def _content_length(self) -> int | None:
         text = self._framing_headers.get(b'content-length')
@@ -381,12 +382,19 @@
     """Parses requests.
 
     Attributes:
+        max_body_bytes: Larger bodies are refused.
         expects_continue: True if the sender waits for `100 Continue` before
             it sends the body of the request that is being parsed.
     """
 
-    def __init__(self):
+    def __init__(
+        self,
+        max_header_bytes: int = MAX_HEADER_BYTES,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ):
         super().__init__()
+        self.max_header_bytes = max_header_bytes
+        self.max_body_bytes = max_body_bytes
         self._url: list[bytes] = []
         self._body: list[bytes] = []
         self._body_bytes = 0
@@ -432,7 +440,7 @@
             raise exceptions.MalformedRequestError(
                 'only the transfer coding "chunked" is supported', status=501
             )
-        if (self._content_length() or 0) > MAX_BODY_BYTES:
+        if (self._content_length() or 0) > self.max_body_bytes:
             self._refuse_body()
         hosts = sum(1 for name, _ in self._headers if name == b'host')
         if hosts > 1 or (not hosts and self._version() == '1.1'):
@@ -448,7 +456,7 @@
         """Collects a part of the body."""
         self.expects_continue = False
         self._body_bytes += len(body)
-        if self._body_bytes > MAX_BODY_BYTES:
+        if self._body_bytes > self.max_body_bytes:
             self._refuse_body()
         self._body.append(body)
 
@@ -472,7 +480,7 @@
 
     def _refuse_body(self):
         raise exceptions.MalformedRequestError(
-            f'body larger than {MAX_BODY_BYTES} bytes', status=413
+            f'body larger than {self.max_body_bytes} bytes', status=413
         )
 
 
@@ -493,12 +501,19 @@
     Attributes:
         broken: True if bytes came that belong to no response; the
             connection must not be used again.
+        skipped: True if an answer to another request came first; the
+            connection must not be used again.
         stream: The body that is being passed on.
     """
 
-    def __init__(self, source: BodySource):
+    def __init__(
+        self, source: BodySource, max_buffered_bytes: int = MAX_BUFFERED_BYTES
+    ):
         super().__init__()
         self._source = source
+        self._max_buffered_bytes = max_buffered_bytes
+        self._accepts: Callable[[Headers], bool] | None = None
+        self.skipped = False
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._status = 0
@@ -510,8 +525,17 @@
         self.stream: BodyStream | None = None
         self._parser = httptools.HttpResponseParser(self)
 
-    def expect(self, method: str) -> None:
-        """Prepares for the response to a request."""
+    def expect(
+        self, method: str, accepts: Callable[[Headers], bool] | None = None
+    ) -> None:
+        """Prepares for the response to a request.
+
+        Args:
+            method: Method of the request.
+            accepts: Tells by its headers whether a response answers the
+                request; one that does not is dropped.
+        """
+        self._accepts = accepts
         if self._head:
             # The parser cannot be told that no body follows to HEAD.
             self._parser = httptools.HttpResponseParser(self)
@@ -524,7 +548,7 @@
 
         Returns:
             The response once its body is complete, or, with a stream, once
-            its body exceeds `MAX_BUFFERED_BYTES`.
+            its body exceeds the bytes that are buffered.
 
         Raises:
             exceptions.MalformedRequestError: The bytes are not HTTP/1.1 or
@@ -578,7 +602,11 @@
             return
         self._body.append(body)
         self._body_bytes += len(body)
-        if self._body_bytes > MAX_BUFFERED_BYTES:
+        if self._body_bytes > self._max_buffered_bytes:
+            if not self._accepted():
+                raise exceptions.MalformedRequestError(
+                    'a large answer names another request'
+                )
             self.stream = BodyStream(self._source)
             self._response = self._build(self.stream)
             self._source.pause()
@@ -591,8 +619,14 @@
         if not self._delivered:
             self._complete()
 
+    def _accepted(self) -> bool:
+        return self._accepts is None or self._accepts(self._headers)
+
     def _complete(self):
         self.in_message = False
+        if self.stream is None and not self._accepted():
+            self.skipped = True
+            return
         self._expected = False
         self._delivered = True
         if self.stream is not None:
--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -37,17 +37,21 @@
 
 @attrs.frozen(kw_only=True)
 class Limits:
-    """How long a connection may wait, in seconds.
+    """How long a connection may wait, in seconds, and what it may carry.
 
     Attributes:
         idle_s: For the next request. Longer than a pool keeps a connection.
         reading_s: For the rest of a request that has begun.
         stalled_s: For a peer that does not read its answer.
+        header_bytes: Largest header of a request.
+        body_bytes: Largest body of a request.
     """
 
     idle_s: float = 75.0
     reading_s: float = 10.0
     stalled_s: float = 30.0
+    header_bytes: int = http_codec.MAX_HEADER_BYTES
+    body_bytes: int = http_codec.MAX_BODY_BYTES
 
     def of(self, phase: _Phase) -> float | None:
         """Returns the limit of a phase, or None if it has none."""
@@ -70,7 +74,9 @@
 
     def __init__(self, factory: 'HttpServerFactory'):
         self._factory = factory
-        self._parser = http_codec.RequestParser()
+        self._parser = http_codec.RequestParser(
+            factory.limits.header_bytes, factory.limits.body_bytes
+        )
         self._pending: collections.deque = collections.deque()
         self._task: asyncio.Task | None = None
         self._stream: http_codec.BodyStream | None = None
--- a/hemlockgrade/limits.py
+++ b/hemlockgrade/limits.py
@@ -24,13 +24,16 @@
 class Limiter(Protocol):
     """Admits work to one target."""
 
-    async def acquire(self, deadline: float, caller: str = '') -> None:
+    async def acquire(
+        self, deadline: float, caller: str = '', priority: int = 0
+    ) -> None:
         """Waits for a slot.
 
         Args:
             deadline: Time by which the work has to be finished, in seconds
                 on the monotonic clock.
             caller: Who sent it; a full queue is shared among callers.
+            priority: Rank in the queue; 0 is served first.
 
         Raises:
             exceptions.RequestNotRunError: The work is refused.
@@ -63,10 +66,12 @@
     Attributes:
         deadline: Time by which it has to be finished, in seconds.
         caller: Who sent it.
+        priority: Rank in the queue; 0 is served first.
     """
 
     deadline: float
     caller: str = ''
+    priority: int = 0
 
 
 @attrs.define(kw_only=True)
@@ -157,6 +162,7 @@
     service_s: float = INITIAL_SERVICE_S
     bound: QueueBound = attrs.field(init=False)
     _waiting: list[Ticket] = attrs.field(factory=list)
+    _measured: int = 0
 
     def __attrs_post_init__(self):
         self.bound = QueueBound(self.slots)
@@ -183,27 +189,30 @@
         if self.in_use < self.slots:
             self._admit_at_once(ticket, now)
             return Granted(ticket=ticket)
-        position = bisect.bisect_right(
-            self._waiting, ticket.deadline, key=_deadline
-        )
+        position = bisect.bisect_right(self._waiting, _rank(ticket), key=_rank)
         if not self._can_finish(ticket, now, position):
             raise refusal('it cannot finish before its deadline')
         granted = Granted()
         if len(self._waiting) >= self.bound.value:
-            granted.refused.append(self._displace(ticket.caller))
-        bisect.insort_right(self._waiting, ticket, key=_deadline)
+            granted.refused.append(self._displace(ticket))
+        bisect.insort_right(self._waiting, ticket, key=_rank)
         return granted
 
-    def _displace(self, caller: str) -> Ticket:
-        """Takes the least urgent request of who has most in the queue.
+    def _displace(self, newcomer: Ticket) -> Ticket:
+        """Takes a request out of the full queue for a newcomer.
+
+        A request of a lower rank goes first, the last to be served of them;
+        else the least urgent one of who has most in the queue.
 
         Under a retry storm of one caller the others keep their share of a
         full queue; a fixed limit a caller protected them less, and would
         have to know how many callers there are.
         """
+        if self._waiting[-1].priority > newcomer.priority:
+            return self._waiting.pop()
         counts = collections.Counter(t.caller for t in self._waiting)
         heaviest, most = counts.most_common(1)[0]
-        if most <= counts[caller] + 1:
+        if most <= counts[newcomer.caller] + 1:
             raise refusal('the queue is full')
         for ticket in reversed(self._waiting):
             if ticket.caller == heaviest:
@@ -233,8 +242,9 @@
             now: Time in seconds.
         """
         if service_s is not None:
-            difference = service_s - self.service_s
-            self.service_s += SERVICE_TIME_WEIGHT * difference
+            self._measured += 1
+            weight = max(SERVICE_TIME_WEIGHT, 1 / self._measured)
+            self.service_s += weight * (service_s - self.service_s)
         self.in_use -= 1
         granted = Granted()
         while self._waiting and self.in_use < self.slots:
@@ -264,5 +274,5 @@
         return waiting
 
 
-def _deadline(ticket: Ticket) -> float:
-    return ticket.deadline
+def _rank(ticket: Ticket) -> tuple[int, float]:
+    return ticket.priority, ticket.deadline
--- /dev/null
+++ b/hemlockgrade/mesh/balancer.py
@@ -0,0 +1,231 @@
+"""Choice of the server that is to run a request."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+import random as random_module
+
+import attrs
+
+from hemlockgrade.mesh import directory as directory_module
+from hemlockgrade.mesh import model
+
+# Service time that is assumed while the first request to a server is under
+# way, in seconds.
+INITIAL_SERVICE_S = 0.05
+# Weight of the newest answer in the moving mean of a server's failures.
+FAILURE_WEIGHT = 0.1
+# Expected time counts up to this many times more for a server that fails.
+FAILURE_FACTOR = 10.0
+# A peer that refused for want of room is passed over for this time, in
+# seconds: about one service time, after which a slot was free again.
+FULL_PAUSE_S = 0.05
+# A peer whose server does not take requests is passed over for this time, in
+# seconds, unless its entry changes before.
+CLOSED_PAUSE_S = 1.0
+# A peer that could not be reached is passed over for this time, in seconds,
+# doubled with each further failure up to the longest one.
+UNREACHABLE_PAUSE_S = 0.5
+MAX_UNREACHABLE_PAUSE_S = 4.0
+# A server of another failure domain is taken if those of the own one have
+# more requests than this, as a multiple of their slots.
+SPILL_LOAD = 1.6
+# Estimates of close servers differ by chance, so that daemons spread out.
+JITTER = 0.1
+
+
+@attrs.define(eq=False)
+class Peer:
+    """What this daemon saw of another daemon and its server.
+
+    Attributes:
+        member: The daemon.
+        in_flight: Requests sent to it and not yet ended.
+        others: Requests of others at its server, by its last answer.
+        service_s: Mean time that its server needs, by its last answer; None
+            before the first one.
+        failures: Moving share of failed answers, 0 to 1.
+        avoid_until: Monotonic time until which it is passed over.
+        unreachable: Failures to reach it in a row.
+    """
+
+    member: model.Member
+    in_flight: int = 0
+    others: float = 0.0
+    service_s: float | None = None
+    failures: float = 0.0
+    avoid_until: float = 0.0
+    unreachable: int = 0
+
+    @property
+    def load(self) -> float:
+        """Returns the requests at its server, as a multiple of its slots."""
+        return (self.in_flight + self.others) / self.member.server_facts.slots
+
+    def expected_s(self) -> float:
+        """Returns the time that one more request is expected to take."""
+        if self.service_s is None:
+            # A server that is never chosen would never be measured.
+            return INITIAL_SERVICE_S if self.in_flight else 0.0
+        slots = self.member.server_facts.slots
+        waiting = max(0.0, self.in_flight + self.others + 1 - slots)
+        busy = min(1.0, (self.in_flight + self.others) / slots)
+        expected = self.service_s * (1 + 0.3 * busy + waiting / slots)
+        return expected * (1 + FAILURE_FACTOR * self.failures)
+
+    def report_load(self, in_use: int, service_s: float) -> None:
+        """Takes what its daemon said of its server's load.
+
+        Args:
+            in_use: Requests that the server has or that wait for it.
+            service_s: Mean time that the server needs, in seconds.
+        """
+        self.others = max(0.0, in_use - self.in_flight)
+        if service_s > 0:
+            self.service_s = service_s
+
+    def report_result(self, failed: bool) -> None:
+        """Counts an answer of its server."""
+        self.failures += FAILURE_WEIGHT * (float(failed) - self.failures)
+        self.unreachable = 0
+
+    def report_unreachable(self, now: float) -> None:
+        """Passes it over for a while."""
+        pause_s = UNREACHABLE_PAUSE_S * 2**self.unreachable
+        self.unreachable = min(self.unreachable + 1, 8)
+        self.avoid_until = now + min(pause_s, MAX_UNREACHABLE_PAUSE_S)
+
+
+@attrs.define(eq=False, kw_only=True)
+class Balancer:
+    """Chooses by expected time, in the own failure domain as long as it can.
+
+    Attributes:
+        directory: Knows members and shares.
+        zone: Own failure domain.
+        clock: Monotonic time in seconds.
+    """
+
+    directory: directory_module.Directory
+    zone: str
+    clock: Callable[[], float]
+    random: random_module.Random = attrs.field(factory=random_module.Random)
+    _peer_by_name: dict[str, Peer] = attrs.field(factory=dict)
+    _peers_by_service: dict[str, list[Peer]] = attrs.field(factory=dict)
+    _share_credit_by_service: dict[str, float] = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self):
+        self.directory.on_members.append(self._members_changed)
+
+    def peer(self, name: str) -> Peer | None:
+        """Returns the peer of a name."""
+        return self._peer_by_name.get(name)
+
+    def peers(self) -> list[Peer]:
+        """Returns all known peers."""
+        return list(self._peer_by_name.values())
+
+    def choose(self, service: str, tried: Collection[str]) -> Peer | None:
+        """Chooses a server for a request.
+
+        Args:
+            service: Service that is to run it.
+            tried: Names of the members that were tried already.
+
+        Returns:
+            None if no server is left.
+        """
+        permitted = self._permitted(service)
+        candidates = [p for p in permitted if p.member.name not in tried]
+        if not candidates:
+            return None
+        now = self.clock()
+        open_peers = [p for p in candidates if p.avoid_until <= now]
+        near = [p for p in open_peers if p.member.zone == self.zone]
+        best = self._cheapest(near)
+        if best is not None and best.load < SPILL_LOAD:
+            return best
+        far = [
+            p for p in open_peers if p.member.zone != self.zone and p.load < 1
+        ]
+        other = self._cheapest(far)
+        if other is not None:
+            return other
+        if best is not None:
+            return best
+        if open_peers:
+            return self._cheapest(open_peers)
+        if tried:
+            return None
+        return min(candidates, key=lambda p: p.avoid_until)
+
+    def _cheapest(self, peers: list[Peer]) -> Peer | None:
+        if not peers:
+            return None
+        random = self.random.random
+        return min(
+            peers, key=lambda p: p.expected_s() * (1 + JITTER * random())
+        )
+
+    def _permitted(self, service: str) -> list[Peer]:
+        """Returns the peers of the version that the request is to run on."""
+        peers = self._peers_by_service.get(service)
+        if not peers:
+            return []
+        share = self.directory.share_by_service.get(service)
+        if share is None:
+            settled = directory_module.settled_version(
+                [peer.member for peer in peers]
+            )
+            return [
+                p for p in peers if p.member.server_facts.version == settled
+            ]
+        new = [
+            p for p in peers if p.member.server_facts.version == share.version
+        ]
+        old = [
+            p for p in peers if p.member.server_facts.version != share.version
+        ]
+        if share.state is model.RolloutState.COMPLETED:
+            return new or old
+        if share.state is model.RolloutState.ROLLED_BACK:
+            return old
+        if not new or not self._takes_new(service, share.permille):
+            return old or new
+        return new
+
+    def _takes_new(self, service: str, permille: int) -> bool:
+        credit = self._share_credit_by_service.get(service, 0.0)
+        credit += permille / 1000
+        chosen = credit >= 1
+        self._share_credit_by_service[service] = credit - chosen
+        return chosen
+
+    def _members_changed(self):
+        members = self.directory.member_by_name
+        for name in list(self._peer_by_name):
+            if name not in members:
+                del self._peer_by_name[name]
+        self._peers_by_service = {}
+        for name, member in members.items():
+            peer = self._peer_by_name.get(name)
+            if peer is None or _is_another(peer.member, member):
+                peer = Peer(member)
+                self._peer_by_name[name] = peer
+            elif peer.member.revision != member.revision:
+                peer.member = member
+                peer.avoid_until = 0.0
+            if member.serving:
+                by_service = self._peers_by_service
+                by_service.setdefault(member.server_facts.service, []).append(
+                    peer
+                )
+
+
+def _is_another(old: model.Member, new: model.Member) -> bool:
+    return (
+        old.address != new.address
+        or old.server is None
+        or new.server is None
+        or old.server.server_id != new.server.server_id
+        or old.server.born_ms != new.server.born_ms
+    )
--- /dev/null
+++ b/hemlockgrade/mesh/exchange.py
@@ -0,0 +1,136 @@
+"""Headers and outcomes of requests between two daemons."""
+
+import enum
+
+import attrs
+
+from hemlockgrade import http_codec
+from hemlockgrade.platform import codec as platform_codec
+
+PREFIX = http_codec.INTERNAL
+# Identifier of the server that is to run the request.
+SERVER = b'x-hemlock-server'
+# Rank of the request under overload.
+PRIORITY = b'x-hemlock-priority'
+# Present if the request may run more than once.
+IDEMPOTENT = b'x-hemlock-idempotent'
+# Name of the route, for the evidence on versions.
+ROUTE = b'x-hemlock-route'
+# Newest versions that the sender knows: configuration and table.
+VERSIONS = b'x-hemlock-versions'
+# Answer: the request was not run, for this reason.
+REFUSED = b'x-hemlock-refused'
+# Answer: the request may have run, for this reason.
+UNKNOWN = b'x-hemlock-unknown'
+# Answer: requests at the server and its mean service time.
+LOAD = b'x-hemlock-load'
+
+STATE_PATH = '/.hemlock/state'
+EVIDENCE_PATH = '/.hemlock/evidence'
+
+
+class Refusal(enum.StrEnum):
+    """Why a daemon did not run a request."""
+
+    FULL = 'full'
+    LATE = 'late'
+    LEAVING = 'leaving'
+    DRAINING = 'draining'
+    SERVER_DOWN = 'server-down'
+    OTHER_SERVER = 'other-server'
+    SHED = 'shed'
+
+    @property
+    def closed(self) -> bool:
+        """Tells whether the daemon's server takes no requests at all."""
+        return self in (
+            Refusal.LEAVING,
+            Refusal.DRAINING,
+            Refusal.SERVER_DOWN,
+            Refusal.OTHER_SERVER,
+        )
+
+
+@attrs.frozen(kw_only=True)
+class Versions:
+    """The newest facts that a daemon knows.
+
+    Attributes:
+        configuration: Version of the configuration.
+        table: Newest revision of a member or share.
+    """
+
+    configuration: int
+    table: int
+
+    def encode(self) -> bytes:
+        """Encodes it for the header."""
+        return b'%d,%d' % (self.configuration, self.table)
+
+
+def decode_versions(headers: http_codec.Headers) -> Versions | None:
+    """Reads the versions of a sender; None if it named none."""
+    numbers = _numbers(headers, VERSIONS, 2)
+    if numbers is None:
+        return None
+    return Versions(configuration=int(numbers[0]), table=int(numbers[1]))
+
+
+def encode_load(in_use: int, service_s: float) -> bytes:
+    """Encodes a server's load for the header."""
+    return b'%d,%.4f' % (in_use, service_s)
+
+
+def decode_load(headers: http_codec.Headers) -> tuple[int, float] | None:
+    """Reads a server's load: requests, mean service time in seconds."""
+    numbers = _numbers(headers, LOAD, 2)
+    if numbers is None:
+        return None
+    return int(numbers[0]), numbers[1]
+
+
+def decode_refusal(headers: http_codec.Headers) -> Refusal | None:
+    """Reads why a request was not run; None if it may have been run."""
+    text = http_codec.header(headers, REFUSED)
+    if text is None:
+        return None
+    try:
+        return Refusal(text)
+    except ValueError:
+        # A newer daemon may name other reasons; all of them say not run.
+        return Refusal.FULL
+
+
+def refused(reason: Refusal) -> http_codec.Response:
+    """Makes the answer to a request that was not run."""
+    return http_codec.Response(
+        status=503, headers=[(REFUSED, reason.value.encode())]
+    )
+
+
+def unknown(reason: str) -> http_codec.Response:
+    """Makes the answer to a request that may have run."""
+    return http_codec.Response(
+        status=502, headers=[(UNKNOWN, reason.encode('latin-1', 'replace'))]
+    )
+
+
+def time_left_s(headers: http_codec.Headers) -> float | None:
+    """Reads how long the sender still waits, in seconds."""
+    text = http_codec.header(headers, platform_codec.TIME_LEFT)
+    if text is None or not (text.isascii() and text.isdecimal()):
+        return None
+    return int(text[:9]) / 1000
+
+
+def _numbers(
+    headers: http_codec.Headers, name: bytes, count: int
+) -> list[float] | None:
+    text = http_codec.header(headers, name)
+    if text is None:
+        return None
+    try:
+        numbers = [float(part) for part in text.split(',')]
+    except ValueError:
+        return None
+    return numbers if len(numbers) == count else None
--- /dev/null
+++ b/hemlockgrade/mesh/proxy.py
@@ -0,0 +1,391 @@
+"""Caller side of the request path: route, choose, send, retry, answer."""
+
+import asyncio
+from collections.abc import Callable
+import enum
+
+import attrs
+from loguru import logger
+
+from hemlockgrade import exceptions
+from hemlockgrade import http_codec
+from hemlockgrade import retries
+from hemlockgrade import upstream
+from hemlockgrade.mesh import balancer as balancer_module
+from hemlockgrade.mesh import directory as directory_module
+from hemlockgrade.mesh import exchange
+from hemlockgrade.mesh import gate as gate_module
+from hemlockgrade.mesh import model
+from hemlockgrade.platform import codec as platform_codec
+
+# Longest wait of a caller that states none, in seconds.
+DEFAULT_TIMEOUT_S = 30.0
+# A refused request may ask this many servers' daemons; being refused costs a
+# round trip and reaches no server.
+MAX_REFUSALS = 4
+# Part of the users' bound on repeated requests that is used.
+RETRY_BUDGET_PART = 0.8
+# Time below which a further attempt cannot be answered, in seconds.
+MIN_REMAINING_S = 0.01
+# When a refused caller may come back, in seconds: about the time in which a
+# queue at a server empties, and at most this part of the time it has left.
+RETRY_AFTER_S = 0.1
+RETRY_AFTER_PART = 0.3
+
+
+class Kind(enum.Enum):
+    """How an attempt ended."""
+
+    ANSWER = 'answer'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+    TIMEOUT = 'timeout'
+
+
+@attrs.frozen(kw_only=True)
+class Result:
+    """How an attempt ended.
+
+    Attributes:
+        kind: The outcome.
+        reason: In words, for the log.
+        answer: The server's answer.
+        refusal: Why it was not run.
+    """
+
+    kind: Kind
+    reason: str = ''
+    answer: http_codec.Response | None = None
+    refusal: exchange.Refusal | None = None
+
+
+@attrs.define(kw_only=True)
+class Call:
+    """A caller's request on its way through the attempts.
+
+    Attributes:
+        request: The request, with the headers for the server.
+        request_id: The caller's identifier of it.
+        route: Its route.
+        service: Service that runs it.
+        started: Monotonic time of its arrival.
+        deadline: Monotonic time at which it has to be answered.
+        sent: Servers that it may have reached.
+        refusals: Daemons that refused it.
+        tried: Names of the members tried.
+        maybe_run: True if a server may have run it.
+        failure: The server's answer of failure, if there is one.
+        last: How the last attempt ended.
+    """
+
+    request: http_codec.Request
+    request_id: str
+    route: model.Route
+    service: str
+    started: float
+    deadline: float
+    sent: int = 0
+    refusals: int = 0
+    tried: list[str] = attrs.field(factory=list)
+    maybe_run: bool = False
+    failure: http_codec.Response | None = None
+    last: Result | None = None
+
+
+@attrs.define(eq=False, kw_only=True)
+class Proxy:
+    """Sends each request of this host to a server and returns its answer.
+
+    Attributes:
+        name: Name of this host.
+        service: Service of the server on this host.
+        directory: Knows routes and members.
+        balancer: Chooses the server.
+        gate: Admission to the server on this host.
+        pool: Connections to other daemons.
+        clock: Monotonic time in seconds.
+        retry_ratio: Repeated requests as a part of the first ones.
+        retry_slack: Repeated requests beyond that, over all daemons.
+        on_versions: Called with the versions that a peer knows.
+        on_finished: Called with route, outcome and seconds of each request.
+    """
+
+    name: str
+    service: str
+    directory: directory_module.Directory
+    balancer: balancer_module.Balancer
+    gate: gate_module.Gate
+    pool: upstream.ConnectionPool
+    clock: Callable[[], float]
+    retry_ratio: float
+    retry_slack: float
+    on_versions: Callable[[str, exchange.Versions], None]
+    on_finished: Callable[[str, str, float], None]
+    _budget_by_service: dict[str, retries.RetryBudget] = attrs.field(
+        factory=dict
+    )
+
+    async def handle(self, request: http_codec.Request) -> http_codec.Response:
+        """Answers a caller's request."""
+        started = self.clock()
+        request_id = (
+            http_codec.header(request.headers, platform_codec.REQUEST_ID) or ''
+        )
+        if self.directory.configuration is None:
+            self._log(request_id, '-', 503, 'no-configuration', started)
+            return _refusal(RETRY_AFTER_S, None)
+        host = http_codec.header(request.headers, b'host') or ''
+        entry = self.directory.match(host, request.path)
+        if entry is None:
+            self._log(request_id, '-', 404, 'no-route', started)
+            return http_codec.Response(status=404)
+        call = self._new_call(request, request_id, entry, started)
+        try:
+            response = await self._attempt_until_done(call)
+        except asyncio.CancelledError:
+            self._log_call(call, 0, 'caller-gone')
+            raise
+        outcome = call.last.reason if call.last is not None else 'no-server'
+        self._log_call(call, response.status, outcome)
+        return response
+
+    def _new_call(
+        self,
+        request: http_codec.Request,
+        request_id: str,
+        entry: directory_module.RouteEntry,
+        started: float,
+    ) -> Call:
+        left_s = exchange.time_left_s(request.headers)
+        if left_s is None:
+            left_s = DEFAULT_TIMEOUT_S
+        headers = [
+            item
+            for item in http_codec.without_internal(request.headers)
+            if item[0] != platform_codec.CALLER_SERVICE
+        ]
+        headers.append((platform_codec.CALLER_SERVICE, self.service.encode()))
+        return Call(
+            request=request.with_headers(headers),
+            request_id=request_id,
+            route=entry.route,
+            service=entry.next_service(),
+            started=started,
+            deadline=started + min(left_s, entry.route.timeout_s),
+        )
+
+    async def _attempt_until_done(self, call: Call) -> http_codec.Response:
+        self._budget(call.service).count_request()
+        while True:
+            peer = self.balancer.choose(call.service, call.tried)
+            if peer is None:
+                return self._give_up(call)
+            call.tried.append(peer.member.name)
+            result = await self._attempt(call, peer)
+            call.last = result
+            if result.answer is not None and not self._worth_repeating(
+                call, result.answer
+            ):
+                return result.answer
+            if not self._may_repeat(call, result):
+                return self._give_up(call)
+
+    def _worth_repeating(self, call: Call, answer: http_codec.Response) -> bool:
+        """Tells whether a server's answer is a failure to try again."""
+        if answer.status < gate_module.FIRST_SERVER_ERROR:
+            return False
+        call.failure = answer
+        return call.route.idempotent and answer.stream is None
+
+    def _may_repeat(self, call: Call, result: Result) -> bool:
+        if call.deadline - self.clock() < MIN_REMAINING_S:
+            return False
+        if result.kind is Kind.REFUSED:
+            if result.refusal is not exchange.Refusal.SHED:
+                call.refusals += 1
+                return call.refusals <= MAX_REFUSALS
+        elif not call.route.idempotent:
+            return False
+        if call.sent >= call.route.attempts:
+            return False
+        return self._budget(call.service).take()
+
+    async def _attempt(self, call: Call, peer: balancer_module.Peer) -> Result:
+        peer.in_flight += 1
+        try:
+            response = await self._send(call, peer)
+        except exceptions.ConnectFailedError as error:
+            peer.report_unreachable(self.clock())
+            return Result(
+                kind=Kind.REFUSED,
+                reason=f'unreachable: {error.args[0]}',
+                refusal=exchange.Refusal.SERVER_DOWN,
+            )
+        except exceptions.DeadlineExceededError:
+            call.sent += 1
+            call.maybe_run = True
+            return Result(kind=Kind.TIMEOUT, reason='timeout')
+        except (
+            exceptions.OutcomeUnknownError,
+            exceptions.MalformedRequestError,
+        ) as error:
+            call.sent += 1
+            call.maybe_run = True
+            return Result(kind=Kind.UNKNOWN, reason=str(error.args[0]))
+        finally:
+            peer.in_flight -= 1
+        return self._read(call, peer, response)
+
+    async def _send(
+        self, call: Call, peer: balancer_module.Peer
+    ) -> http_codec.Response:
+        server = peer.member.server_facts
+        if peer.member.name == self.name:
+            response = await self.gate.run(
+                call.request,
+                server_id=server.server_id,
+                deadline=call.deadline,
+                priority=call.route.priority,
+                idempotent=call.route.idempotent,
+                route=call.route.name,
+            )
+            peer.report_load(*self.gate.load)
+            return response
+        left_ms = max(1, int((call.deadline - self.clock()) * 1000))
+        versions = exchange.Versions(
+            configuration=self.directory.configuration_version,
+            table=self.directory.table_revision,
+        )
+        headers = [
+            item
+            for item in call.request.headers
+            if item[0] != platform_codec.TIME_LEFT
+        ]
+        headers += [
+            (platform_codec.TIME_LEFT, b'%d' % left_ms),
+            (exchange.SERVER, server.server_id.encode()),
+            (exchange.PRIORITY, b'%d' % call.route.priority),
+            (exchange.ROUTE, call.route.name.encode()),
+            (exchange.VERSIONS, versions.encode()),
+        ]
+        if call.route.idempotent:
+            headers.append((exchange.IDEMPOTENT, b'1'))
+        return await self.pool.send(
+            peer.member.address,
+            call.request.with_headers(headers),
+            call.deadline,
+            request_id=call.request_id,
+        )
+
+    def _read(
+        self,
+        call: Call,
+        peer: balancer_module.Peer,
+        response: http_codec.Response,
+    ) -> Result:
+        """Tells what a daemon's answer says of the attempt."""
+        load = exchange.decode_load(response.headers)
+        if load is not None:
+            peer.report_load(*load)
+        versions = exchange.decode_versions(response.headers)
+        if versions is not None:
+            self.on_versions(peer.member.name, versions)
+        refusal = exchange.decode_refusal(response.headers)
+        if refusal is not None:
+            pause_s = (
+                balancer_module.CLOSED_PAUSE_S
+                if refusal.closed
+                else balancer_module.FULL_PAUSE_S
+            )
+            peer.avoid_until = self.clock() + pause_s
+            if refusal is exchange.Refusal.SHED:
+                call.sent += 1
+            return Result(
+                kind=Kind.REFUSED, reason=refusal.value, refusal=refusal
+            )
+        call.sent += 1
+        call.maybe_run = True
+        reason = http_codec.header(response.headers, exchange.UNKNOWN)
+        if reason is not None:
+            peer.report_result(failed=True)
+            kind = Kind.TIMEOUT if reason == 'timeout' else Kind.UNKNOWN
+            return Result(kind=kind, reason=reason)
+        failed = response.status >= gate_module.FIRST_SERVER_ERROR
+        peer.report_result(failed=failed)
+        response.headers = http_codec.without_internal(response.headers)
+        return Result(
+            kind=Kind.ANSWER,
+            reason=f'status {response.status}',
+            answer=response,
+        )
+
+    def _give_up(self, call: Call) -> http_codec.Response:
+        """Makes the final answer of a request that no server answered."""
+        if call.failure is not None:
+            return call.failure
+        left_s = call.deadline - self.clock()
+        if not call.maybe_run:
+            return _refusal(left_s, call.last)
+        late = left_s < MIN_REMAINING_S or (
+            call.last is not None and call.last.kind is Kind.TIMEOUT
+        )
+        return http_codec.Response(status=504 if late else 502)
+
+    def _budget(self, service: str) -> retries.RetryBudget:
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = retries.RetryBudget()
+            self._budget_by_service[service] = budget
+        daemons = max(1, len(self.directory.member_by_name))
+        budget.share = self.retry_ratio * RETRY_BUDGET_PART
+        budget.reserve = self.retry_slack * RETRY_BUDGET_PART / daemons
+        return budget
+
+    def _log_call(self, call: Call, status: int, outcome: str):
+        took_s = self.clock() - call.started
+        self.on_finished(call.route.name, outcome, took_s)
+        logger.info(
+            'event=request_finished request={} route={} service={} status={} '
+            'outcome={!r} tried={} sent={} refused={} took_ms={:.0f} '
+            'left_ms={:.0f} configuration={} table={}',
+            call.request_id,
+            call.route.name,
+            call.service,
+            status,
+            outcome,
+            ','.join(call.tried) or '-',
+            call.sent,
+            call.refusals,
+            took_s * 1000,
+            (call.deadline - self.clock()) * 1000,
+            self.directory.configuration_version,
+            self.directory.table_revision,
+        )
+
+    def _log(
+        self,
+        request_id: str,
+        route: str,
+        status: int,
+        outcome: str,
+        started: float,
+    ):
+        self.on_finished(route, outcome, self.clock() - started)
+        logger.info(
+            'event=request_finished request={} route={} status={} outcome={!r} '
+            'configuration={}',
+            request_id,
+            route,
+            status,
+            outcome,
+            self.directory.configuration_version,
+        )
+
+
+def _refusal(left_s: float, last: Result | None) -> http_codec.Response:
+    """Makes the answer to a request that was not run."""
+    wait_s = min(RETRY_AFTER_S, max(0.0, left_s) * RETRY_AFTER_PART)
+    return http_codec.Response(
+        status=503,
+        headers=[(platform_codec.RETRY_AFTER, b'%.3f' % wait_s)],
+    )
--- /dev/null
+++ b/hemlockgrade/mesh/publisher.py
@@ -0,0 +1,138 @@
+"""Keeps this daemon's entry in the store as the daemon knows itself."""
+
+import asyncio
+from collections.abc import Callable
+import random as random_module
+
+import attrs
+from loguru import logger
+
+from hemlockgrade import exceptions
+from hemlockgrade.mesh import codec
+from hemlockgrade.mesh import directory as directory_module
+from hemlockgrade.mesh import model
+from hemlockgrade.mesh import objects
+
+# Pauses after a failed write, in seconds, doubled up to the longest one.
+FIRST_PAUSE_S = 0.1
+MAX_PAUSE_S = 1.0
+
+
+@attrs.define(eq=False, kw_only=True)
+class Publisher:
+    """Writes the own entry whenever it differs from the stored one.
+
+    Attributes:
+        store: Where the entry is kept.
+        directory: Learns each written entry at once.
+        make: Makes the entry as it should be now.
+    """
+
+    store: objects.ObjectStore
+    directory: directory_module.Directory
+    make: Callable[[], model.Member]
+    random: random_module.Random = attrs.field(factory=random_module.Random)
+    _wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _written: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _revision: int | None = None
+    _stored: model.Member | None = None
+
+    def wake(self) -> None:
+        """Has the entry compared with the stored one soon."""
+        self._written.clear()
+        self._wanted.set()
+
+    async def wait_written(self, timeout_s: float) -> bool:
+        """Waits until the store holds the entry as it is now.
+
+        Args:
+            timeout_s: Longest wait, in seconds.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._written.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def seen(self, stored: model.Member) -> None:
+        """Takes the entry as the store holds it."""
+        if self._revision is None or stored.revision > self._revision:
+            self._revision = stored.revision
+            self._stored = stored
+            if not self._is_current():
+                self.wake()
+
+    def lost(self) -> None:
+        """Learns that the entry was deleted."""
+        self._revision = None
+        self._stored = None
+        self.wake()
+
+    async def run(self) -> None:
+        """Writes the entry until it is cancelled."""
+        pause_s = FIRST_PAUSE_S
+        while True:
+            await self._wanted.wait()
+            self._wanted.clear()
+            if self._is_current():
+                self._written.set()
+                continue
+            try:
+                await self._write()
+                pause_s = FIRST_PAUSE_S
+            except exceptions.HemlockError as error:
+                logger.warning(
+                    'event=entry_not_written revision={} problem={!r}',
+                    self._revision,
+                    str(error),
+                )
+                self._wanted.set()
+                await asyncio.sleep(pause_s * (0.5 + self.random.random()))
+                pause_s = min(2 * pause_s, MAX_PAUSE_S)
+
+    def _is_current(self) -> bool:
+        return self._stored is not None and _facts(self._stored) == _facts(
+            self.make()
+        )
+
+    async def _write(self):
+        member = self.make()
+        name = codec.member_key(member.name)
+        spec = codec.encode(member)
+        try:
+            if self._revision is None:
+                item = await self.store.create(codec.MESH_KIND, name, spec)
+            else:
+                item = await self.store.replace(
+                    codec.MESH_KIND, name, spec, self._revision
+                )
+        except objects.RevisionConflictError as error:
+            # An earlier process of this host, or a write whose answer was
+            # lost, wrote it; this process is the only one that does now.
+            found = error.current or await self.store.get(codec.MESH_KIND, name)
+            self._revision = found.revision if found is not None else None
+            self._wanted.set()
+            return
+        except exceptions.NotFoundError:
+            self._revision = None
+            self._wanted.set()
+            return
+        self._revision = item.revision
+        self._stored = attrs.evolve(member, revision=item.revision)
+        logger.info(
+            'event=entry_written revision={} leaving={} state={}',
+            item.revision,
+            member.leaving,
+            member.server.state if member.server else '-',
+        )
+        self.directory.apply_member(self._stored, 'own')
+        self._wanted.set()
+
+
+def _facts(member: model.Member) -> model.Member:
+    """Returns what peers need to know; sequences change all the time."""
+    server = member.server
+    if server is not None:
+        server = attrs.evolve(server, sequence=0, warmup_left_s=0.0)
+    return attrs.evolve(member, server=server, revision=0)
--- /dev/null
+++ b/hemlockgrade/mesh/registrar.py
@@ -0,0 +1,129 @@
+"""Owner of what is known of the server beside this daemon."""
+
+import asyncio
+from collections.abc import Callable
+import enum
+
+import attrs
+from loguru import logger
+
+from hemlockgrade.mesh import model
+
+
+class Heard(enum.Enum):
+    """What became of a heartbeat."""
+
+    TAKEN = 'taken'
+    LEFT = 'left'
+    OUTDATED = 'outdated'
+    FOREIGN = 'foreign'
+
+
+@attrs.define(eq=False, kw_only=True)
+class Registrar:
+    """Orders the heartbeats of the local server and its incarnations.
+
+    Attributes:
+        service: Service of the local server, by the settings.
+        address: Address of the local server, by the settings.
+        clock: Monotonic time in seconds.
+        server: The newest incarnation; None before its first heartbeat.
+        confirmed: True once this process itself heard the server; what the
+            store says of it only forbids requests and never allows them.
+        heard_at: Time of its last heartbeat.
+        on_change: Called when anything but the sequence has changed.
+    """
+
+    service: str
+    address: str
+    clock: Callable[[], float]
+    server: model.Server | None = None
+    confirmed: bool = False
+    heard_at: float = 0.0
+    on_change: list[Callable[[], None]] = attrs.field(factory=list)
+    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
+
+    @property
+    def usable(self) -> model.Server | None:
+        """Returns the local server if it takes new requests."""
+        server = self.server
+        if (
+            server is None
+            or not self.confirmed
+            or server.state is not model.ServerState.READY
+        ):
+            return None
+        return server
+
+    def restore(self, server: model.Server) -> None:
+        """Takes what a former process of this daemon stored."""
+        if self.server is None or _order(server) > _order(self.server):
+            self.server = server
+
+    def hear(self, new: model.Server) -> Heard:
+        """Takes a heartbeat."""
+        if new.address != self.address or new.service != self.service:
+            return Heard.FOREIGN
+        old = self.server
+        if old is not None and not _replaces(old, new):
+            return Heard.OUTDATED
+        if old is not None and _same_incarnation(old, new):
+            if old.state is model.ServerState.GONE:
+                return Heard.LEFT
+            if old.state is model.ServerState.DRAINING:
+                new = attrs.evolve(new, state=old.state)
+        self.heard_at = self.clock()
+        fresh = not self.confirmed
+        self.confirmed = True
+        self._set(new, fresh)
+        return Heard.TAKEN
+
+    def leave(self, server_id: str) -> bool:
+        """Takes a server's word that it is leaving for good.
+
+        Returns:
+            False if it is not the local server.
+        """
+        old = self.server
+        if old is None or old.server_id != server_id:
+            return False
+        self._set(attrs.evolve(old, state=model.ServerState.GONE), False)
+        return True
+
+    def _set(self, new: model.Server, fresh: bool):
+        old, self.server = self.server, new
+        if old is not None and not fresh and _facts(old) == _facts(new):
+            return
+        logger.info(
+            'event=server_changed server={} version={} state={} before={} '
+            'sequence={} born_ms={}',
+            new.server_id,
+            new.version,
+            new.state,
+            old.state if old is not None else '-',
+            new.sequence,
+            new.born_ms,
+        )
+        for callback in self.on_change:
+            callback()
+
+
+def _same_incarnation(old: model.Server, new: model.Server) -> bool:
+    return old.server_id == new.server_id and old.born_ms == new.born_ms
+
+
+def _order(server: model.Server) -> tuple[int, int]:
+    return server.born_ms, server.sequence
+
+
+def _replaces(old: model.Server, new: model.Server) -> bool:
+    """Tells whether a heartbeat is newer than the last one.
+
+    A later start replaces an earlier one; within an incarnation the sequence
+    tells a late heartbeat from the newest.
+    """
+    return _order(new) > _order(old)
+
+
+def _facts(server: model.Server) -> model.Server:
+    return attrs.evolve(server, sequence=0, warmup_left_s=0.0)
--- /dev/null
+++ b/hemlockgrade/mesh/state_sync.py
@@ -0,0 +1,138 @@
+"""Daemons tell each other of newer facts, beside the store."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from loguru import logger
+import orjson
+
+from hemlockgrade import exceptions
+from hemlockgrade import http_codec
+from hemlockgrade import upstream
+from hemlockgrade.mesh import codec
+from hemlockgrade.mesh import directory as directory_module
+from hemlockgrade.mesh import exchange
+from hemlockgrade.platform import codec as platform_codec
+
+# A watch usually brings a change within this time after a peer has it.
+WATCH_GRACE_S = 0.15
+# Longest time for a peer to send what it knows, in seconds.
+FETCH_TIMEOUT_S = 1.0
+
+
+@attrs.define(eq=False, kw_only=True)
+class StateSync:
+    """Fetches facts from a peer that knows newer ones.
+
+    Attributes:
+        directory: What this daemon knows.
+        pool: Connections to other daemons.
+        address_of: Returns the address of a member's daemon.
+    """
+
+    directory: directory_module.Directory
+    pool: upstream.ConnectionPool
+    address_of: Callable[[str], str | None]
+    _task: asyncio.Task | None = None
+
+    def versions(self) -> exchange.Versions:
+        """Returns the newest versions that this daemon knows."""
+        return exchange.Versions(
+            configuration=self.directory.configuration_version,
+            table=self.directory.table_revision,
+        )
+
+    def heard(self, name: str, versions: exchange.Versions) -> None:
+        """Learns which versions a peer knows."""
+        if not self._is_newer(versions) or self._task is not None:
+            return
+        address = self.address_of(name)
+        if address is not None:
+            self._task = asyncio.get_running_loop().create_task(
+                self._catch_up(address, versions)
+            )
+            self._task.add_done_callback(self._done)
+
+    def encode(self) -> bytes:
+        """Encodes all facts for a peer."""
+        directory = self.directory
+        configuration = directory.configuration
+        return orjson.dumps(
+            {
+                'configuration': configuration.document
+                if configuration is not None
+                else None,
+                'members': [
+                    {'revision': m.revision, 'member': codec.encode(m)}
+                    for m in directory.member_by_name.values()
+                ],
+                'shares': [
+                    {'revision': s.revision, 'share': codec.encode(s)}
+                    for s in directory.share_by_service.values()
+                ],
+            }
+        )
+
+    async def fetch(self, address: str) -> None:
+        """Fetches what a peer knows.
+
+        Raises:
+            exceptions.HemlockError: The peer did not answer.
+        """
+        deadline = asyncio.get_running_loop().time() + FETCH_TIMEOUT_S
+        request = http_codec.Request(method='GET', target=exchange.STATE_PATH)
+        response = await self.pool.send(address, request, deadline)
+        if response.status != 200 or response.stream is not None:
+            if response.stream is not None:
+                response.stream.abort()
+            raise exceptions.MalformedRequestError(
+                f'{address} answered {response.status} to a fetch of its state'
+            )
+        try:
+            self._merge(orjson.loads(response.body), address)
+        except (KeyError, TypeError, orjson.JSONDecodeError) as error:
+            raise exceptions.MalformedRequestError(
+                f'{address} sent a malformed state: {error!r}'
+            ) from error
+
+    def _merge(self, data: dict[str, Any], source: str):
+        if data['configuration'] is not None:
+            self.directory.apply_configuration(
+                platform_codec.decode_configuration(data['configuration']),
+                source,
+            )
+        for entry in data['members']:
+            member = codec.decode_member(entry['member'], entry['revision'])
+            self.directory.apply_member(member, source)
+        for entry in data['shares']:
+            share = codec.decode_share(entry['share'], entry['revision'])
+            self.directory.apply_share(share, source)
+
+    def _is_newer(self, versions: exchange.Versions) -> bool:
+        return (
+            versions.configuration > self.directory.configuration_version
+            or versions.table > self.directory.table_revision
+        )
+
+    async def _catch_up(self, address: str, versions: exchange.Versions):
+        if self.directory.configuration is not None:
+            await asyncio.sleep(WATCH_GRACE_S)
+        if not self._is_newer(versions):
+            return
+        try:
+            await self.fetch(address)
+        except exceptions.HemlockError as error:
+            logger.info(
+                'event=state_not_fetched peer={} problem={!r}',
+                address,
+                str(error),
+            )
+
+    def _done(self, task: asyncio.Task):
+        self._task = None
+        if not task.cancelled() and task.exception() is not None:
+            logger.opt(exception=task.exception()).error(
+                'event=state_fetch_failed'
+            )
--- /dev/null
+++ b/hemlockgrade/platform/codec.py
@@ -0,0 +1,221 @@
+"""The platform's documents and headers, decoded into the mesh's types."""
+
+import math
+from typing import Any
+
+import orjson
+
+from hemlockgrade import exceptions
+from hemlockgrade.mesh import model
+
+# Objects that the operator writes.
+CONFIGURATION_KIND = 'config'
+CONFIGURATION_NAME = 'main'
+ROLLOUT_KIND = 'rollouts'
+
+# Headers of requests and answers, in lower case.
+REQUEST_ID = b'x-request-id'
+# Milliseconds that the caller still waits.
+TIME_LEFT = b'x-deadline-ms'
+# Only the server with this identifier may run the request.
+EXPECTED_SERVER = b'x-target-instance'
+# Service on whose host the request began.
+CALLER_SERVICE = b'x-caller-service'
+# Set by a server on each answer that it made.
+SIGNATURE = b'x-server-stamp'
+# Set by a server that did not run the request.
+NOT_RUN = b'x-not-executed'
+RETRY_AFTER = b'retry-after'
+
+READINESS_PATH = '/-/readiness'
+HEARTBEAT_PREFIX = '/-/instances/'
+
+_STATES = {
+    'ready': model.ServerState.READY,
+    'draining': model.ServerState.DRAINING,
+}
+_VERSION_DIGITS = 8
+
+
+def decode_configuration(spec: Any) -> model.MeshConfiguration:
+    """Decodes a configuration.
+
+    Raises:
+        exceptions.InvalidFieldError: It cannot be used.
+    """
+    spec = _table('configuration', spec)
+    routes = []
+    connections_by_service = {}
+    limits = model.CallerLimits()
+    for entry in _list('Resources', spec.get('Resources')):
+        entry = _table('Resources', entry)
+        kind = entry.get('EntryType')
+        body = _table('Spec', entry.get('Spec'))
+        name = _table('Metadata', entry.get('Metadata') or {}).get('Name', '')
+        if kind == 'Routes':
+            routes.append(_decode_route(name, body))
+        elif kind == 'Services':
+            connections_by_service[_text('Name', name)] = _whole(
+                'MaxConnections', body.get('MaxConnections')
+            )
+        elif kind == 'Limits':
+            limits = _decode_limits(body)
+    return model.MeshConfiguration(
+        version=_decode_version(spec.get('Version')),
+        routes=tuple(routes),
+        connections_by_service=connections_by_service,
+        limits=limits,
+        document=spec,
+    )
+
+
+def _decode_route(name: Any, body: dict[str, Any]) -> model.Route:
+    split = body.get('TrafficSplit')
+    if split:
+        shares = tuple(
+            model.ServiceShare(
+                service=_text('TrafficSplit.Service', part.get('Service')),
+                weight=_number('TrafficSplit.Weight', part.get('Weight')),
+            )
+            for part in (_table('TrafficSplit', part) for part in split)
+        )
+    else:
+        service = _text('Service', body.get('Service'))
+        shares = (model.ServiceShare(service=service, weight=1.0),)
+    return model.Route(
+        name=_text('Name', name),
+        host=_text('Hostname', body.get('Hostname')).lower(),
+        prefix=_text('PathPrefix', body.get('PathPrefix')),
+        idempotent=body.get('RouteType') == 'idempotent',
+        attempts=max(1, _whole('Attempts', body.get('Attempts', 1))),
+        timeout_s=_number('TimeoutMs', body.get('TimeoutMs')) / 1000,
+        target_latency_s=_number('TargetLatencyMs', body.get('TargetLatencyMs'))
+        / 1000,
+        priority=_whole('Priority', body.get('Priority', 0)),
+        shares=shares,
+    )
+
+
+def _decode_limits(body: dict[str, Any]) -> model.CallerLimits:
+    return model.CallerLimits(
+        header_bytes=_whole('MaxHeaderBytes', body.get('MaxHeaderBytes')),
+        body_bytes=_whole('MaxBodyBytes', body.get('MaxBodyBytes')),
+        header_s=_number('HeaderTimeoutMs', body.get('HeaderTimeoutMs')) / 1000,
+        idle_s=_number('IdleTimeoutMs', body.get('IdleTimeoutMs')) / 1000,
+    )
+
+
+def _decode_version(value: Any) -> int:
+    text = _text('Version', value)
+    try:
+        if len(text) != _VERSION_DIGITS:
+            raise ValueError
+        return int(text, 16)
+    except ValueError:
+        raise _invalid('Version', value) from None
+
+
+def decode_heartbeat(server_id: str, body: bytes) -> model.Server:
+    """Decodes what a server says of itself.
+
+    Raises:
+        exceptions.InvalidFieldError: It names no server to use.
+    """
+    try:
+        data = _table('heartbeat', orjson.loads(body))
+    except orjson.JSONDecodeError:
+        raise _invalid('heartbeat', body[:64]) from None
+    state = _STATES.get(_text('State', data.get('State')))
+    if state is None:
+        raise _invalid('State', data.get('State'))
+    slots = _whole('Slots', data.get('Slots'))
+    if slots < 1:
+        raise _invalid('Slots', slots)
+    return model.Server(
+        server_id=_text('ID', server_id),
+        service=_text('Service', data.get('Service')),
+        address=_text('Address', data.get('Address')),
+        zone=_text('Zone', data.get('Zone')),
+        version=_text('Version', data.get('Version')),
+        slots=slots,
+        state=state,
+        warmup_left_s=_number('WarmupLeftMs', data.get('WarmupLeftMs', 0))
+        / 1000,
+        sequence=_whole('Seq', data.get('Seq')),
+        # Unix milliseconds of the server's start.
+        born_ms=_whole('born', data.get('born', 0)),
+    )
+
+
+def decode_order(
+    spec: Any, status: Any, revision: int, created_revision: int
+) -> model.RolloutOrder:
+    """Decodes an operator's order to move a service to a version.
+
+    Raises:
+        exceptions.InvalidFieldError: It cannot be used.
+    """
+    spec = _table('rollout', spec)
+    status = status if isinstance(status, dict) else {}
+    try:
+        state = model.RolloutState(status.get('State'))
+    except ValueError:
+        state = None
+    return model.RolloutOrder(
+        service=_text('Service', spec.get('Service')),
+        version=_text('TargetVersion', spec.get('TargetVersion')),
+        duration_s=_number('DurationS', spec.get('DurationS')),
+        revision=revision,
+        created_revision=created_revision,
+        state=state,
+        reported_version=str(status.get('TargetVersion') or ''),
+    )
+
+
+def encode_report(state: model.RolloutState, version: str) -> dict[str, Any]:
+    """Encodes the report on a rollout."""
+    return {'State': state.value, 'TargetVersion': version}
+
+
+def _invalid(field: str, value: Any) -> exceptions.InvalidFieldError:
+    return exceptions.InvalidFieldError(
+        field,
+        f'{value!r} cannot be used',
+        remedy='write a value of the documented form',
+    )
+
+
+def _table(field: str, value: Any) -> dict[str, Any]:
+    if not isinstance(value, dict):
+        raise _invalid(field, value)
+    return value
+
+
+def _list(field: str, value: Any) -> list[Any]:
+    if not isinstance(value, list):
+        raise _invalid(field, value)
+    return value
+
+
+def _text(field: str, value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise _invalid(field, value)
+    return value
+
+
+def _number(field: str, value: Any) -> float:
+    if (
+        not isinstance(value, (int, float))
+        or isinstance(value, bool)
+        or not math.isfinite(value)
+        or value < 0
+    ):
+        raise _invalid(field, value)
+    return float(value)
+
+
+def _whole(field: str, value: Any) -> int:
+    number = _number(field, value)
+    if number != int(number):
+        raise _invalid(field, value)
+    return int(number)
--- /dev/null
+++ b/hemlockgrade/platform/store.py
@@ -0,0 +1,197 @@
+"""Client of the platform's metadata store."""
+
+import asyncio
+from typing import Any
+from typing import Literal
+
+import attrs
+import orjson
+
+from hemlockgrade import exceptions
+from hemlockgrade import http_codec
+from hemlockgrade import upstream
+from hemlockgrade.mesh import objects
+
+OBJECTS_PATH = '/-/objects/'
+# The store answers in 4 ms as a rule; on slow days in half a second.
+CALL_TIMEOUT_S = 1.5
+# A watch whose connection went silent is noticed this long after its end.
+WATCH_SLACK_S = 0.5
+
+_Method = Literal['GET', 'POST', 'PUT', 'DELETE']
+
+
+@attrs.define(eq=False)
+class MetadataStore:
+    """Speaks to the store over pooled connections; see `ObjectStore`.
+
+    Attributes:
+        address: `ip:port` of the store.
+        pool: Owns the connections.
+        calls_by_method: Calls made, for the metrics.
+    """
+
+    address: str
+    pool: upstream.ConnectionPool
+    calls_by_method: dict[str, int] = attrs.field(factory=dict)
+
+    async def get(self, kind: str, name: str) -> objects.StoredItem | None:
+        """Reads one object, or returns None if there is none."""
+        try:
+            data = await self._call('GET', f'{kind}/{name}')
+        except exceptions.NotFoundError:
+            return None
+        return _decode_item(kind, data)
+
+    async def list(self, kind: str) -> objects.Listing:
+        """Reads all objects of a kind, page by page."""
+        items: list[objects.StoredItem] = []
+        path = kind
+        while True:
+            data = await self._call('GET', path)
+            items.extend(_decode_item(kind, item) for item in data['items'])
+            if not data.get('HasMore') or not data['items']:
+                break
+            path = f'{kind}?after={items[-1].name}'
+        return objects.Listing(items=tuple(items), revision=data['CurrentRev'])
+
+    async def watch(
+        self, kind: str, revision: int, wait_s: float
+    ) -> objects.Changes:
+        """Waits for changes after a revision.
+
+        The read may lag behind the newest write, which costs a tenth and
+        does not count toward the rate; daemons tell each other of newer
+        versions.
+        """
+        wait_ms = int(wait_s * 1000)
+        # `Watch` holds the revision that is known already.
+        data = await self._call(
+            'GET',
+            f'{kind}?Watch={revision}&WaitMs={wait_ms}&Serializable=1',
+            timeout_s=wait_s + WATCH_SLACK_S,
+        )
+        changes = tuple(
+            objects.ItemChange(
+                item=_decode_item(kind, event['Object']),
+                deleted=bool(event['Deleted']),
+            )
+            for event in data['events']
+        )
+        return objects.Changes(changes=changes, revision=data['CurrentRev'])
+
+    async def create(
+        self, kind: str, name: str, spec: Any
+    ) -> objects.StoredItem:
+        """Writes an object only if there is none."""
+        body = {'Metadata': {'Name': name}, 'Spec': spec}
+        return _decode_item(kind, await self._call('POST', kind, body))
+
+    async def replace(
+        self, kind: str, name: str, spec: Any, revision: int
+    ) -> objects.StoredItem:
+        """Replaces an object only if it has the given revision."""
+        body = {'Metadata': {'Name': name, 'Rev': revision}, 'Spec': spec}
+        data = await self._call('PUT', f'{kind}/{name}', body)
+        return _decode_item(kind, data)
+
+    async def report(
+        self, kind: str, name: str, status: Any, revision: int
+    ) -> objects.StoredItem:
+        """Replaces an object's status only if it has the given revision."""
+        body = {'Metadata': {'Name': name, 'Rev': revision}, 'Status': status}
+        data = await self._call('PUT', f'{kind}/{name}/status', body)
+        return _decode_item(kind, data)
+
+    async def delete(self, kind: str, name: str, revision: int) -> None:
+        """Removes an object only if it has the given revision."""
+        await self._call('DELETE', f'{kind}/{name}?Rev={revision}')
+
+    async def _call(
+        self,
+        method: _Method,
+        path: str,
+        body: Any = None,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> Any:
+        self.calls_by_method[method] = self.calls_by_method.get(method, 0) + 1
+        request = http_codec.Request(
+            method=method, target=f'{OBJECTS_PATH}{path}'
+        )
+        if body is not None:
+            request.headers.append((b'content-type', b'application/json'))
+            request.body = orjson.dumps(body)
+        deadline = asyncio.get_running_loop().time() + timeout_s
+        try:
+            response = await self.pool.send(self.address, request, deadline)
+        except exceptions.RequestNotRunError as error:
+            raise _unavailable(method, path, str(error)) from error
+        except (
+            exceptions.OutcomeUnknownError,
+            exceptions.MalformedRequestError,
+        ) as error:
+            raise _unavailable(
+                method, path, str(error), outcome_known=method == 'GET'
+            ) from error
+        return _result(method, path, response)
+
+
+def _result(method: str, path: str, response: http_codec.Response) -> Any:
+    status = response.status
+    if status in (200, 201, 204):
+        try:
+            return orjson.loads(response.body) if response.body else {}
+        except orjson.JSONDecodeError as error:
+            raise _unavailable(
+                method, path, 'malformed answer', outcome_known=method == 'GET'
+            ) from error
+    if status == 404:
+        raise exceptions.NotFoundError(
+            f'{path} does not exist in the store', remedy='create it first'
+        )
+    if status == 410:
+        raise objects.HistoryLostError(
+            f'the history of {path} is gone', remedy='list the kind again'
+        )
+    if status == 409:
+        raise objects.RevisionConflictError(
+            f'{path} has another revision', _decode_conflict(path, response)
+        )
+    raise _unavailable(method, path, f'status {status}')
+
+
+def _decode_conflict(
+    path: str, response: http_codec.Response
+) -> objects.StoredItem | None:
+    kind = path.partition('/')[0]
+    try:
+        return _decode_item(kind, orjson.loads(response.body))
+    except (orjson.JSONDecodeError, exceptions.HemlockError):
+        return None
+
+
+def _decode_item(kind: str, data: Any) -> objects.StoredItem:
+    try:
+        metadata = data['Metadata']
+        return objects.StoredItem(
+            kind=kind,
+            name=metadata['Name'],
+            revision=metadata['Rev'],
+            created_revision=metadata.get('CreateRev', 0),
+            deleting=bool(metadata.get('Deleting')),
+            finalizers=tuple(metadata.get('Finalizers') or ()),
+            spec=data.get('Spec'),
+            status=data.get('Status'),
+        )
+    except (KeyError, TypeError, AttributeError) as error:
+        raise _unavailable('GET', kind, f'malformed object: {error}') from error
+
+
+def _unavailable(
+    method: str, path: str, problem: str, *, outcome_known: bool = True
+) -> exceptions.PlatformUnavailableError:
+    return exceptions.PlatformUnavailableError(
+        f'{method} {path}: {problem}',
+        remedy='retry later',
+        outcome_known=outcome_known,
+    )
--- a/hemlockgrade/plugins/slot_limiter.py
+++ b/hemlockgrade/plugins/slot_limiter.py
@@ -23,19 +23,29 @@
         """Requests that wait for a slot."""
         return self._queue.queued
 
-    async def acquire(self, deadline: float, caller: str = '') -> None:
+    @property
+    def service_s(self) -> float:
+        """Mean time that the target needs, in seconds."""
+        return self._queue.service_s
+
+    async def acquire(
+        self, deadline: float, caller: str = '', priority: int = 0
+    ) -> None:
         """Waits for a slot.
 
         Args:
             deadline: Time by which the work has to be finished, in seconds
                 on the monotonic clock.
             caller: Who sent it; a full queue is shared among callers.
+            priority: Rank in the queue; 0 is served first.
 
         Raises:
             exceptions.RequestNotRunError: The work is refused.
         """
         now = time.monotonic()
-        ticket = limits.Ticket(deadline=deadline, caller=caller)
+        ticket = limits.Ticket(
+            deadline=deadline, caller=caller, priority=priority
+        )
         granted = self._queue.admit(ticket, now)
         for displaced in granted.refused:
             self._refuse(displaced, 'the queue is full')
--- a/hemlockgrade/retries.py
+++ b/hemlockgrade/retries.py
@@ -52,21 +52,31 @@
 
 @attrs.define
 class RetryBudget:
-    """Allows retries as a share of the recent requests."""
+    """Allows retries as a share of the recent requests.
 
-    _tokens: float = BUDGET_RESERVE
+    Attributes:
+        share: Retries gained by each request.
+        reserve: Most retries that can be saved.
+    """
+
+    _tokens: float | None = None
+    share: float = BUDGET_SHARE
+    reserve: float = BUDGET_RESERVE
 
     def count_request(self) -> None:
         """Counts a first attempt."""
-        self._tokens = min(self._tokens + BUDGET_SHARE, BUDGET_RESERVE)
+        self._tokens = min(self._saved() + self.share, self.reserve)
 
     def take(self) -> bool:
         """Takes a retry from the budget, if there is one."""
-        if self._tokens < 1.0:
+        if self._saved() < 1.0:
             return False
-        self._tokens -= 1.0
+        self._tokens = self._saved() - 1.0
         return True
 
+    def _saved(self) -> float:
+        return self.reserve if self._tokens is None else self._tokens
+
 
 def is_idempotent(method: str) -> bool:
     """Tells whether a method is idempotent (RFC 9110, section 9.2.2)."""
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+import socket
 from typing import Any
 
 import attrs
@@ -20,6 +21,11 @@
 # Shorter than the time for which `http_server` keeps an idle connection.
 MAX_IDLE_S = 30.0
 SWEEP_INTERVAL_S = 10.0
+# An unacknowledged write or probe ends a connection that went silent, in
+# milliseconds and seconds; three lost packets in a row take 1.4 s to repeat.
+USER_TIMEOUT_MS = 2000
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_PROBES = 2
 
 
 class _Connection(protocol.Protocol):
@@ -29,7 +35,7 @@
         self._pool = pool
         self.address = address
         self._loop = asyncio.get_running_loop()
-        self._parser = http_codec.ResponseParser(self)
+        self._parser = http_codec.ResponseParser(self, pool.max_buffered_bytes)
         self._answer: asyncio.Future | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._keep_alive = True
@@ -43,6 +49,7 @@
             self.transport.abortConnection()
             return
         self.transport.setTcpNoDelay(True)
+        _detect_silence(self.transport.getHandle())
         self._writer = sockets.DirectWriter(self.transport)
         if not self.made.done():
             self.made.set_result(None)
@@ -54,7 +61,7 @@
         data = http_codec.encode_request(request, self.address)
         self._answer = self._loop.create_future()
         self._timer = self._loop.call_at(deadline, self._out_of_time)
-        self._parser.expect(request.method)
+        self._parser.expect(request.method, self._answers_request)
         self._writer.write(data)
         return self._answer
 
@@ -104,14 +111,12 @@
         self._fail('connection closed by this process')
         self.abort()
 
+    def _answers_request(self, headers: http_codec.Headers) -> bool:
+        """Tells whether an answer is no second one to an earlier request."""
+        named = http_codec.header(headers, self._pool.request_id_header)
+        return not self._request_id or named in (None, self._request_id)
+
     def _deliver(self, response: http_codec.Response):
-        named = http_codec.header(response.headers, REQUEST_ID)
-        if named not in (None, self._request_id) and self._request_id:
-            # A second answer to an earlier request, which came after this
-            # request was written and so looks like its answer.
-            self._fail('the answer names another request')
-            self.abort()
-            return
         self._keep_alive = response.keep_alive
         if self._answer is not None and not self._answer.done():
             self._answer.set_result(response)
@@ -128,7 +133,8 @@
         self._answer = None
         if self._timer is not None:
             self._timer.cancel()
-        if self.usable and self._keep_alive and not self._parser.in_message:
+        reusable = self._keep_alive and not self._parser.skipped
+        if self.usable and reusable and not self._parser.in_message:
             self.resume()
             self._pool.put_back(self)
             return
@@ -174,6 +180,18 @@
         )
 
 
+def _detect_silence(handle: Any):
+    """Lets the system end a connection whose peer stopped answering."""
+    if not isinstance(handle, socket.socket):
+        return
+    tcp = socket.IPPROTO_TCP
+    handle.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    handle.setsockopt(tcp, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    handle.setsockopt(tcp, socket.TCP_KEEPINTVL, KEEP_ALIVE_IDLE_S)
+    handle.setsockopt(tcp, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    handle.setsockopt(tcp, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
 class _ConnectFactory(protocol.ClientFactory):
     noisy = False
 
@@ -193,9 +211,15 @@
 
     Attributes:
         reactor: The Twisted reactor that owns the sockets.
+        connect_timeout_s: Longest wait for a connection, in seconds.
+        request_id_header: Header by which an answer names its request.
+        max_buffered_bytes: Larger answers come with a stream.
     """
 
     reactor: Any
+    connect_timeout_s: float = CONNECT_TIMEOUT_S
+    request_id_header: bytes = REQUEST_ID
+    max_buffered_bytes: int = http_codec.MAX_BUFFERED_BYTES
     _idle_by_address: dict[str, collections.deque[_Connection]] = attrs.field(
         factory=dict
     )
@@ -226,7 +250,8 @@
             before_write: Called with the connection established, before
                 the first byte is written; it may raise to prevent that.
             request_id: An answer that names another identifier in
-                `x-hemlock-request-id` is refused, and the connection closed.
+                `request_id_header` is dropped, and the connection closed
+                after the right one.
 
         Raises:
             exceptions.ConnectFailedError: Nothing was sent.
@@ -257,7 +282,7 @@
     async def _connect(self, address: str, deadline: float) -> _Connection:
         connection = _Connection(self, address)
         loop = asyncio.get_running_loop()
-        timeout_s = min(CONNECT_TIMEOUT_S, deadline - loop.time())
+        timeout_s = min(self.connect_timeout_s, deadline - loop.time())
         if self._closed or timeout_s <= 0:
             raise exceptions.ConnectFailedError(
                 f'no time left to connect to {address}',
