--- a/hemlockgrade/mesh/balancer.py
+++ b/hemlockgrade/mesh/balancer.py
@@ -27,8 +27,10 @@
 UNREACHABLE_PAUSE_S = 0.5
 MAX_UNREACHABLE_PAUSE_S = 4.0
 # A server of another failure domain is taken if those of the own one have
-# more requests than this, as a multiple of their slots.
-SPILL_LOAD = 1.6
+# more requests than the first figure, as a multiple of their slots, and it has
+# fewer than the second: by rank, since the users pay for each byte between
+# failure domains and what is least urgent is worth the least of it.
+SPILL_LOADS_BY_RANK = ((1.2, 1.0), (1.2, 1.0), (1.6, 0.8), (3.0, 0.5))
 # Estimates of close servers differ by chance, so that daemons spread out.
 JITTER = 0.1
 
@@ -124,12 +126,15 @@
         """Returns all known peers."""
         return list(self._peer_by_name.values())
 
-    def choose(self, service: str, tried: Collection[str]) -> Peer | None:
+    def choose(
+        self, service: str, tried: Collection[str], priority: int = 0
+    ) -> Peer | None:
         """Chooses a server for a request.
 
         Args:
             service: Service that is to run it.
             tried: Names of the members that were tried already.
+            priority: Rank of the request; 0 is the most urgent.
 
         Returns:
             None if no server is left.
@@ -142,20 +147,24 @@
         open_peers = [p for p in candidates if p.avoid_until <= now]
         near = [p for p in open_peers if p.member.zone == self.zone]
         best = self._cheapest(near)
-        if best is not None and best.load < SPILL_LOAD:
+        rank = min(priority, len(SPILL_LOADS_BY_RANK) - 1)
+        near_load, far_load = SPILL_LOADS_BY_RANK[rank]
+        if best is not None and best.load < near_load:
             return best
         far = [
-            p for p in open_peers if p.member.zone != self.zone and p.load < 1
+            p
+            for p in open_peers
+            if p.member.zone != self.zone and p.load < far_load
         ]
         other = self._cheapest(far)
         if other is not None:
             return other
         if best is not None:
             return best
-        if open_peers:
-            return self._cheapest(open_peers)
         if tried:
             return None
+        if open_peers:
+            return self._cheapest(open_peers)
         return min(candidates, key=lambda p: p.avoid_until)
 
     def _cheapest(self, peers: list[Peer]) -> Peer | None:
--- a/hemlockgrade/mesh/node.py
+++ b/hemlockgrade/mesh/node.py
@@ -8,6 +8,7 @@
 
 import attrs
 from loguru import logger
+import orjson
 
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
@@ -18,6 +19,7 @@
 from hemlockgrade.mesh import balancer as balancer_module
 from hemlockgrade.mesh import codec
 from hemlockgrade.mesh import directory as directory_module
+from hemlockgrade.mesh import evidence
 from hemlockgrade.mesh import exchange
 from hemlockgrade.mesh import gate as gate_module
 from hemlockgrade.mesh import heartbeats
@@ -27,6 +29,7 @@
 from hemlockgrade.mesh import proxy as proxy_module
 from hemlockgrade.mesh import publisher as publisher_module
 from hemlockgrade.mesh import registrar as registrar_module
+from hemlockgrade.mesh import rollout_task
 from hemlockgrade.mesh import settings as settings_module
 from hemlockgrade.mesh import state_sync
 from hemlockgrade.mesh import watcher
@@ -45,6 +48,7 @@
 # The platform takes a daemon out after two missed readiness checks, which
 # come each second; callers may still come until then.
 LEAVE_NOTICE_S = 2.5
+LOOPBACK_IP = '127.0.0.1'
 # Kept from the grace period for the end of the process, in seconds.
 EXIT_MARGIN_S = 0.7
 
@@ -78,8 +82,12 @@
         self.store = store_module.MetadataStore(
             settings.store_address, self._pool()
         )
+        self.evidence = evidence.ServerEvidence(self.boot_id)
         self.gate = gate_module.Gate(
-            registrar=self.registrar, pool=self.server_pool, clock=self.clock
+            registrar=self.registrar,
+            pool=self.server_pool,
+            clock=self.clock,
+            on_evidence=self.evidence.record,
         )
         self.balancer = balancer_module.Balancer(
             directory=self.directory, zone=settings.zone, clock=self.clock
@@ -95,6 +103,7 @@
         self.proxy = proxy_module.Proxy(
             name=settings.name,
             service=settings.service,
+            local_ips=frozenset({settings.ip, LOOPBACK_IP}),
             directory=self.directory,
             balancer=self.balancer,
             gate=self.gate,
@@ -105,6 +114,13 @@
             on_versions=self.sync.heard,
             on_finished=self.metrics.count_request,
         )
+        self.rollouts = rollout_task.RolloutTask(
+            name=settings.name,
+            store=self.store,
+            directory=self.directory,
+            pool=self.peer_pool,
+            clock=self.clock,
+        )
         self.heartbeats = heartbeats.HeartbeatApi(
             registrar=self.registrar, wait_stored=self.publisher.wait_written
         )
@@ -139,6 +155,13 @@
                 on_deleted=self._mesh_deleted,
                 on_listed=self._mesh_listed,
             ),
+            watcher.Watcher(
+                store=self.store,
+                kind=platform_codec.ROLLOUT_KIND,
+                wait_s=MESH_WAIT_S,
+                on_item=self.rollouts.order_changed,
+                on_deleted=self.rollouts.order_deleted,
+            ),
         ]
 
     @property
@@ -161,6 +184,7 @@
                 tasks.create_task(task)
                 for task in (
                     self.publisher.run(),
+                    self.rollouts.run(),
                     *(each.run() for each in self._watchers),
                 )
             ]
@@ -242,6 +266,8 @@
     ) -> http_codec.Response:
         if request.path == exchange.STATE_PATH:
             return http_codec.Response(status=200, body=self.sync.encode())
+        if request.path == exchange.EVIDENCE_PATH:
+            return self._encode_evidence(request)
         response = await self._in_flight.track(
             gate_module.handle_peer(self.gate, request)
         )
@@ -253,6 +279,15 @@
         )
         return response
 
+    def _encode_evidence(
+        self, request: http_codec.Request
+    ) -> http_codec.Response:
+        service = request.target.partition('?')[2]
+        data = self.evidence.encode(service)
+        data['busy'], _ = self.gate.load
+        data['table'] = self.directory.table_revision
+        return http_codec.Response(status=200, body=orjson.dumps(data))
+
     async def _handle_metrics(
         self, request: http_codec.Request
     ) -> http_codec.Response:
--- a/hemlockgrade/mesh/proxy.py
+++ b/hemlockgrade/mesh/proxy.py
@@ -67,6 +67,8 @@
         request: The request, with the headers for the server.
         request_id: The caller's identifier of it.
         route: Its route.
+        nested: True if the server on this host sent it while it runs another
+            request.
         service: Service that runs it.
         started: Monotonic time of its arrival.
         deadline: Monotonic time at which it has to be answered.
@@ -81,6 +83,7 @@
     request: http_codec.Request
     request_id: str
     route: model.Route
+    nested: bool
     service: str
     started: float
     deadline: float
@@ -91,6 +94,15 @@
     failure: http_codec.Response | None = None
     last: Result | None = None
 
+    @property
+    def priority(self) -> int:
+        """Returns its rank; 0 is served first.
+
+        A nested request goes before all others: refused, it would waste the
+        work that its parent has had already.
+        """
+        return 0 if self.nested else self.route.priority + 1
+
 
 @attrs.define(eq=False, kw_only=True)
 class Proxy:
@@ -99,6 +111,7 @@
     Attributes:
         name: Name of this host.
         service: Service of the server on this host.
+        local_ips: Addresses of this host, from which its server calls.
         directory: Knows routes and members.
         balancer: Chooses the server.
         gate: Admission to the server on this host.
@@ -112,6 +125,7 @@
 
     name: str
     service: str
+    local_ips: frozenset[str]
     directory: directory_module.Directory
     balancer: balancer_module.Balancer
     gate: gate_module.Gate
@@ -169,6 +183,7 @@
             request=request.with_headers(headers),
             request_id=request_id,
             route=entry.route,
+            nested=request.peer_ip in self.local_ips,
             service=entry.next_service(),
             started=started,
             deadline=started + min(left_s, entry.route.timeout_s),
@@ -177,7 +192,7 @@
     async def _attempt_until_done(self, call: Call) -> http_codec.Response:
         self._budget(call.service).count_request()
         while True:
-            peer = self.balancer.choose(call.service, call.tried)
+            peer = self.balancer.choose(call.service, call.tried, call.priority)
             if peer is None:
                 return self._give_up(call)
             call.tried.append(peer.member.name)
@@ -245,7 +260,7 @@
                 call.request,
                 server_id=server.server_id,
                 deadline=call.deadline,
-                priority=call.route.priority,
+                priority=call.priority,
                 idempotent=call.route.idempotent,
                 route=call.route.name,
             )
@@ -264,7 +279,7 @@
         headers += [
             (platform_codec.TIME_LEFT, b'%d' % left_ms),
             (exchange.SERVER, server.server_id.encode()),
-            (exchange.PRIORITY, b'%d' % call.route.priority),
+            (exchange.PRIORITY, b'%d' % call.priority),
             (exchange.ROUTE, call.route.name.encode()),
             (exchange.VERSIONS, versions.encode()),
         ]
@@ -345,11 +360,12 @@
         took_s = self.clock() - call.started
         self.on_finished(call.route.name, outcome, took_s)
         logger.info(
-            'event=request_finished request={} route={} service={} status={} '
-            'outcome={!r} tried={} sent={} refused={} took_ms={:.0f} '
+            'event=request_finished request={} route={} nested={} service={} '
+            'status={} outcome={!r} tried={} sent={} refused={} took_ms={:.0f} '
             'left_ms={:.0f} configuration={} table={}',
             call.request_id,
             call.route.name,
+            call.nested,
             call.service,
             status,
             outcome,
