Stop taking callers before the end of the grace period

It now ends after 0.3 s without a request, and refuses connections after 0.7 of the grace period. Ruled out: too short a notice alone; with 3.2 s instead of 2.5 s the cuts stayed.

Nested calls are told by the id of their parent; by the address every request looked nested, because callers share the server's host.

--- a/hemlockgrade/http_codec.py
+++ b/hemlockgrade/http_codec.py
@@ -145,7 +145,6 @@
         body: The whole body.
         keep_alive: False if the sender closes the connection afterwards.
         version: `1.1` or `1.0`.
-        peer_ip: Address that it came from; empty if that is not known.
     """
 
     method: str
@@ -154,7 +153,6 @@
     body: bytes = b''
     keep_alive: bool = True
     version: str = '1.1'
-    peer_ip: str = ''
 
     def with_headers(self, headers: Headers) -> 'Request':
         """Returns the same request with other headers."""
@@ -165,7 +163,6 @@
             body=self.body,
             keep_alive=self.keep_alive,
             version=self.version,
-            peer_ip=self.peer_ip,
         )
 
     @property
--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -89,7 +89,6 @@
         # No more requests are taken, because of an error or a half-close.
         self._ending = False
         self._closed = False
-        self._peer_ip = ''
 
     @property
     def busy(self) -> bool:
@@ -101,7 +100,6 @@
         self._loop = asyncio.get_running_loop()
         self._factory.connections.add(self)
         self.transport.setTcpNoDelay(True)
-        self._peer_ip = getattr(self.transport.getPeer(), 'host', '')
         self._writer = sockets.DirectWriter(self.transport)
         self.transport.registerProducer(self, True)
         self._update()
@@ -205,7 +203,6 @@
             request = http_codec.Request(method='', target='')
             self._write(_error_response(item), request, close=True)
             return
-        item.peer_ip = self._peer_ip
         self._task = self._loop.create_task(self._answer(item))
 
     async def _answer(self, request: http_codec.Request):
--- a/hemlockgrade/in_flight.py
+++ b/hemlockgrade/in_flight.py
@@ -12,6 +12,7 @@
 
     Attributes:
         count: Requests in flight.
+        total: Requests so far.
     """
 
     def __init__(self, clock: Callable[[], float]):
@@ -21,6 +22,7 @@
             clock: Monotonic time in seconds.
         """
         self.count = 0
+        self.total = 0
         self._clock = clock
         self._idle = asyncio.Event()
 
@@ -29,6 +31,7 @@
     ) -> http_codec.Response:
         """Counts a request while its answer is made and streamed."""
         self.count += 1
+        self.total += 1
         stream = None
         try:
             response = await answer
--- a/hemlockgrade/mesh/gate.py
+++ b/hemlockgrade/mesh/gate.py
@@ -1,6 +1,7 @@
 """Server side of the request path: admission to the server beside it."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 
 import attrs
@@ -63,6 +64,9 @@
     on_evidence: Callable[[Evidence], None] | None = None
     _limiter: slot_limiter.SlotLimiter | None = None
     _limiter_server: tuple[str, int, int] | None = None
+    _running: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
 
     @property
     def load(self) -> tuple[int, float]:
@@ -72,6 +76,10 @@
         queued = self._limiter.in_use + self._limiter.queued
         return queued, self._limiter.service_s
 
+    def is_running(self, request_id: str) -> bool:
+        """Tells whether the server works on a request."""
+        return request_id in self._running
+
     async def run(
         self,
         request: http_codec.Request,
@@ -108,8 +116,14 @@
             )
         started = self.clock()
         service_s: float | None = None
+        request_id = (
+            http_codec.header(request.headers, platform_codec.REQUEST_ID) or ''
+        )
+        self._running[request_id] += 1
         try:
-            response = await self._send(request, server, deadline, idempotent)
+            response = await self._send(
+                request, server, deadline, idempotent, request_id
+            )
             service_s = self.clock() - started
         except exceptions.ConnectFailedError as error:
             logger.warning(
@@ -130,6 +144,9 @@
             return exchange.unknown(str(error))
         finally:
             limiter.release(service_s)
+            self._running[request_id] -= 1
+            if not self._running[request_id]:
+                del self._running[request_id]
         return self._judge(server, route, response, service_s)
 
     def _refusal(self, server_id: str) -> exchange.Refusal:
@@ -148,6 +165,7 @@
         server: model.Server,
         deadline: float,
         idempotent: bool,
+        request_id: str,
     ) -> http_codec.Response:
         left_ms = max(1, int((deadline - self.clock()) * 1000))
         headers = [
@@ -165,10 +183,7 @@
             request.with_headers(headers),
             deadline,
             max_idle_s=MAX_IDLE_S if idempotent else MAX_IDLE_ONCE_S,
-            request_id=http_codec.header(
-                request.headers, platform_codec.REQUEST_ID
-            )
-            or '',
+            request_id=request_id,
         )
 
     def _judge(
--- a/hemlockgrade/mesh/node.py
+++ b/hemlockgrade/mesh/node.py
@@ -47,8 +47,13 @@
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 # The platform takes a daemon out after two missed readiness checks, which
 # come each second; callers may still come until then.
-LEAVE_NOTICE_S = 2.5
-LOOPBACK_IP = '127.0.0.1'
+LEAVE_NOTICE_S = 3.2
+# Callers that still come, because most hosts of the zone are leaving too, are
+# refused after this part of the grace period; the rest of it is longer than a
+# request takes.
+ACCEPTING_PART = 0.7
+# A daemon ends after this time without a request, in seconds.
+QUIET_S = 0.3
 # Kept from the grace period for the end of the process, in seconds.
 EXIT_MARGIN_S = 0.7
 
@@ -103,7 +108,6 @@
         self.proxy = proxy_module.Proxy(
             name=settings.name,
             service=settings.service,
-            local_ips=frozenset({settings.ip, LOOPBACK_IP}),
             directory=self.directory,
             balancer=self.balancer,
             gate=self.gate,
@@ -178,7 +182,10 @@
         async with contextlib.AsyncExitStack() as stack:
             for pool in (self.server_pool, self.peer_pool, self.store.pool):
                 stack.callback(pool.close)
-            callers = await self._listen(stack)
+            accepting = await stack.enter_async_context(
+                contextlib.AsyncExitStack()
+            )
+            callers = await self._listen(stack, accepting)
             tasks = await stack.enter_async_context(asyncio.TaskGroup())
             running = [
                 tasks.create_task(task)
@@ -197,14 +204,19 @@
                 self.settings.caller_address,
             )
             await stopping.wait()
-            await self._drain(callers)
+            await self._drain(callers, accepting)
             for task in running:
                 task.cancel()
         logger.info('event=daemon_stopped boot={}', self.boot_id)
 
-    async def _drain(self, callers: http_server.HttpServerFactory):
+    async def _drain(
+        self,
+        callers: http_server.HttpServerFactory,
+        accepting: contextlib.AsyncExitStack,
+    ):
         """Ends with no request cut, within the grace period."""
         now = self.clock()
+        refuse_at = now + self.settings.bounds.grace_s * ACCEPTING_PART
         exit_at = now + self.settings.bounds.grace_s - EXIT_MARGIN_S
         self.leaving = True
         self.gate.leaving = True
@@ -212,12 +224,20 @@
         callers.drain()
         logger.info('event=daemon_draining in_flight={}', self._in_flight.count)
         await asyncio.sleep(LEAVE_NOTICE_S)
-        await self._in_flight.wait_until_idle(exit_at)
+        served = -1
+        while served != self._in_flight.total and self.clock() < refuse_at:
+            await self._in_flight.wait_until_idle(refuse_at)
+            served = self._in_flight.total
+            await asyncio.sleep(min(QUIET_S, max(0, refuse_at - self.clock())))
+        await accepting.aclose()
         callers.close_idle()
+        await self._in_flight.wait_until_idle(exit_at)
         logger.info('event=daemon_drained in_flight={}', self._in_flight.count)
 
     async def _listen(
-        self, stack: contextlib.AsyncExitStack
+        self,
+        stack: contextlib.AsyncExitStack,
+        accepting: contextlib.AsyncExitStack,
     ) -> http_server.HttpServerFactory:
         settings = self.settings
         callers = http_server.HttpServerFactory(
@@ -227,7 +247,6 @@
             lambda: self._limit_callers(callers)
         )
         factories = {
-            settings.caller_address: callers,
             settings.peer_address: http_server.HttpServerFactory(
                 self._handle_peer, half_close=False
             ),
@@ -247,6 +266,13 @@
             await listeners.listen(
                 stack, self.reactor, 'listen', address, factory
             )
+        await listeners.listen(
+            accepting,
+            self.reactor,
+            'listen',
+            settings.caller_address,
+            callers,
+        )
         return callers
 
     def _limit_callers(self, callers: http_server.HttpServerFactory):
--- a/hemlockgrade/mesh/proxy.py
+++ b/hemlockgrade/mesh/proxy.py
@@ -111,7 +111,6 @@
     Attributes:
         name: Name of this host.
         service: Service of the server on this host.
-        local_ips: Addresses of this host, from which its server calls.
         directory: Knows routes and members.
         balancer: Chooses the server.
         gate: Admission to the server on this host.
@@ -125,7 +124,6 @@
 
     name: str
     service: str
-    local_ips: frozenset[str]
     directory: directory_module.Directory
     balancer: balancer_module.Balancer
     gate: gate_module.Gate
@@ -183,7 +181,7 @@
             request=request.with_headers(headers),
             request_id=request_id,
             route=entry.route,
-            nested=request.peer_ip in self.local_ips,
+            nested=self.gate.is_running(_parent_id(request_id)),
             service=entry.next_service(),
             started=started,
             deadline=started + min(left_s, entry.route.timeout_s),
@@ -398,6 +396,15 @@
         )
 
 
+def _parent_id(request_id: str) -> str:
+    """Returns the id of the request that a server's own call belongs to.
+
+    A server names its calls by the id of the request that it runs, a dot and
+    an id of their own.
+    """
+    return request_id.partition('.')[0]
+
+
 def _refusal(left_s: float, last: Result | None) -> http_codec.Response:
     """Makes the answer to a request that was not run."""
     wait_s = min(RETRY_AFTER_S, max(0.0, left_s) * RETRY_AFTER_PART)
