--- a/hemlockgrade/mesh/exchange.py
+++ b/hemlockgrade/mesh/exchange.py
@@ -18,6 +18,8 @@
 ROUTE = b'x-hemlock-route'
 # Newest versions that the sender knows: configuration and table.
 VERSIONS = b'x-hemlock-versions'
+# Address at which the sender takes requests of other daemons.
+SENDER = b'x-hemlock-sender'
 # Answer: the request was not run, for this reason.
 REFUSED = b'x-hemlock-refused'
 # Answer: the request may have run, for this reason.
@@ -26,6 +28,7 @@
 LOAD = b'x-hemlock-load'
 
 STATE_PATH = '/.hemlock/state'
+VERSIONS_PATH = '/.hemlock/versions'
 EVIDENCE_PATH = '/.hemlock/evidence'
 
 
--- a/hemlockgrade/mesh/node.py
+++ b/hemlockgrade/mesh/node.py
@@ -100,7 +100,8 @@
         self.sync = state_sync.StateSync(
             directory=self.directory,
             pool=self.peer_pool,
-            address_of=self._address_of,
+            address=settings.peer_address,
+            zone=settings.zone,
         )
         self.publisher = publisher_module.Publisher(
             store=self.store, directory=self.directory, make=self._entry
@@ -115,7 +116,7 @@
             clock=self.clock,
             retry_ratio=settings.bounds.retry_ratio,
             retry_slack=settings.bounds.retry_slack,
-            on_versions=self.sync.heard,
+            sync=self.sync,
             on_finished=self.metrics.count_request,
         )
         self.rollouts = rollout_task.RolloutTask(
@@ -192,6 +193,7 @@
                 for task in (
                     self.publisher.run(),
                     self.rollouts.run(),
+                    self.sync.run(),
                     *(each.run() for each in self._watchers),
                 )
             ]
@@ -290,6 +292,9 @@
     async def _handle_peer(
         self, request: http_codec.Request
     ) -> http_codec.Response:
+        self.sync.read(request.headers)
+        if request.path == exchange.VERSIONS_PATH:
+            return http_codec.Response(status=200, headers=self.sync.headers())
         if request.path == exchange.STATE_PATH:
             return http_codec.Response(status=200, body=self.sync.encode())
         if request.path == exchange.EVIDENCE_PATH:
@@ -337,10 +342,6 @@
             server=self.registrar.server,
         )
 
-    def _address_of(self, name: str) -> str | None:
-        member = self.directory.member_by_name.get(name)
-        return None if member is None else member.address
-
     def _configuration_changed(self, item: objects.StoredItem):
         if item.name != platform_codec.CONFIGURATION_NAME:
             return
--- a/hemlockgrade/mesh/proxy.py
+++ b/hemlockgrade/mesh/proxy.py
@@ -16,6 +16,7 @@
 from hemlockgrade.mesh import exchange
 from hemlockgrade.mesh import gate as gate_module
 from hemlockgrade.mesh import model
+from hemlockgrade.mesh import state_sync
 from hemlockgrade.platform import codec as platform_codec
 
 # Longest wait of a caller that states none, in seconds.
@@ -118,7 +119,7 @@
         clock: Monotonic time in seconds.
         retry_ratio: Repeated requests as a part of the first ones.
         retry_slack: Repeated requests beyond that, over all daemons.
-        on_versions: Called with the versions that a peer knows.
+        sync: Learns from answers what peers know.
         on_finished: Called with route, outcome and seconds of each request.
     """
 
@@ -131,7 +132,7 @@
     clock: Callable[[], float]
     retry_ratio: float
     retry_slack: float
-    on_versions: Callable[[str, exchange.Versions], None]
+    sync: state_sync.StateSync
     on_finished: Callable[[str, str, float], None]
     _budget_by_service: dict[str, retries.RetryBudget] = attrs.field(
         factory=dict
@@ -265,10 +266,6 @@
             peer.report_load(*self.gate.load)
             return response
         left_ms = max(1, int((call.deadline - self.clock()) * 1000))
-        versions = exchange.Versions(
-            configuration=self.directory.configuration_version,
-            table=self.directory.table_revision,
-        )
         headers = [
             item
             for item in call.request.headers
@@ -279,7 +276,7 @@
             (exchange.SERVER, server.server_id.encode()),
             (exchange.PRIORITY, b'%d' % call.priority),
             (exchange.ROUTE, call.route.name.encode()),
-            (exchange.VERSIONS, versions.encode()),
+            *self.sync.headers(),
         ]
         if call.route.idempotent:
             headers.append((exchange.IDEMPOTENT, b'1'))
@@ -302,7 +299,7 @@
             peer.report_load(*load)
         versions = exchange.decode_versions(response.headers)
         if versions is not None:
-            self.on_versions(peer.member.name, versions)
+            self.sync.heard(peer.member.address, versions)
         refusal = exchange.decode_refusal(response.headers)
         if refusal is not None:
             pause_s = (
--- a/hemlockgrade/mesh/state_sync.py
+++ b/hemlockgrade/mesh/state_sync.py
@@ -1,7 +1,7 @@
 """Daemons tell each other of newer facts, beside the store."""
 
 import asyncio
-from collections.abc import Callable
+import random as random_module
 from typing import Any
 
 import attrs
@@ -18,6 +18,10 @@
 
 # A watch usually brings a change within this time after a peer has it.
 WATCH_GRACE_S = 0.15
+# Time between two comparisons with a peer, in seconds.
+COMPARE_S = 1.0
+# Part of the comparisons that cross failure domains, where bytes are priced.
+FAR_PART = 0.15
 # Longest time for a peer to send what it knows, in seconds.
 FETCH_TIMEOUT_S = 1.0
 
@@ -29,14 +33,75 @@
     Attributes:
         directory: What this daemon knows.
         pool: Connections to other daemons.
-        address_of: Returns the address of a member's daemon.
+        address: Where this daemon takes requests of others.
+        zone: Own failure domain.
     """
 
     directory: directory_module.Directory
     pool: upstream.ConnectionPool
-    address_of: Callable[[str], str | None]
+    address: str
+    zone: str
+    random: random_module.Random = attrs.field(factory=random_module.Random)
     _task: asyncio.Task | None = None
 
+    async def run(self) -> None:
+        """Compares versions with a random peer until it is cancelled.
+
+        So a daemon that the store turns away, or that started while it was
+        down, learns what its peers know.
+        """
+        while True:
+            await asyncio.sleep(COMPARE_S * (0.5 + self.random.random()))
+            address = self._random_peer()
+            if address is None:
+                continue
+            try:
+                await self._compare(address)
+            except exceptions.HemlockError as error:
+                logger.debug(
+                    'event=peer_not_compared peer={} problem={!r}',
+                    address,
+                    str(error),
+                )
+
+    def headers(self) -> http_codec.Headers:
+        """Returns the headers that tell a peer what this daemon knows."""
+        return [
+            (exchange.VERSIONS, self.versions().encode()),
+            (exchange.SENDER, self.address.encode()),
+        ]
+
+    def read(self, headers: http_codec.Headers) -> None:
+        """Learns from a peer's request what the peer knows."""
+        versions = exchange.decode_versions(headers)
+        address = http_codec.header(headers, exchange.SENDER)
+        if versions is not None and address is not None:
+            self.heard(address, versions)
+
+    async def _compare(self, address: str):
+        deadline = asyncio.get_running_loop().time() + FETCH_TIMEOUT_S
+        request = http_codec.Request(
+            method='GET',
+            target=exchange.VERSIONS_PATH,
+            headers=self.headers(),
+        )
+        response = await self.pool.send(address, request, deadline)
+        versions = exchange.decode_versions(response.headers)
+        if versions is not None:
+            self.heard(address, versions)
+
+    def _random_peer(self) -> str | None:
+        """Returns a peer's address, mostly one of the own failure domain."""
+        peers = [
+            member
+            for member in self.directory.member_by_name.values()
+            if member.address != self.address and not member.leaving
+        ]
+        near = [member for member in peers if member.zone == self.zone]
+        if near and self.random.random() > FAR_PART:
+            peers = near
+        return self.random.choice(peers).address if peers else None
+
     def versions(self) -> exchange.Versions:
         """Returns the newest versions that this daemon knows."""
         return exchange.Versions(
@@ -44,16 +109,14 @@
             table=self.directory.table_revision,
         )
 
-    def heard(self, name: str, versions: exchange.Versions) -> None:
+    def heard(self, address: str, versions: exchange.Versions) -> None:
         """Learns which versions a peer knows."""
         if not self._is_newer(versions) or self._task is not None:
             return
-        address = self.address_of(name)
-        if address is not None:
-            self._task = asyncio.get_running_loop().create_task(
-                self._catch_up(address, versions)
-            )
-            self._task.add_done_callback(self._done)
+        self._task = asyncio.get_running_loop().create_task(
+            self._catch_up(address, versions)
+        )
+        self._task.add_done_callback(self._done)
 
     def encode(self) -> bytes:
         """Encodes all facts for a peer."""
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -195,19 +195,19 @@
         ]
         return get_json(f'http://{address}{path}')
 
-    def _start(self, name, arguments, addresses) -> Process:
+    def _start(self, name, arguments, addresses, **variables) -> Process:
         with (self.directory / f'{name}.log').open('ab') as log:
             popen = subprocess.Popen(
                 [sys.executable, *arguments],
                 cwd=ROOT,
-                env=_environment(),
+                env={**_environment(), **variables},
                 stdout=log,
                 stderr=log,
             )
         return Process(name, popen, addresses)
 
     def _all(self) -> list[Process]:
-        processes = [
+        processes: list[Process] = [
             *self.targets_by_id.values(),
             *self.daemons_by_name.values(),
         ]
