--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -169,3 +169,7 @@
   Scenario: A second answer to an earlier request is dropped
     When a second answer comes before the answer to a request
     Then the request gets its own answer
+
+  Scenario: Logs are bounded and never wait for their reader
+    When 5000 log lines are written to a pipe that nobody reads
+    Then it took less than 1 second and the dropped lines were counted
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -1,7 +1,9 @@
 """Steps on the decisions of the daemon beside a server."""
 
 import json
+import os
 import random
+import time
 
 import attrs
 from behave import given
@@ -10,6 +12,7 @@
 
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
+from hemlockgrade import logs
 from hemlockgrade.mesh import balancer
 from hemlockgrade.mesh import directory
 from hemlockgrade.mesh import evidence
@@ -370,3 +373,21 @@
     for response, skipped, broken in context.answers:
         assert response.body == b'new'
         assert skipped and not broken
+
+
+@when('{count:d} log lines are written to a pipe that nobody reads')
+def write_lines(context, count):
+    reading, writing = os.pipe()
+    context.add_cleanup(os.close, reading)
+    context.add_cleanup(os.close, writing)
+    context.writer = logs.BoundedWriter(writing)
+    started = time.monotonic()
+    for number in range(count):
+        context.writer.write(f'event=example number={number}{"x" * 80}\n')
+    context.took = time.monotonic() - started
+
+
+@then('it took less than 1 second and the dropped lines were counted')
+def lines_dropped(context):
+    assert context.took < 1, context.took
+    assert context.writer.dropped > 2000, context.writer.dropped
--- a/hemlockgrade/logs.py
+++ b/hemlockgrade/logs.py
@@ -1,14 +1,25 @@
 """Set-up of the log: one line of key=value pairs for each event."""
 
+import os
 import sys
+import time
 
+import attrs
 from loguru import logger
 
+from hemlockgrade import token_bucket
+
 _FORMAT = (
     'time={time:YYYY-MM-DDTHH:mm:ss.SSSZ} level={level.name} '
     'process={extra[process]} {message}'
 )
 HIDDEN = '(hidden)'
+# Lines a second above which lines are dropped and counted; a daemon writes
+# about one a request, and 122 requests a second are planned for.
+MAX_LINES_PER_S = 400
+MAX_BURST_LINES = 1000
+# Bytes that wait for a reader that is slow.
+MAX_WAITING_BYTES = 256 * 1024
 
 
 def configure(process: str, level: str, secrets: tuple[str, ...] = ()):
@@ -33,3 +44,72 @@
         backtrace=False,
         diagnose=False,
     )
+
+
+@attrs.define(eq=False)
+class BoundedWriter:
+    """Writes log lines without ever waiting for their reader.
+
+    Attributes:
+        descriptor: File descriptor, which is set not to block.
+        dropped: Lines dropped so far.
+    """
+
+    descriptor: int
+    dropped: int = 0
+    _reported: int = 0
+    _waiting: bytearray = attrs.field(factory=bytearray)
+    _bucket: token_bucket.TokenBucket = attrs.field(
+        factory=lambda: token_bucket.TokenBucket(
+            MAX_LINES_PER_S, MAX_BURST_LINES
+        )
+    )
+
+    def __attrs_post_init__(self):
+        os.set_blocking(self.descriptor, False)
+
+    def write(self, line: str) -> None:
+        """Writes a line, or drops and counts it."""
+        now = time.monotonic()
+        full = len(self._waiting) > MAX_WAITING_BYTES
+        if full or self._bucket.available(now) < 1:
+            self.dropped += 1
+            self._flush()
+            return
+        self._bucket.spend(1, now)
+        if self.dropped > self._reported:
+            count = self.dropped - self._reported
+            self._waiting += f'event=log_lines_dropped count={count}\n'.encode()
+            self._reported = self.dropped
+        self._waiting += line.encode('utf-8', 'replace')
+        self._flush()
+
+    def _flush(self):
+        try:
+            written = os.write(self.descriptor, self._waiting)
+        except BlockingIOError:
+            # The reader is slow; the next line tries again.
+            return
+        except OSError:
+            # Nobody reads any more, so there is nowhere to tell it.
+            self._waiting.clear()
+            return
+        del self._waiting[:written]
+
+
+def configure_bounded(process: str, level: str) -> None:
+    """Sends the log to standard output, bounded and without waiting.
+
+    Args:
+        process: Identifier of the process, in every line.
+        level: Least level that is logged.
+    """
+    logger.remove()
+    logger.configure(extra={'process': process})
+    logger.add(
+        BoundedWriter(sys.stdout.fileno()).write,
+        format=_FORMAT,
+        level=level.upper(),
+        backtrace=False,
+        diagnose=False,
+    )
--- a/hemlockgrade/mesh/cli.py
+++ b/hemlockgrade/mesh/cli.py
@@ -21,7 +21,7 @@
         for part in error.parts():
             print(f'error: {part}', file=sys.stderr)
         sys.exit(error.exit_code)
-    logs.configure(settings.name, 'info')
+    logs.configure_bounded(settings.name, 'info')
 
     async def serve():
         # Imported here, because the reactor has to be installed first.
