Serve first who can still be on time

A slot now goes to the first request that can still be on time, and a full queue displaces one that cannot.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -44,3 +44,25 @@
     And its slots are in use
     When 2 requests wait and the queue drains
     Then both are refused, as is a later one, and the running ones finish
+
+  Scenario: Who can still be on time goes before who cannot
+    # Guards against an overloaded queue in which every answer comes late.
+    Given a queue of 2 slots that measured services of 0.1 seconds
+    And its slots are in use
+    When requests with 0.05 and then 0.5 seconds to be on time wait
+    And a slot becomes free
+    Then the second one gets it and the first one still waits
+
+  Scenario: In a full queue one that is late makes room for one that is not
+    Given a queue of 2 slots that measured services of 0.1 seconds
+    And its slots are in use
+    When requests fill the queue that cannot be on time
+    And one comes that can be on time
+    Then it waits and one that is late was refused for it
+
+  Scenario: A lower rank waits for a higher one
+    Given a queue of 2 slots that measured services of 0.1 seconds
+    And its slots are in use
+    When requests of rank 2 and then of rank 1 wait
+    And a slot becomes free
+    Then the second one gets it and the first one still waits
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -165,8 +165,11 @@
     context.tickets = []
 
 
-def send(context, allowed_s, caller=''):
-    ticket = limits.Ticket(deadline=context.now + allowed_s, caller=caller)
+def send(context, allowed_s, caller='', **facts):
+    ticket = limits.Ticket(
+        deadline=context.now + allowed_s, caller=caller, **facts
+    )
+    context.tickets.append(ticket)
     try:
         granted = context.queue.admit(ticket, context.now)
     except exceptions.RequestNotRunError:
@@ -254,3 +257,49 @@
         granted = context.queue.release(0.05, context.now)
         assert granted == limits.Granted()
     assert context.queue.in_use == 0
+
+
+@when('requests with {first:g} and then {second:g} seconds to be on time wait')
+def two_with_targets(context, first, second):
+    for seconds in (first, second):
+        outcome, _ = send(context, 5.0, on_time_until=context.now + seconds)
+        assert outcome == 'waits'
+
+
+@when('requests of rank {first:d} and then of rank {second:d} wait')
+def two_with_ranks(context, first, second):
+    for rank in (first, second):
+        assert send(context, 5.0, priority=rank)[0] == 'waits'
+
+
+@when('a slot becomes free')
+def slot_free(context):
+    context.granted = context.queue.release(0.1, context.now)
+
+
+@then('the second one gets it and the first one still waits')
+def second_first(context):
+    assert context.granted.ticket is context.tickets[-1]
+    assert context.queue.queued == 1
+    assert not context.granted.refused
+
+
+@when('requests fill the queue that cannot be on time')
+def fill_with_late(context):
+    while len(context.tickets) < 100:
+        late = context.now + 0.01
+        if send(context, 5.0, on_time_until=late)[0] == 'refused':
+            return
+    raise AssertionError('the queue is never full')
+
+
+@when('one comes that can be on time')
+def on_time_comes(context):
+    context.result = send(context, 5.0, on_time_until=context.now + 1.0)
+
+
+@then('it waits and one that is late was refused for it')
+def late_displaced(context):
+    outcome, displaced = context.result
+    assert outcome == 'waits', context.result
+    assert [t.on_time_until < context.now + 0.1 for t in displaced] == [True]
--- a/hemlockgrade/limits.py
+++ b/hemlockgrade/limits.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections
+import math
 from typing import Protocol
 
 import attrs
@@ -25,7 +26,11 @@
     """Admits work to one target."""
 
     async def acquire(
-        self, deadline: float, caller: str = '', priority: int = 0
+        self,
+        deadline: float,
+        caller: str = '',
+        priority: int = 0,
+        on_time_until: float = math.inf,
     ) -> None:
         """Waits for a slot.
 
@@ -34,6 +39,8 @@
                 on the monotonic clock.
             caller: Who sent it; a full queue is shared among callers.
             priority: Rank in the queue; 0 is served first.
+            on_time_until: Time until which its answer is worth the most, in
+                seconds on the monotonic clock.
 
         Raises:
             exceptions.RequestNotRunError: The work is refused.
@@ -67,11 +74,13 @@
         deadline: Time by which it has to be finished, in seconds.
         caller: Who sent it.
         priority: Rank in the queue; 0 is served first.
+        on_time_until: Time until which its answer is worth the most.
     """
 
     deadline: float
     caller: str = ''
     priority: int = 0
+    on_time_until: float = math.inf
 
 
 @attrs.define(kw_only=True)
@@ -194,15 +203,16 @@
             raise refusal('it cannot finish before its deadline')
         granted = Granted()
         if len(self._waiting) >= self.bound.value:
-            granted.refused.append(self._displace(ticket))
+            granted.refused.append(self._displace(ticket, now))
         bisect.insort_right(self._waiting, ticket, key=_rank)
         return granted
 
-    def _displace(self, newcomer: Ticket) -> Ticket:
+    def _displace(self, newcomer: Ticket, now: float) -> Ticket:
         """Takes a request out of the full queue for a newcomer.
 
         A request of a lower rank goes first, the last to be served of them;
-        else the least urgent one of who has most in the queue.
+        then one that is late already, for one that is not; else the least
+        urgent one of who has most in the queue.
 
         Under a retry storm of one caller the others keep their share of a
         full queue; a fixed limit a caller protected them less, and would
@@ -210,6 +220,13 @@
         """
         if self._waiting[-1].priority > newcomer.priority:
             return self._waiting.pop()
+        if self._is_on_time(newcomer, now):
+            for ticket in reversed(self._waiting):
+                if ticket.priority < newcomer.priority:
+                    break
+                if not self._is_on_time(ticket, now):
+                    self._waiting.remove(ticket)
+                    return ticket
         counts = collections.Counter(t.caller for t in self._waiting)
         heaviest, most = counts.most_common(1)[0]
         if most <= counts[newcomer.caller] + 1:
@@ -248,7 +265,7 @@
         self.in_use -= 1
         granted = Granted()
         while self._waiting and self.in_use < self.slots:
-            ticket = self._waiting.pop(0)
+            ticket = self._waiting.pop(self._next(now))
             if now + self.service_s / 2 > ticket.deadline:
                 granted.refused.append(ticket)
                 continue
@@ -258,6 +275,20 @@
             break
         return granted
 
+    def _next(self, now: float) -> int:
+        """Returns the place of the request that is to be served next.
+
+        Under overload a queue in the order of deadlines serves each request
+        just before it gives up, and so all of them late.
+        """
+        for place, ticket in enumerate(self._waiting):
+            if self._is_on_time(ticket, now):
+                return place
+        return 0
+
+    def _is_on_time(self, ticket: Ticket, now: float) -> bool:
+        return now + self.service_s <= ticket.on_time_until
+
     def abandon(self, ticket: Ticket) -> None:
         """Takes a request out of the queue, if it waits there."""
         if ticket in self._waiting:
--- a/hemlockgrade/mesh/exchange.py
+++ b/hemlockgrade/mesh/exchange.py
@@ -12,6 +12,8 @@
 SERVER = b'x-hemlock-server'
 # Rank of the request under overload.
 PRIORITY = b'x-hemlock-priority'
+# Milliseconds within which an answer is on time.
+ON_TIME = b'x-hemlock-on-time-ms'
 # Present if the request may run more than once.
 IDEMPOTENT = b'x-hemlock-idempotent'
 # Name of the route, for the evidence on versions.
@@ -120,7 +122,16 @@
 
 def time_left_s(headers: http_codec.Headers) -> float | None:
     """Reads how long the sender still waits, in seconds."""
-    text = http_codec.header(headers, platform_codec.TIME_LEFT)
+    return _milliseconds(headers, platform_codec.TIME_LEFT)
+
+
+def on_time_s(headers: http_codec.Headers) -> float | None:
+    """Reads for how long an answer is on time, in seconds."""
+    return _milliseconds(headers, ON_TIME)
+
+
+def _milliseconds(headers: http_codec.Headers, name: bytes) -> float | None:
+    text = http_codec.header(headers, name)
     if text is None or not (text.isascii() and text.isdecimal()):
         return None
     return int(text[:9]) / 1000
--- a/hemlockgrade/mesh/gate.py
+++ b/hemlockgrade/mesh/gate.py
@@ -1,8 +1,8 @@
 """Server side of the request path: admission to the server beside it."""
 
-import asyncio
 import collections
 from collections.abc import Callable
+import math
 
 import attrs
 from loguru import logger
@@ -89,6 +89,7 @@
         priority: int,
         idempotent: bool,
         route: str,
+        on_time_until: float = math.inf,
     ) -> http_codec.Response:
         """Lets the server run a request.
 
@@ -99,6 +100,7 @@
             priority: Its rank; 0 is served first.
             idempotent: True if it may run more than once.
             route: Name of its route, for the evidence.
+            on_time_until: Monotonic time until which its answer is on time.
 
         Returns:
             The server's answer, or one of `exchange.refused` and `unknown`.
@@ -108,7 +110,9 @@
             return exchange.refused(self._refusal(server_id))
         limiter = self._limiter_of(server)
         try:
-            await limiter.acquire(deadline, priority=priority)
+            await limiter.acquire(
+                deadline, priority=priority, on_time_until=on_time_until
+            )
         except exceptions.RequestNotRunError:
             late = deadline - self.clock() < limiter.service_s
             return exchange.refused(
@@ -241,13 +245,16 @@
     if left_s is None or server_id is None:
         return exchange.refused(exchange.Refusal.OTHER_SERVER)
     priority = http_codec.header(request.headers, exchange.PRIORITY) or '0'
+    on_time_s = exchange.on_time_s(request.headers)
+    now = gate.clock()
     route = http_codec.header(request.headers, exchange.ROUTE) or ''
     idempotent = http_codec.header(request.headers, exchange.IDEMPOTENT)
     return await gate.run(
         request.with_headers(http_codec.without_internal(request.headers)),
         server_id=server_id,
-        deadline=asyncio.get_running_loop().time() + left_s - HOP_MARGIN_S,
+        deadline=now + left_s - HOP_MARGIN_S,
         priority=int(priority) if priority.isdecimal() else 0,
         idempotent=idempotent is not None,
         route=route,
+        on_time_until=math.inf if on_time_s is None else now + on_time_s,
     )
--- a/hemlockgrade/mesh/proxy.py
+++ b/hemlockgrade/mesh/proxy.py
@@ -104,6 +104,11 @@
         """
         return 0 if self.nested else self.route.priority + 1
 
+    @property
+    def on_time_until(self) -> float:
+        """Returns the monotonic time until which an answer is on time."""
+        return self.started + self.route.target_latency_s
+
 
 @attrs.define(eq=False, kw_only=True)
 class Proxy:
@@ -262,10 +267,13 @@
                 priority=call.priority,
                 idempotent=call.route.idempotent,
                 route=call.route.name,
+                on_time_until=call.on_time_until,
             )
             peer.report_load(*self.gate.load)
             return response
-        left_ms = max(1, int((call.deadline - self.clock()) * 1000))
+        now = self.clock()
+        left_ms = max(1, int((call.deadline - now) * 1000))
+        on_time_ms = max(0, int((call.on_time_until - now) * 1000))
         headers = [
             item
             for item in call.request.headers
@@ -275,6 +283,7 @@
             (platform_codec.TIME_LEFT, b'%d' % left_ms),
             (exchange.SERVER, server.server_id.encode()),
             (exchange.PRIORITY, b'%d' % call.priority),
+            (exchange.ON_TIME, b'%d' % on_time_ms),
             (exchange.ROUTE, call.route.name.encode()),
             *self.sync.headers(),
         ]
--- a/hemlockgrade/plugins/slot_limiter.py
+++ b/hemlockgrade/plugins/slot_limiter.py
@@ -1,6 +1,7 @@
 """Limiter plug-in: waits for the slots that `limits.SlotQueue` hands out."""
 
 import asyncio
+import math
 import time
 
 from hemlockgrade import limits
@@ -29,7 +30,11 @@
         return self._queue.service_s
 
     async def acquire(
-        self, deadline: float, caller: str = '', priority: int = 0
+        self,
+        deadline: float,
+        caller: str = '',
+        priority: int = 0,
+        on_time_until: float = math.inf,
     ) -> None:
         """Waits for a slot.
 
@@ -38,13 +43,18 @@
                 on the monotonic clock.
             caller: Who sent it; a full queue is shared among callers.
             priority: Rank in the queue; 0 is served first.
+            on_time_until: Time until which its answer is worth the most, in
+                seconds on the monotonic clock.
 
         Raises:
             exceptions.RequestNotRunError: The work is refused.
         """
         now = time.monotonic()
         ticket = limits.Ticket(
-            deadline=deadline, caller=caller, priority=priority
+            deadline=deadline,
+            caller=caller,
+            priority=priority,
+            on_time_until=on_time_until,
         )
         granted = self._queue.admit(ticket, now)
         for displaced in granted.refused:
