Give nested calls their parent's rank, ask other zones only where there is room

They now have the rank of the request that their server runs.

One far server a request, and only one that is not known to be full.

A failure that all servers of a service show is not repeated.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -147,9 +147,42 @@
       | name | version | born | service_ms |
       | a    | v1      | 100  | 10         |
       | b    | v1      | 200  | 50         |
-    When a has refused
+    When the peer a has refused
     Then the next choice is b
 
+  Scenario Outline: Another zone is asked only if it has room
+    Given a balancer of one zone with servers
+      | name | version | born | service_ms |
+      | a    | v1      | 100  | 10         |
+      | b    | v1      | 200  | 10         |
+    When b is in another zone with a load of <far>
+    And a has a load of <near> and has <refusal>
+    Then the next choice at rank <rank> is <choice>
+
+    Examples:
+      | near | far | refusal     | rank | choice |
+      | 0.5  | 0.0 | not refused | 0    | a      |
+      | 2.0  | 0.5 | not refused | 0    | b      |
+      | 2.0  | 1.5 | not refused | 0    | a      |
+      | 2.0  | 0.2 | not refused | 2    | a      |
+      | 1.0  | 1.5 | refused     | 0    | a      |
+      | 1.0  | 0.2 | refused     | 2    | b      |
+
+  Scenario: A full server of another zone is not asked in vain
+    Given a balancer of one zone with servers
+      | name | version | born | service_ms |
+      | a    | v1      | 100  | 10         |
+    When a is in another zone and is full
+    Then no server is chosen
+
+  Scenario: A request that another zone has refused is not sent to a third one
+    Given a balancer of one zone with servers
+      | name | version | born | service_ms |
+      | a    | v1      | 100  | 10         |
+      | b    | v1      | 200  | 10         |
+    When a and b are in other zones and a was tried
+    Then there is no further choice
+
   Scenario Outline: The judge finds bad versions and spares good ones
     When the old version fails <old_failed> of <old> and the new one <new_failed> of <new>, <factor> times as slow
     Then the verdict is <verdict>
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -276,9 +276,9 @@
     )
 
 
-@when('{name} has refused')
+@when('the peer {name:w} has refused')
 def has_refused(context, name):
-    context.balancer.peer(name).avoid_until = 101.0
+    context.balancer.peer(name).report_refusal(closed=True, now=100.0)
 
 
 @then('of {total:d} choices {name} gets {count:d}')
@@ -294,6 +294,54 @@
     assert context.balancer.choose('booking', ()).member.name == name
 
 
+def move(context, name, zone):
+    member = context.directory.member_by_name[name]
+    context.directory.apply_member(
+        attrs.evolve(member, zone=zone, revision=member.revision + 60), 'test'
+    )
+    return context.balancer.peer(name)
+
+
+@when('b is in another zone with a load of {load:g}')
+def far_load(context, load):
+    move(context, 'b', 'z').others = load * SERVER.slots
+
+
+@when('a has a load of {load:g} and has {refusal}')
+def near_load(context, load, refusal):
+    peer = context.balancer.peer('a')
+    peer.others = load * SERVER.slots
+    if refusal == 'refused':
+        peer.report_refusal(closed=False, now=100.0)
+
+
+@when('a and b are in other zones and a was tried')
+def both_far(context):
+    move(context, 'a', 'y')
+    move(context, 'b', 'z')
+
+
+@when('a is in another zone and is full')
+def far_full(context):
+    move(context, 'a', 'z').report_refusal(closed=False, now=100.0)
+
+
+@then('no server is chosen')
+def none_chosen(context):
+    assert context.balancer.choose('booking', ()) is None
+
+
+@then('there is no further choice')
+def no_choice(context):
+    assert context.balancer.choose('booking', ['a']) is None
+
+
+@then('the next choice at rank {rank:d} is {name}')
+def choice_at_rank(context, rank, name):
+    chosen = context.balancer.choose('booking', (), rank)
+    assert chosen.member.name == name, chosen
+
+
 def sample(random_, requests, failed, factor=1.0):
     counts = evidence.Counts()
     for number in range(requests):
--- a/hemlockgrade/mesh/balancer.py
+++ b/hemlockgrade/mesh/balancer.py
@@ -30,7 +30,10 @@
 # more requests than the first figure, as a multiple of their slots, and it has
 # fewer than the second: by rank, since the users pay for each byte between
 # failure domains and what is least urgent is worth the least of it.
-SPILL_LOADS_BY_RANK = ((1.2, 1.0), (1.2, 1.0), (1.6, 0.8), (3.0, 0.5))
+SPILL_LOADS_BY_RANK = ((1.2, 1.0), (1.6, 0.8), (3.0, 0.5))
+# Failures that are as frequent at all servers of a service have a common
+# cause, which sending a request again does not mend.
+COMMON_FAILURES = 0.2
 # Estimates of close servers differ by chance, so that daemons spread out.
 JITTER = 0.1
 
@@ -46,7 +49,9 @@
         service_s: Mean time that its server needs, by its last answer; None
             before the first one.
         failures: Moving share of failed answers, 0 to 1.
-        avoid_until: Monotonic time until which it is passed over.
+        full_until: Monotonic time until which it is taken to have no room.
+        avoid_until: Monotonic time until which it is passed over, because it
+            cannot be reached or its server takes no requests.
         unreachable: Failures to reach it in a row.
     """
 
@@ -55,6 +60,7 @@
     others: float = 0.0
     service_s: float | None = None
     failures: float = 0.0
+    full_until: float = 0.0
     avoid_until: float = 0.0
     unreachable: int = 0
 
@@ -90,6 +96,18 @@
         self.failures += FAILURE_WEIGHT * (float(failed) - self.failures)
         self.unreachable = 0
 
+    def report_refusal(self, closed: bool, now: float) -> None:
+        """Passes it over for a moment.
+
+        Args:
+            closed: True if its server takes no requests at all.
+            now: Monotonic time.
+        """
+        if closed:
+            self.avoid_until = now + CLOSED_PAUSE_S
+        else:
+            self.full_until = now + FULL_PAUSE_S
+
     def report_unreachable(self, now: float) -> None:
         """Passes it over for a while."""
         pause_s = UNREACHABLE_PAUSE_S * 2**self.unreachable
@@ -144,29 +162,49 @@
         if not candidates:
             return None
         now = self.clock()
-        open_peers = [p for p in candidates if p.avoid_until <= now]
-        near = [p for p in open_peers if p.member.zone == self.zone]
-        best = self._cheapest(near)
+        usable = [p for p in candidates if p.avoid_until <= now]
+        near = [p for p in usable if p.member.zone == self.zone]
+        free = [p for p in near if p.full_until <= now]
+        best = self._cheapest(free)
         rank = min(priority, len(SPILL_LOADS_BY_RANK) - 1)
         near_load, far_load = SPILL_LOADS_BY_RANK[rank]
         if best is not None and best.load < near_load:
             return best
-        far = [
-            p
-            for p in open_peers
-            if p.member.zone != self.zone and p.load < far_load
-        ]
-        other = self._cheapest(far)
-        if other is not None:
-            return other
+        if not self._tried_far(tried):
+            far = [
+                p
+                for p in usable
+                if p.member.zone != self.zone
+                and p.full_until <= now
+                and p.load < far_load
+            ]
+            other = self._cheapest(far)
+            if other is not None:
+                return other
         if best is not None:
             return best
         if tried:
             return None
-        if open_peers:
-            return self._cheapest(open_peers)
+        if near:
+            return self._cheapest(near)
+        if usable:
+            # Asking a full server of another zone costs bytes for nothing.
+            return self._cheapest([p for p in usable if p.full_until <= now])
         return min(candidates, key=lambda p: p.avoid_until)
 
+    def fails_everywhere(self, service: str) -> bool:
+        """Tells whether all servers of a service fail often."""
+        peers = self._peers_by_service.get(service, ())
+        return all(p.failures > COMMON_FAILURES for p in peers)
+
+    def _tried_far(self, tried: Collection[str]) -> bool:
+        """Tells whether another failure domain was asked already."""
+        for name in tried:
+            peer = self._peer_by_name.get(name)
+            if peer is not None and peer.member.zone != self.zone:
+                return True
+        return False
+
     def _cheapest(self, peers: list[Peer]) -> Peer | None:
         if not peers:
             return None
--- a/hemlockgrade/mesh/gate.py
+++ b/hemlockgrade/mesh/gate.py
@@ -1,6 +1,5 @@
 """Server side of the request path: admission to the server beside it."""
 
-import collections
 from collections.abc import Callable
 import math
 
@@ -64,9 +63,7 @@
     on_evidence: Callable[[Evidence], None] | None = None
     _limiter: slot_limiter.SlotLimiter | None = None
     _limiter_server: tuple[str, int, int] | None = None
-    _running: collections.Counter[str] = attrs.field(
-        factory=collections.Counter
-    )
+    _running: dict[str, int] = attrs.field(factory=dict)
 
     @property
     def load(self) -> tuple[int, float]:
@@ -76,9 +73,9 @@
         queued = self._limiter.in_use + self._limiter.queued
         return queued, self._limiter.service_s
 
-    def is_running(self, request_id: str) -> bool:
-        """Tells whether the server works on a request."""
-        return request_id in self._running
+    def rank_of(self, request_id: str) -> int | None:
+        """Returns the rank of a request that the server works on."""
+        return self._running.get(request_id)
 
     async def run(
         self,
@@ -123,7 +120,7 @@
         request_id = (
             http_codec.header(request.headers, platform_codec.REQUEST_ID) or ''
         )
-        self._running[request_id] += 1
+        self._running[request_id] = priority
         try:
             response = await self._send(
                 request, server, deadline, idempotent, request_id
@@ -148,9 +145,7 @@
             return exchange.unknown(str(error))
         finally:
             limiter.release(service_s)
-            self._running[request_id] -= 1
-            if not self._running[request_id]:
-                del self._running[request_id]
+            self._running.pop(request_id, None)
         return self._judge(server, route, response, service_s)
 
     def _refusal(self, server_id: str) -> exchange.Refusal:
--- a/hemlockgrade/mesh/proxy.py
+++ b/hemlockgrade/mesh/proxy.py
@@ -68,8 +68,8 @@
         request: The request, with the headers for the server.
         request_id: The caller's identifier of it.
         route: Its route.
-        nested: True if the server on this host sent it while it runs another
-            request.
+        parent_rank: Rank of the request that the server on this host runs and
+            sent this one for; None if it comes from a caller.
         service: Service that runs it.
         started: Monotonic time of its arrival.
         deadline: Monotonic time at which it has to be answered.
@@ -84,7 +84,7 @@
     request: http_codec.Request
     request_id: str
     route: model.Route
-    nested: bool
+    parent_rank: int | None
     service: str
     started: float
     deadline: float
@@ -99,10 +99,11 @@
     def priority(self) -> int:
         """Returns its rank; 0 is served first.
 
-        A nested request goes before all others: refused, it would waste the
-        work that its parent has had already.
+        A nested request has the rank of its parent.
         """
-        return 0 if self.nested else self.route.priority + 1
+        if self.parent_rank is not None:
+            return self.parent_rank
+        return self.route.priority
 
     @property
     def on_time_until(self) -> float:
@@ -187,7 +188,7 @@
             request=request.with_headers(headers),
             request_id=request_id,
             route=entry.route,
-            nested=self.gate.is_running(_parent_id(request_id)),
+            parent_rank=self.gate.rank_of(_parent_id(request_id)),
             service=entry.next_service(),
             started=started,
             deadline=started + min(left_s, entry.route.timeout_s),
@@ -214,7 +215,11 @@
         if answer.status < gate_module.FIRST_SERVER_ERROR:
             return False
         call.failure = answer
-        return call.route.idempotent and answer.stream is None
+        return (
+            call.route.idempotent
+            and answer.stream is None
+            and not self.balancer.fails_everywhere(call.service)
+        )
 
     def _may_repeat(self, call: Call, result: Result) -> bool:
         if call.deadline - self.clock() < MIN_REMAINING_S:
@@ -311,12 +316,7 @@
             self.sync.heard(peer.member.address, versions)
         refusal = exchange.decode_refusal(response.headers)
         if refusal is not None:
-            pause_s = (
-                balancer_module.CLOSED_PAUSE_S
-                if refusal.closed
-                else balancer_module.FULL_PAUSE_S
-            )
-            peer.avoid_until = self.clock() + pause_s
+            peer.report_refusal(refusal.closed, self.clock())
             if refusal is exchange.Refusal.SHED:
                 call.sent += 1
             return Result(
@@ -369,7 +369,7 @@
             'left_ms={:.0f} configuration={} table={}',
             call.request_id,
             call.route.name,
-            call.nested,
+            call.parent_rank is not None,
             call.service,
             status,
             outcome,
