Remove unused settings and fields, bound the first stage by the users' share

The first stage of a rollout gets 0.6 of the share that a bad version may get, 6% with the users' bounds as before. The share's expiry was written and never read; renewals are counted instead.

--- a/hemlockgrade/mesh/exchange.py
+++ b/hemlockgrade/mesh/exchange.py
@@ -7,7 +7,6 @@
 from hemlockgrade import http_codec
 from hemlockgrade.platform import codec as platform_codec
 
-PREFIX = http_codec.INTERNAL
 # Identifier of the server that is to run the request.
 SERVER = b'x-hemlock-server'
 # Rank of the request under overload.
--- a/hemlockgrade/mesh/heartbeats.py
+++ b/hemlockgrade/mesh/heartbeats.py
@@ -1,6 +1,5 @@
 """Address at which the server beside this daemon reports."""
 
-import asyncio
 from collections.abc import Awaitable
 from collections.abc import Callable
 import urllib.parse
@@ -97,7 +96,6 @@
     request: http_codec.Request, ready: Callable[[], bool]
 ) -> http_codec.Response:
     """Tells the platform whether callers may come."""
-    await asyncio.sleep(0)
     if request.path != platform_codec.READINESS_PATH:
         return http_codec.Response(status=404)
     return http_codec.Response(status=200 if ready() else 503)
--- a/hemlockgrade/mesh/metrics.py
+++ b/hemlockgrade/mesh/metrics.py
@@ -20,9 +20,8 @@
     _seconds: float = 0.0
     _requests: int = 0
 
-    def count_request(self, route: str, outcome: str, took_s: float) -> None:
+    def count_request(self, outcome: str, took_s: float) -> None:
         """Counts a finished request."""
-        del route
         word = outcome.split(':')[0]
         counts = self._count_by_outcome
         counts[word] = counts.get(word, 0) + 1
--- a/hemlockgrade/mesh/model.py
+++ b/hemlockgrade/mesh/model.py
@@ -203,7 +203,7 @@
         state: How far its rollout is.
         holder: Daemon that decides on it.
         epoch: Grows with each holder.
-        expires_at: The holder's lease ends then, in seconds of Unix time.
+        renewals: Grows with each sign of life of the holder.
         finish_by: The rollout has to be decided then, in Unix seconds.
         order_revision: Revision at which the order was created.
         revision: Revision of the stored object.
@@ -215,7 +215,7 @@
     state: RolloutState
     holder: str = ''
     epoch: int = 0
-    expires_at: float = 0.0
+    renewals: int = 0
     finish_by: float = 0.0
     order_revision: int = 0
     revision: int = 0
--- a/hemlockgrade/mesh/node.py
+++ b/hemlockgrade/mesh/node.py
@@ -125,6 +125,7 @@
             directory=self.directory,
             pool=self.peer_pool,
             clock=self.clock,
+            exposed_share=settings.bounds.exposed_share,
         )
         self.heartbeats = heartbeats.HeartbeatApi(
             registrar=self.registrar, wait_stored=self.publisher.wait_written
--- a/hemlockgrade/mesh/proxy.py
+++ b/hemlockgrade/mesh/proxy.py
@@ -126,7 +126,7 @@
         retry_ratio: Repeated requests as a part of the first ones.
         retry_slack: Repeated requests beyond that, over all daemons.
         sync: Learns from answers what peers know.
-        on_finished: Called with route, outcome and seconds of each request.
+        on_finished: Called with outcome and seconds of each request.
     """
 
     name: str
@@ -139,7 +139,7 @@
     retry_ratio: float
     retry_slack: float
     sync: state_sync.StateSync
-    on_finished: Callable[[str, str, float], None]
+    on_finished: Callable[[str, float], None]
     _budget_by_service: dict[str, retries.RetryBudget] = attrs.field(
         factory=dict
     )
@@ -362,7 +362,7 @@
 
     def _log_call(self, call: Call, status: int, outcome: str):
         took_s = self.clock() - call.started
-        self.on_finished(call.route.name, outcome, took_s)
+        self.on_finished(outcome, took_s)
         logger.info(
             'event=request_finished request={} route={} nested={} service={} '
             'status={} outcome={!r} tried={} sent={} refused={} took_ms={:.0f} '
@@ -390,7 +390,7 @@
         outcome: str,
         started: float,
     ):
-        self.on_finished(route, outcome, self.clock() - started)
+        self.on_finished(outcome, self.clock() - started)
         logger.info(
             'event=request_finished request={} route={} status={} outcome={!r} '
             'configuration={}',
--- a/hemlockgrade/mesh/rollout_task.py
+++ b/hemlockgrade/mesh/rollout_task.py
@@ -35,6 +35,9 @@
 SPANS = (3, 8)
 # New servers are waited for until this part of the time has passed.
 GATHER_PART = 0.35
+# Part of the users' bound on the share of a bad version that the first stage
+# uses; the rest is left for a version that turns bad in a later one.
+EXPOSED_PART = 0.6
 # Answers of the new version without which the first stage goes on.
 MIN_JUDGED = 40
 
@@ -94,6 +97,8 @@
         directory: Knows members and shares.
         pool: Connections to other daemons.
         clock: Monotonic time in seconds.
+        exposed_share: Part of a service's requests that a bad version may
+            get.
     """
 
     name: str
@@ -101,6 +106,7 @@
     directory: directory_module.Directory
     pool: upstream.ConnectionPool
     clock: Callable[[], float]
+    exposed_share: float
     _order_by_service: dict[str, model.RolloutOrder] = attrs.field(factory=dict)
     _ordered_at: dict[str, float] = attrs.field(factory=dict)
     _seen_by_service: dict[str, tuple[int, float]] = attrs.field(factory=dict)
@@ -211,13 +217,11 @@
         ordered_at = self._ordered_at.get(order.service, now)
         if not started and now < ordered_at + self._delay_s(order.service):
             return
-        wall = time.time()
         if started and share is not None:
             new = attrs.evolve(
                 share,
                 holder=self.name,
                 epoch=share.epoch + 1,
-                expires_at=wall + LEASE_S,
             )
         else:
             new = model.VersionShare(
@@ -227,8 +231,7 @@
                 state=model.RolloutState.RUNNING,
                 holder=self.name,
                 epoch=1 if share is None else share.epoch + 1,
-                expires_at=wall + LEASE_S,
-                finish_by=wall + order.duration_s - (now - ordered_at),
+                finish_by=time.time() + order.duration_s - (now - ordered_at),
                 order_revision=order.created_revision,
                 revision=0 if share is None else share.revision,
             )
@@ -315,7 +318,8 @@
             left_s = max(0.0, share.finish_by - time.time())
             stage = -1
             for index, each in enumerate(STAGES):
-                if share.permille >= each.permille:
+                first = index == 0 and share.permille > 0
+                if first or share.permille >= each.permille:
                     stage = index
             progress = Progress(
                 stage=stage,
@@ -428,7 +432,11 @@
 
     async def _next_stage(self, share: model.VersionShare, progress: Progress):
         stage = STAGES[progress.stage + 1]
-        await self._write(attrs.evolve(share, permille=stage.permille))
+        permille = stage.permille
+        if progress.stage < 0:
+            exposed = self.exposed_share * EXPOSED_PART * 1000
+            permille = min(permille, int(exposed))
+        await self._write(attrs.evolve(share, permille=permille))
         left_s = progress.finish_by - self.clock()
         rest = sum(each.part for each in STAGES[progress.stage + 1 :])
         # The last part of the time is kept for the end of the old version.
@@ -437,7 +445,7 @@
 
     async def _renew(self, service: str):
         share = self.directory.share_by_service[service]
-        await self._write(attrs.evolve(share, expires_at=time.time() + LEASE_S))
+        await self._write(attrs.evolve(share, renewals=share.renewals + 1))
 
     async def _finish(
         self,
--- a/hemlockgrade/platform/settings.py
+++ b/hemlockgrade/platform/settings.py
@@ -63,8 +63,6 @@
             name=self._get('NodeName', str),
             ip=self._get('Ip', str),
             zone=self._get('Zone', str),
-            # Every zone of the deployment with its region.
-            regions_by_zone=self._get('Zones', dict),
             service=self._get('Service', str),
             server_address=self._get('AppAddr', str),
             caller_address=self._get('Listen.Outbound', str),
@@ -73,7 +71,6 @@
             # The address that the server beside this process reports to.
             heartbeat_address=self._get('Listen.Control', str),
             metrics_address=f'{self._get("Ip", str)}:{ports[0]}',
-            heartbeat_interval_s=self._get('HeartbeatMs', int) / 1000,
             store_address=self._get('Provider.Address', str),
             bounds=self._bounds(),
         )
@@ -85,19 +82,12 @@
 
     def _bounds(self) -> settings.Bounds:
         return settings.Bounds(
-            drain_s=self._get('Bounds.DrainMs', int) / 1000,
             grace_s=float(self._get('Bounds.GraceS', (int, float))),
-            configuration_s=self._get('Bounds.ConfigApplyMs', int) / 1000,
             retry_ratio=float(
                 self._get('Bounds.RetryBudgetRatio', (int, float))
             ),
-            retry_window_s=float(
-                self._get('Bounds.BudgetWindowS', (int, float))
-            ),
             retry_slack=float(self._get('Bounds.BudgetSlack', (int, float))),
             exposed_share=float(self._get('Bounds.ExposeShare', (int, float))),
-            exposed_slack=float(self._get('Bounds.ExposeSlack', (int, float))),
-            rollback_s=self._get('Bounds.RollbackMs', int) / 1000,
         )
 
     def _get(self, key: str, kind: Any) -> Any:
--- a/standins/mesh_cluster.py
+++ b/standins/mesh_cluster.py
@@ -16,27 +16,18 @@
 Ip = "127.0.0.1"
 Zone = "{zone}"
 InternalPorts = [{metrics}, {metrics}]
-HeartbeatMs = 300
 AppAddr = "{server}"
 Service = "{service}"
-[Zones]
-a = "north"
-b = "north"
 [Listen]
 Inbound = "{peer}"
 Outbound = "{caller}"
 Ready = "{ready}"
 Control = "{control}"
 [Bounds]
-DrainMs = 2000
 GraceS = 6
-ConfigApplyMs = 2000
 RetryBudgetRatio = 0.2
-BudgetWindowS = 10
 BudgetSlack = 56
 ExposeShare = 0.1
-ExposeSlack = 50
-RollbackMs = 5000
 [Provider]
 Address = "{store}"
 """
