--- a/standins/mesh_server.py
+++ b/standins/mesh_server.py
@@ -15,6 +15,7 @@
 import urllib.request
 
 from hemlockgrade import http_codec
+from standins import http_connection
 
 HEARTBEAT_S = 0.3
 
@@ -56,44 +57,27 @@
             return 0
 
 
-class Connection(asyncio.Protocol):
+class Connection(http_connection.HttpConnection):
     """Runs one request at a time."""
 
     def __init__(self, server):
+        super().__init__()
         self.server = server
-        self.parser = http_codec.RequestParser()
-        self.requests = asyncio.Queue()
         self.earlier = b''
 
-    def connection_made(self, transport):
-        """Starts to serve."""
-        self.transport = transport
-        self.task = asyncio.get_running_loop().create_task(self.serve())
-
-    def connection_lost(self, exc):
-        """Drops what runs."""
-        self.task.cancel()
-
-    def data_received(self, data):
-        """Queues requests."""
-        for request in self.parser.feed(data):
-            self.requests.put_nowait(request)
-
-    async def serve(self):
-        """Answers request by request."""
-        while True:
-            request = await self.requests.get()
-            if request.path.startswith('/.control/'):
-                self.control(request)
-            else:
-                await self.work(request)
+    async def handle(self, request):
+        """Runs a request, or obeys the test."""
+        if request.path.startswith('/.control/'):
+            self.control(request)
+            return
+        await self.work(request)
 
     def control(self, request):
         """Changes facts, or tells what ran."""
         server = self.server
         if request.path == '/.control/set':
             server.facts.update(json.loads(request.body))
-        self.send(200, json.dumps(server.runs).encode(), [])
+        self.send(200, json.dumps(server.runs).encode())
 
     async def work(self, request):
         """Runs a request."""
@@ -128,14 +112,6 @@
             ],
         )
 
-    def send(self, status, body, headers):
-        """Writes an answer and returns its bytes."""
-        lines = [f'HTTP/1.1 {status} X', f'content-length: {len(body)}']
-        lines += [f'{name}: {value}' for name, value in headers]
-        data = '\r\n'.join([*lines, '', '']).encode() + body
-        self.transport.write(data)
-        return data
-
 
 async def main(facts):
     """Serves and sends heartbeats until it is killed."""
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -12,8 +12,7 @@
 import sys
 import urllib.parse
 
-from hemlockgrade import exceptions
-from hemlockgrade import http_codec
+from standins import http_connection
 
 OBJECTS = '/-/objects/'
 
@@ -92,46 +91,19 @@
         self.changed = asyncio.Event()
 
 
-class Connection(asyncio.Protocol):
+class Connection(http_connection.HttpConnection):
     """Answers the calls of one connection in their order."""
 
     def __init__(self, store):
+        super().__init__()
         self.store = store
-        self.parser = http_codec.RequestParser()
-        self.calls = asyncio.Queue()
 
-    def connection_made(self, transport):
-        """Starts to answer."""
-        self.transport = transport
-        self.task = asyncio.get_running_loop().create_task(self.serve())
-
-    def connection_lost(self, exc):
-        """Stops answering."""
-        self.task.cancel()
-
-    def data_received(self, data):
-        """Queues the calls."""
-        for request in self.parser.feed(data):
-            self.calls.put_nowait(request)
-
-    async def serve(self):
-        """Answers call by call."""
-        while True:
-            request = await self.calls.get()
-            if isinstance(request, exceptions.MalformedRequestError):
-                self.transport.abort()
-                return
-            answer = await self.answer(request)
-            if answer is not None:
-                self.send(*answer)
-
-    def send(self, status, data):
-        """Writes an answer."""
-        body = json.dumps(data).encode()
-        self.transport.write(
-            b'HTTP/1.1 %d X\r\ncontent-length: %d\r\n\r\n%b'
-            % (status, len(body), body)
-        )
+    async def handle(self, request):
+        """Answers a call, or is silent."""
+        answer = await self.answer(request)
+        if answer is not None:
+            status, data = answer
+            self.send(status, json.dumps(data).encode())
 
     async def answer(self, request):
         """Returns a status and a body, or None for silence."""
