Use one back-off, remove dead state of the mesh daemon

The watcher, the publisher and the balancer each doubled their pauses by hand, though distribution.backoff did so; it is now backoff.delay_s, and backoff.Pauses waits with it. The registrar's clock and time of the last heartbeat were never read, two functions left out the counters of a server, the daemon kept its leaving twice, and a refusal took an argument that it ignored.

--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -78,9 +78,7 @@
 
 @given('a registrar of a server')
 def make_registrar(context):
-    context.registrar = registrar.Registrar(
-        service='booking', address=ADDRESS, clock=lambda: 0.0
-    )
+    context.registrar = registrar.Registrar(service='booking', address=ADDRESS)
 
 
 @when('heartbeats with born, sequence and state come')
--- a/hemlockgrade/distribution.py
+++ b/hemlockgrade/distribution.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from hemlockgrade import backoff
 from hemlockgrade import model
 from hemlockgrade import token_bucket
 
@@ -21,7 +22,6 @@
 MAX_HELD_CHANGES = 512
 FIRST_RECONNECT_DELAY_S = 1.0
 MAX_RECONNECT_DELAY_S = 8.0
-MAX_DOUBLINGS = 10
 # Member deltas share 8 KB per second with everything else that a relay sends.
 MEMBER_BYTES_PER_S = 2_000.0
 MEMBER_BURST_BYTES = 16_000.0
@@ -398,13 +398,6 @@
         self._retry_after_s = 0.0
 
 
-def backoff(attempt: int, first_s: float, max_s: float) -> float:
-    """Returns a delay in seconds that doubles with each attempt from 1 on."""
-    # Unbounded, the power overflows after 1,024 attempts.
-    doublings = min(max(attempt - 1, 0), MAX_DOUBLINGS)
-    return min(first_s * 2**doublings, max_s)
-
-
 def reconnect_delay(attempt: int, random: random_module.Random) -> float:
     """Returns the delay before a subscription, in seconds, with full jitter.
 
@@ -412,7 +405,9 @@
         attempt: Failures in a row; the first is 1.
         random: Source of the jitter.
     """
-    limit = backoff(attempt, FIRST_RECONNECT_DELAY_S, MAX_RECONNECT_DELAY_S)
+    limit = backoff.delay_s(
+        attempt, FIRST_RECONNECT_DELAY_S, MAX_RECONNECT_DELAY_S
+    )
     return random.uniform(0, limit)
 
 
--- a/hemlockgrade/mesh/balancer.py
+++ b/hemlockgrade/mesh/balancer.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from hemlockgrade import backoff
 from hemlockgrade.mesh import directory as directory_module
 from hemlockgrade.mesh import model
 
@@ -110,9 +111,10 @@
 
     def report_unreachable(self, now: float) -> None:
         """Passes it over for a while."""
-        pause_s = UNREACHABLE_PAUSE_S * 2**self.unreachable
-        self.unreachable = min(self.unreachable + 1, 8)
-        self.avoid_until = now + min(pause_s, MAX_UNREACHABLE_PAUSE_S)
+        self.unreachable += 1
+        self.avoid_until = now + backoff.delay_s(
+            self.unreachable, UNREACHABLE_PAUSE_S, MAX_UNREACHABLE_PAUSE_S
+        )
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -140,10 +142,6 @@
         """Returns the peer of a name."""
         return self._peer_by_name.get(name)
 
-    def peers(self) -> list[Peer]:
-        """Returns all known peers."""
-        return list(self._peer_by_name.values())
-
     def choose(
         self, service: str, tried: Collection[str], priority: int = 0
     ) -> Peer | None:
--- a/hemlockgrade/mesh/cli.py
+++ b/hemlockgrade/mesh/cli.py
@@ -34,7 +34,7 @@
         loop.add_signal_handler(signal.SIGTERM, stopping.set)
         loop.add_signal_handler(signal.SIGINT, stopping.set)
         loop.add_signal_handler(signal.SIGHUP, lambda: _reload(path, settings))
-        await node.serve(settings, reactor, stopping)
+        await node.Node(settings, reactor).run(stopping)
 
     event_loop.run(serve)
 
--- a/hemlockgrade/mesh/directory.py
+++ b/hemlockgrade/mesh/directory.py
@@ -1,7 +1,6 @@
 """What one daemon knows: the configuration, the members and the shares."""
 
 from collections.abc import Callable
-import itertools
 
 import attrs
 from loguru import logger
@@ -205,5 +204,5 @@
 
 
 def _call(callbacks: list[Callable[[], None]]):
-    for callback in itertools.chain(callbacks):
+    for callback in callbacks:
         callback()
--- a/hemlockgrade/mesh/model.py
+++ b/hemlockgrade/mesh/model.py
@@ -121,6 +121,11 @@
     sequence: int = 0
     born_ms: int = 0
 
+    @property
+    def facts(self) -> 'Server':
+        """Returns the server without what changes with each heartbeat."""
+        return attrs.evolve(self, sequence=0, warmup_left_s=0.0)
+
 
 @attrs.frozen(kw_only=True)
 class Member:
--- a/hemlockgrade/mesh/node.py
+++ b/hemlockgrade/mesh/node.py
@@ -69,7 +69,6 @@
 
     settings: settings_module.NodeSettings
     reactor: Any
-    leaving: bool = False
 
     def __attrs_post_init__(self):
         settings = self.settings
@@ -80,7 +79,6 @@
         self.registrar = registrar_module.Registrar(
             service=settings.service,
             address=settings.server_address,
-            clock=self.clock,
         )
         self.server_pool = self._pool()
         self.peer_pool = self._pool(PEER_CONNECT_TIMEOUT_S)
@@ -173,7 +171,9 @@
     @property
     def ready(self) -> bool:
         """Tells whether callers may come."""
-        return not self.leaving and self.directory.configuration is not None
+        return (
+            not self.gate.leaving and self.directory.configuration is not None
+        )
 
     async def run(self, stopping: asyncio.Event) -> None:
         """Serves until it is told to stop, then drains.
@@ -221,7 +221,6 @@
         now = self.clock()
         refuse_at = now + self.settings.bounds.grace_s * ACCEPTING_PART
         exit_at = now + self.settings.bounds.grace_s - EXIT_MARGIN_S
-        self.leaving = True
         self.gate.leaving = True
         self.publisher.wake()
         callers.drain()
@@ -339,7 +338,7 @@
             address=self.settings.peer_address,
             zone=self.settings.zone,
             boot_id=self.boot_id,
-            leaving=self.leaving,
+            leaving=self.gate.leaving,
             server=self.registrar.server,
         )
 
@@ -389,12 +388,3 @@
         for name in list(self.directory.member_by_name):
             if codec.member_key(name) not in names:
                 self.directory.remove_member(name, listing.revision)
-
-
-async def serve(
-    settings: settings_module.NodeSettings,
-    reactor: Any,
-    stopping: asyncio.Event,
-) -> None:
-    """Runs a daemon until it is told to stop."""
-    await Node(settings, reactor).run(stopping)
--- a/hemlockgrade/mesh/proxy.py
+++ b/hemlockgrade/mesh/proxy.py
@@ -152,7 +152,7 @@
         )
         if self.directory.configuration is None:
             self._log(request_id, '-', 503, 'no-configuration', started)
-            return _refusal(RETRY_AFTER_S, None)
+            return _refusal(RETRY_AFTER_S)
         host = http_codec.header(request.headers, b'host') or ''
         entry = self.directory.match(host, request.path)
         if entry is None:
@@ -344,7 +344,7 @@
             return call.failure
         left_s = call.deadline - self.clock()
         if not call.maybe_run:
-            return _refusal(left_s, call.last)
+            return _refusal(left_s)
         late = left_s < MIN_REMAINING_S or (
             call.last is not None and call.last.kind is Kind.TIMEOUT
         )
@@ -411,7 +411,7 @@
     return request_id.partition('.')[0]
 
 
-def _refusal(left_s: float, last: Result | None) -> http_codec.Response:
+def _refusal(left_s: float) -> http_codec.Response:
     """Makes the answer to a request that was not run."""
     wait_s = min(RETRY_AFTER_S, max(0.0, left_s) * RETRY_AFTER_PART)
     return http_codec.Response(
--- a/hemlockgrade/mesh/publisher.py
+++ b/hemlockgrade/mesh/publisher.py
@@ -7,15 +7,13 @@
 import attrs
 from loguru import logger
 
+from hemlockgrade import backoff
 from hemlockgrade import exceptions
 from hemlockgrade.mesh import codec
 from hemlockgrade.mesh import directory as directory_module
 from hemlockgrade.mesh import model
 from hemlockgrade.mesh import objects
-
-# Pauses after a failed write, in seconds, doubled up to the longest one.
-FIRST_PAUSE_S = 0.1
-MAX_PAUSE_S = 1.0
+from hemlockgrade.mesh import watcher
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -71,7 +69,9 @@
 
     async def run(self) -> None:
         """Writes the entry until it is cancelled."""
-        pause_s = FIRST_PAUSE_S
+        pauses = backoff.Pauses(
+            watcher.FIRST_PAUSE_S, watcher.MAX_PAUSE_S, self.random
+        )
         while True:
             await self._wanted.wait()
             self._wanted.clear()
@@ -80,7 +80,7 @@
                 continue
             try:
                 await self._write()
-                pause_s = FIRST_PAUSE_S
+                pauses.reset()
             except exceptions.HemlockError as error:
                 logger.warning(
                     'event=entry_not_written revision={} problem={!r}',
@@ -88,8 +88,7 @@
                     str(error),
                 )
                 self._wanted.set()
-                await asyncio.sleep(pause_s * (0.5 + self.random.random()))
-                pause_s = min(2 * pause_s, MAX_PAUSE_S)
+                await pauses.wait()
 
     def _is_current(self) -> bool:
         return self._stored is not None and _facts(self._stored) == _facts(
@@ -133,6 +132,6 @@
 def _facts(member: model.Member) -> model.Member:
     """Returns what peers need to know; sequences change all the time."""
     server = member.server
-    if server is not None:
-        server = attrs.evolve(server, sequence=0, warmup_left_s=0.0)
-    return attrs.evolve(member, server=server, revision=0)
+    return attrs.evolve(
+        member, server=server.facts if server else None, revision=0
+    )
--- a/hemlockgrade/mesh/registrar.py
+++ b/hemlockgrade/mesh/registrar.py
@@ -1,6 +1,5 @@
 """Owner of what is known of the server beside this daemon."""
 
-import asyncio
 from collections.abc import Callable
 import enum
 
@@ -26,22 +25,17 @@
     Attributes:
         service: Service of the local server, by the settings.
         address: Address of the local server, by the settings.
-        clock: Monotonic time in seconds.
         server: The newest incarnation; None before its first heartbeat.
         confirmed: True once this process itself heard the server; what the
             store says of it only forbids requests and never allows them.
-        heard_at: Time of its last heartbeat.
         on_change: Called when anything but the sequence has changed.
     """
 
     service: str
     address: str
-    clock: Callable[[], float]
     server: model.Server | None = None
     confirmed: bool = False
-    heard_at: float = 0.0
     on_change: list[Callable[[], None]] = attrs.field(factory=list)
-    changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     @property
     def usable(self) -> model.Server | None:
@@ -72,7 +66,6 @@
                 return Heard.LEFT
             if old.state is model.ServerState.DRAINING:
                 new = attrs.evolve(new, state=old.state)
-        self.heard_at = self.clock()
         fresh = not self.confirmed
         self.confirmed = True
         self._set(new, fresh)
@@ -92,7 +85,7 @@
 
     def _set(self, new: model.Server, fresh: bool):
         old, self.server = self.server, new
-        if old is not None and not fresh and _facts(old) == _facts(new):
+        if old is not None and not fresh and old.facts == new.facts:
             return
         logger.info(
             'event=server_changed server={} version={} state={} before={} '
@@ -123,7 +116,3 @@
     tells a late heartbeat from the newest.
     """
     return _order(new) > _order(old)
-
-
-def _facts(server: model.Server) -> model.Server:
-    return attrs.evolve(server, sequence=0, warmup_left_s=0.0)
--- a/hemlockgrade/mesh/watcher.py
+++ b/hemlockgrade/mesh/watcher.py
@@ -1,12 +1,12 @@
 """Follows the kinds of objects that a daemon needs to know."""
 
-import asyncio
 from collections.abc import Callable
 import random as random_module
 
 import attrs
 from loguru import logger
 
+from hemlockgrade import backoff
 from hemlockgrade import exceptions
 from hemlockgrade.mesh import objects
 
@@ -41,11 +41,11 @@
 
     async def run(self) -> None:
         """Follows the kind until it is cancelled."""
-        pause_s = FIRST_PAUSE_S
+        pauses = backoff.Pauses(FIRST_PAUSE_S, MAX_PAUSE_S, self.random)
         while True:
             try:
                 await self._step()
-                pause_s = FIRST_PAUSE_S
+                pauses.reset()
                 self._set_connected(True, '')
             except objects.HistoryLostError as error:
                 logger.info(
@@ -57,9 +57,7 @@
                 self._revision = None
             except exceptions.PlatformUnavailableError as error:
                 self._set_connected(False, str(error))
-                # Spreads the return of many daemons.
-                await asyncio.sleep(pause_s * (0.5 + self.random.random()))
-                pause_s = min(2 * pause_s, MAX_PAUSE_S)
+                await pauses.wait()
 
     async def refresh(self) -> int:
         """Reads the kind anew, without a lagging replica.
--- a/hemlockgrade/root_election.py
+++ b/hemlockgrade/root_election.py
@@ -15,6 +15,7 @@
 from loguru import logger
 import orjson
 
+from hemlockgrade import backoff
 from hemlockgrade import distribution
 from hemlockgrade import exceptions
 from hemlockgrade import model
@@ -375,7 +376,7 @@
     def _read_interval(self) -> float:
         """Returns the mean time between two reads, in seconds."""
         if not self._platform_reachable:
-            return distribution.backoff(
+            return backoff.delay_s(
                 self._failed_reads,
                 FIRST_OUTAGE_READ_INTERVAL_S,
                 MAX_OUTAGE_READ_INTERVAL_S,
--- a/hemlockgrade/root_relay.py
+++ b/hemlockgrade/root_relay.py
@@ -13,6 +13,7 @@
 
 from loguru import logger
 
+from hemlockgrade import backoff
 from hemlockgrade import configuration as configuration_module
 from hemlockgrade import configuration_task as configuration_task_module
 from hemlockgrade import control_stream
@@ -267,7 +268,7 @@
                 reload = True
                 self._log_interruption(error)
             attempt += 1
-            limit = distribution.backoff(
+            limit = backoff.delay_s(
                 attempt, FIRST_FOLLOW_DELAY_S, MAX_FOLLOW_DELAY_S
             )
             await asyncio.sleep(self._random.uniform(0, limit))
