Serve beside planned restarts, around failing servers, and refuse in time

A queued request got its refusal at its deadline, not when it could no longer be served. A restarted daemon could overwrite a stored leave of its server by an entry without one, when its write came before its first list.

Ruled out: serving other daemons until the exit; readiness must say no at once, and what is refused late is lost. Using the stored server unchecked; a leave that could not be stored would be undone.

Change: other daemons are served until the platform missed two checks; the stored server is checked once at a start; failing servers give way to other zones, and their failures fade with a half-life of 3 s; the queue's timer ends half a mean service time before the deadline; the publisher restores what an earlier process stored.

--- a/features/limits.feature
+++ b/features/limits.feature
@@ -66,3 +66,9 @@
     When requests of rank 2 and then of rank 1 wait
     And a slot becomes free
     Then the second one gets it and the first one still waits
+
+  Scenario: A waiting request is refused once it can no longer be served
+    # Guards against an answer that is held back until the deadline.
+    Given a limiter of 1 slot that measured services of 0.4 seconds
+    When a request with 0.7 seconds waits for the slot
+    Then it is refused after 0.5 seconds and at least 0.1 before its deadline
--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -52,6 +52,19 @@
     When the store holds the server as ready
     Then the server takes no requests
 
+  Scenario: A restarted daemon uses its server once it has answered a check
+    Given a registrar of a server
+    When the store holds the server as ready
+    And the server answers a check
+    Then the server takes requests
+
+  Scenario: A check does not undo a leave that came meanwhile
+    Given a registrar of a server
+    When the store holds the server as ready
+    And the server says that it leaves
+    And the server answers a check
+    Then the server takes no requests
+
   Scenario: A restarted daemon keeps to a leave that its former process stored
     Given a registrar of a server
     When the store holds the server as draining
@@ -168,6 +181,21 @@
       | 1.0  | 1.5 | refused     | 0    | a      |
       | 1.0  | 0.2 | refused     | 2    | b      |
 
+  Scenario Outline: A failing server alone in its zone gives way to others
+    Given a balancer of one zone with servers
+      | name | version | born | service_ms |
+      | a    | v1      | 100  | 10         |
+      | b    | v1      | 200  | 10         |
+    When b is in another zone with a load of 0.2
+    And <failed> of the last 10 answers of a failed, <ago> seconds ago
+    Then the next choice is <choice>
+
+    Examples:
+      | failed | ago | choice |
+      | 0      | 0   | a      |
+      | 6      | 0   | b      |
+      | 6      | 9   | a      |
+
   Scenario: A full server of another zone is not asked in vain
     Given a balancer of one zone with servers
       | name | version | born | service_ms |
--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -52,6 +52,25 @@
     And the second daemon is killed and starts again
     Then it serves within 5 seconds
 
+  Scenario: A daemon that restarts uses its living server at once
+    Given a mesh of 1 hosts
+    When heartbeats come every 20 seconds
+    And the first daemon is killed and starts again
+    Then it serves within 4 seconds
+
+  Scenario: A restarted daemon does not use a server that drains
+    Given a mesh of 2 hosts
+    When the server of the first host drains
+    And heartbeats come every 20 seconds
+    And the first daemon is killed and starts again
+    Then 40 requests at both hosts succeed and none reaches it
+
+  Scenario: A daemon that stops serves others until callers had notice
+    Given a mesh of 2 hosts
+    When the server of the first host drains
+    And the second daemon is told to stop
+    Then requests at the first host succeed for 2 seconds
+
   Scenario: The store forgets its history
     Given a mesh of 2 hosts
     When the store forgets its history
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -303,3 +303,36 @@
     outcome, displaced = context.result
     assert outcome == 'waits', context.result
     assert [t.on_time_until < context.now + 0.1 for t in displaced] == [True]
+
+
+@given('a limiter of 1 slot that measured services of {s:g} seconds')
+def limiter_with_service(context, s):
+    context.service_s = s
+
+
+@when('a request with {seconds:g} seconds waits for the slot')
+def waits_for_slot(context, seconds):
+    async def play():
+        limiter = slot_limiter.SlotLimiter(1)
+        now = asyncio.get_running_loop().time()
+        await limiter.acquire(now + 100)
+        limiter.release(context.service_s)
+        await limiter.acquire(now + 100)
+        started = asyncio.get_running_loop().time()
+        try:
+            # It fits behind the running one by the mean service time.
+            await limiter.acquire(started + seconds + 0.2)
+        except exceptions.RequestNotRunError:
+            return asyncio.get_running_loop().time() - started, seconds + 0.2
+        raise AssertionError('the request got a slot')
+
+    context.waited_s, context.allowed_s = loopback.run(play())
+
+
+@then(
+    'it is refused after {least:g} seconds and at least 0.1 before its deadline'
+)
+def refused_early(context, least):
+    assert least <= context.waited_s <= context.allowed_s - 0.1, (
+        context.waited_s
+    )
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -70,7 +70,7 @@
         {
             'EntryType': 'Services',
             'Metadata': {'Name': 'booking'},
-            'Spec': {'MaxConnections': 110},
+            'Spec': {'MaxConnections': 110, 'HealthCheckPath': '/health'},
         },
     ]
     return {'Version': '0000000c', 'Resources': entries, **changes}
@@ -99,11 +99,15 @@
     assert context.registrar.leave('i-1')
 
 
+@when('the server answers a check')
+def check_answered(context):
+    context.registrar.confirm(context.stored)
+
+
 @when('the store holds the server as {state}')
 def restore(context, state):
-    context.registrar.restore(
-        attrs.evolve(SERVER, state=model.ServerState(state))
-    )
+    context.stored = attrs.evolve(SERVER, state=model.ServerState(state))
+    context.registrar.restore(context.stored)
 
 
 @when('a heartbeat for another address comes')
@@ -168,7 +172,7 @@
     assert [s.service for s in route.shares] == ['booking', 'permits']
     assert (route.timeout_s, route.target_latency_s) == (0.8, 0.4)
     assert route.idempotent and route.priority == 2 and route.attempts == 2
-    assert context.configuration.connections_by_service == {'booking': 110}
+    assert context.configuration.check_path_by_service == {'booking': '/health'}
 
 
 def make_route(name, prefix, shares=(('booking', 1.0),)):
@@ -219,7 +223,7 @@
             model.MeshConfiguration(
                 version=version,
                 routes=(),
-                connections_by_service={},
+                check_path_by_service={},
                 limits=model.CallerLimits(),
                 document=None,
             ),
@@ -274,6 +278,13 @@
     )
 
 
+@when('{failed:d} of the last 10 answers of a failed, {ago:d} seconds ago')
+def has_failed(context, failed, ago):
+    peer = context.balancer.peer('a')
+    for number in range(10):
+        peer.report_result(failed=number < failed, now=100.0 - ago)
+
+
 @when('the peer {name:w} has refused')
 def has_refused(context, name):
     context.balancer.peer(name).report_refusal(closed=True, now=100.0)
--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -2,6 +2,7 @@
 
 import http.client
 import pathlib
+import signal
 import tempfile
 import threading
 import time
@@ -167,17 +168,42 @@
     context.mesh.set_faults(lose_answers=count)
 
 
-@when('the second daemon is killed and starts again')
-def restart_daemon(context):
-    context.mesh.daemons_by_name['h2'].kill()
-    context.mesh.start_mesh_daemon('h2', 'a')
+@when('the {which} daemon is killed and starts again')
+def restart_daemon(context, which):
+    context.restarted = {'first': 'h1', 'second': 'h2'}[which]
+    context.mesh.daemons_by_name[context.restarted].kill()
+    context.mesh.start_mesh_daemon(context.restarted, 'a')
+    cluster.wait_until(
+        lambda: context.mesh.ready(context.restarted), 'callers may come'
+    )
+
+
+@when('heartbeats come every {seconds:d} seconds')
+def rare_heartbeats(context, seconds):
+    context.mesh.set_server('h1', heartbeat_s=seconds)
+    # The heartbeat that is under way comes before the longer pause.
+    time.sleep(1)
+
+
+@when('the second daemon is told to stop')
+def told_to_stop(context):
+    context.mesh.daemons_by_name['h2'].signal(signal.SIGTERM)
+
+
+@then('requests at the first host succeed for {seconds:d} seconds')
+def succeed_for(context, seconds):
+    end = time.monotonic() + seconds
+    while time.monotonic() < end:
+        status, body, _, _ = context.mesh.call('h1', '/shop/x')
+        assert status == 200, (status, body)
+        time.sleep(0.05)
 
 
 @then('it serves within {bound:d} seconds')
 def serves_again(context, bound):
+    name = context.restarted
     took = mesh_cluster.seconds_until(
-        lambda: context.mesh.ready('h2') and context.mesh.serves('h2'),
-        'the daemon serves again',
+        lambda: context.mesh.serves(name), 'the daemon serves again'
     )
     assert took < bound, took
 
--- a/hemlockgrade/limits.py
+++ b/hemlockgrade/limits.py
@@ -240,11 +240,18 @@
     def _admit_at_once(self, ticket: Ticket, now: float):
         # An idle target is always tried: were nothing admitted after a
         # stall, no service time would be measured that ends the refusals.
-        if self.in_use and ticket.deadline - now < self.service_s / 2:
+        if self.in_use and now > self.latest_start(ticket):
             raise refusal('it cannot finish before its deadline')
         self.in_use += 1
         self.bound.observe(0, self.service_s, now)
 
+    def latest_start(self, ticket: Ticket) -> float:
+        """Returns the time after which a request is not worth a slot.
+
+        Service times vary, so half of the mean may still be enough.
+        """
+        return ticket.deadline - self.service_s / 2
+
     def _can_finish(self, ticket: Ticket, now: float, position: int) -> bool:
         """Tells whether a request can finish from a place in the queue."""
         wait_s = self.service_s * (position + 1) / self.slots
@@ -266,7 +273,7 @@
         granted = Granted()
         while self._waiting and self.in_use < self.slots:
             ticket = self._waiting.pop(self._next(now))
-            if now + self.service_s / 2 > ticket.deadline:
+            if now > self.latest_start(ticket):
                 granted.refused.append(ticket)
                 continue
             self.in_use += 1
--- a/hemlockgrade/mesh/balancer.py
+++ b/hemlockgrade/mesh/balancer.py
@@ -32,9 +32,13 @@
 # fewer than the second: by rank, since the users pay for each byte between
 # failure domains and what is least urgent is worth the least of it.
 SPILL_LOADS_BY_RANK = ((1.2, 1.0), (1.6, 0.8), (3.0, 0.5))
-# Failures that are as frequent at all servers of a service have a common
-# cause, which sending a request again does not mend.
-COMMON_FAILURES = 0.2
+# Share of failed answers above which other failure domains are asked for a
+# server that does better. Failures that are as frequent at all servers of a
+# service have a common cause, which sending a request again does not mend.
+FAILING = 0.2
+# A server that got no requests for its failures is tried again: its share of
+# them halves in this time, in seconds.
+FAILURES_HALF_LIFE_S = 3.0
 # Estimates of close servers differ by chance, so that daemons spread out.
 JITTER = 0.1
 
@@ -49,7 +53,8 @@
         others: Requests of others at its server, by its last answer.
         service_s: Mean time that its server needs, by its last answer; None
             before the first one.
-        failures: Moving share of failed answers, 0 to 1.
+        failures: Moving share of failed answers, 0 to 1, at its last answer.
+        answered_at: Monotonic time of its last answer.
         full_until: Monotonic time until which it is taken to have no room.
         avoid_until: Monotonic time until which it is passed over, because it
             cannot be reached or its server takes no requests.
@@ -61,6 +66,7 @@
     others: float = 0.0
     service_s: float | None = None
     failures: float = 0.0
+    answered_at: float = 0.0
     full_until: float = 0.0
     avoid_until: float = 0.0
     unreachable: int = 0
@@ -70,7 +76,12 @@
         """Returns the requests at its server, as a multiple of its slots."""
         return (self.in_flight + self.others) / self.member.server_facts.slots
 
-    def expected_s(self) -> float:
+    def failures_at(self, now: float) -> float:
+        """Returns its share of failed answers, 0 to 1."""
+        idle_s = max(0.0, now - self.answered_at)
+        return self.failures * 0.5 ** (idle_s / FAILURES_HALF_LIFE_S)
+
+    def expected_s(self, now: float) -> float:
         """Returns the time that one more request is expected to take."""
         if self.service_s is None:
             # A server that is never chosen would never be measured.
@@ -79,7 +90,7 @@
         waiting = max(0.0, self.in_flight + self.others + 1 - slots)
         busy = min(1.0, (self.in_flight + self.others) / slots)
         expected = self.service_s * (1 + 0.3 * busy + waiting / slots)
-        return expected * (1 + FAILURE_FACTOR * self.failures)
+        return expected * (1 + FAILURE_FACTOR * self.failures_at(now))
 
     def report_load(self, in_use: int, service_s: float) -> None:
         """Takes what its daemon said of its server's load.
@@ -92,9 +103,11 @@
         if service_s > 0:
             self.service_s = service_s
 
-    def report_result(self, failed: bool) -> None:
+    def report_result(self, failed: bool, now: float) -> None:
         """Counts an answer of its server."""
-        self.failures += FAILURE_WEIGHT * (float(failed) - self.failures)
+        before = self.failures_at(now)
+        self.failures = before + FAILURE_WEIGHT * (float(failed) - before)
+        self.answered_at = now
         self.unreachable = 0
 
     def report_refusal(self, closed: bool, now: float) -> None:
@@ -166,7 +179,8 @@
         best = self._cheapest(free)
         rank = min(priority, len(SPILL_LOADS_BY_RANK) - 1)
         near_load, far_load = SPILL_LOADS_BY_RANK[rank]
-        if best is not None and best.load < near_load:
+        has_room = best is not None and best.load < near_load
+        if best is not None and has_room and not self._is_failing(best):
             return best
         if not self._tried_far(tried):
             far = [
@@ -175,6 +189,7 @@
                 if p.member.zone != self.zone
                 and p.full_until <= now
                 and p.load < far_load
+                and not (has_room and self._is_failing(p))
             ]
             other = self._cheapest(far)
             if other is not None:
@@ -193,7 +208,10 @@
     def fails_everywhere(self, service: str) -> bool:
         """Tells whether all servers of a service fail often."""
         peers = self._peers_by_service.get(service, ())
-        return all(p.failures > COMMON_FAILURES for p in peers)
+        return all(self._is_failing(peer) for peer in peers)
+
+    def _is_failing(self, peer: Peer) -> bool:
+        return peer.failures_at(self.clock()) > FAILING
 
     def _tried_far(self, tried: Collection[str]) -> bool:
         """Tells whether another failure domain was asked already."""
@@ -206,9 +224,9 @@
     def _cheapest(self, peers: list[Peer]) -> Peer | None:
         if not peers:
             return None
-        random = self.random.random
+        random, now = self.random.random, self.clock()
         return min(
-            peers, key=lambda p: p.expected_s() * (1 + JITTER * random())
+            peers, key=lambda p: p.expected_s(now) * (1 + JITTER * random())
         )
 
     def _permitted(self, service: str) -> list[Peer]:
--- a/hemlockgrade/mesh/heartbeats.py
+++ b/hemlockgrade/mesh/heartbeats.py
@@ -90,12 +90,3 @@
         headers=[(b'content-type', b'application/json')],
         body=b'{}',
     )
-
-
-async def readiness(
-    request: http_codec.Request, ready: Callable[[], bool]
-) -> http_codec.Response:
-    """Tells the platform whether callers may come."""
-    if request.path != platform_codec.READINESS_PATH:
-        return http_codec.Response(status=404)
-    return http_codec.Response(status=200 if ready() else 503)
--- a/hemlockgrade/mesh/model.py
+++ b/hemlockgrade/mesh/model.py
@@ -71,15 +71,15 @@
     Attributes:
         version: Grows with each change, in irregular steps.
         routes: All routes.
-        connections_by_service: Connections that a server of each service
-            accepts from all callers together.
+        check_path_by_service: Path at which a server of each service tells
+            that it is healthy.
         limits: What callers may send.
         document: The platform's form, which daemons pass on to each other.
     """
 
     version: int
     routes: tuple[Route, ...]
-    connections_by_service: Mapping[str, int]
+    check_path_by_service: Mapping[str, str]
     limits: CallerLimits
     document: Any = attrs.field(eq=False, repr=False)
 
--- a/hemlockgrade/mesh/node.py
+++ b/hemlockgrade/mesh/node.py
@@ -19,6 +19,7 @@
 from hemlockgrade.mesh import balancer as balancer_module
 from hemlockgrade.mesh import codec
 from hemlockgrade.mesh import directory as directory_module
+from hemlockgrade.mesh import drain as drain_module
 from hemlockgrade.mesh import evidence
 from hemlockgrade.mesh import exchange
 from hemlockgrade.mesh import gate as gate_module
@@ -30,6 +31,7 @@
 from hemlockgrade.mesh import publisher as publisher_module
 from hemlockgrade.mesh import registrar as registrar_module
 from hemlockgrade.mesh import rollout_task
+from hemlockgrade.mesh import server_check
 from hemlockgrade.mesh import settings as settings_module
 from hemlockgrade.mesh import state_sync
 from hemlockgrade.mesh import watcher
@@ -45,17 +47,6 @@
 # The store's values, and the state of a peer, are read whole: a page of a list
 # has 1 MB at most.
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
-# The platform takes a daemon out after two missed readiness checks, which
-# come each second; callers may still come until then.
-LEAVE_NOTICE_S = 3.2
-# Callers that still come, because most hosts of the zone are leaving too, are
-# refused after this part of the grace period; the rest of it is longer than a
-# request takes.
-ACCEPTING_PART = 0.7
-# A daemon ends after this time without a request, in seconds.
-QUIET_S = 0.3
-# Kept from the grace period for the end of the process, in seconds.
-EXIT_MARGIN_S = 0.7
 
 
 @attrs.define(eq=False, slots=False)
@@ -102,7 +93,10 @@
             zone=settings.zone,
         )
         self.publisher = publisher_module.Publisher(
-            store=self.store, directory=self.directory, make=self._entry
+            store=self.store,
+            directory=self.directory,
+            make=self._entry,
+            restore=self._restore_server,
         )
         self.proxy = proxy_module.Proxy(
             name=settings.name,
@@ -129,7 +123,21 @@
             registrar=self.registrar, wait_stored=self.publisher.wait_written
         )
         self.registrar.on_change.append(self.publisher.wake)
+        self.server_check = server_check.ServerCheck(
+            registrar=self.registrar,
+            directory=self.directory,
+            pool=self.server_pool,
+            clock=self.clock,
+        )
+        self.directory.on_configuration.append(self.server_check.wake)
         self._in_flight = in_flight.InFlight(self.clock)
+        self.drain = drain_module.Drain(
+            gate=self.gate,
+            in_flight=self._in_flight,
+            clock=self.clock,
+            is_configured=lambda: self.directory.configuration is not None,
+            on_leaving=self.publisher.wake,
+        )
         self._watchers = self._make_watchers()
 
     def _pool(
@@ -168,13 +176,6 @@
             ),
         ]
 
-    @property
-    def ready(self) -> bool:
-        """Tells whether callers may come."""
-        return (
-            not self.gate.leaving and self.directory.configuration is not None
-        )
-
     async def run(self, stopping: asyncio.Event) -> None:
         """Serves until it is told to stop, then drains.
 
@@ -195,6 +196,7 @@
                     self.publisher.run(),
                     self.rollouts.run(),
                     self.sync.run(),
+                    self.server_check.run(),
                     *(each.run() for each in self._watchers),
                 )
             ]
@@ -218,19 +220,12 @@
         accepting: contextlib.AsyncExitStack,
     ):
         """Ends with no request cut, within the grace period."""
+        grace_s = self.settings.bounds.grace_s
         now = self.clock()
-        refuse_at = now + self.settings.bounds.grace_s * ACCEPTING_PART
-        exit_at = now + self.settings.bounds.grace_s - EXIT_MARGIN_S
-        self.gate.leaving = True
-        self.publisher.wake()
-        callers.drain()
-        logger.info('event=daemon_draining in_flight={}', self._in_flight.count)
-        await asyncio.sleep(LEAVE_NOTICE_S)
-        served = -1
-        while served != self._in_flight.total and self.clock() < refuse_at:
-            await self._in_flight.wait_until_idle(refuse_at)
-            served = self._in_flight.total
-            await asyncio.sleep(min(QUIET_S, max(0, refuse_at - self.clock())))
+        refuse_at = now + grace_s * drain_module.ACCEPTING_PART
+        exit_at = now + grace_s - drain_module.EXIT_MARGIN_S
+        await self.drain.wait_for_notice(callers)
+        await self.drain.wait_for_quiet(refuse_at)
         await accepting.aclose()
         callers.close_idle()
         await self._in_flight.wait_until_idle(exit_at)
@@ -256,9 +251,7 @@
                 self.heartbeats.handle
             ),
             settings.readiness_address: http_server.HttpServerFactory(
-                lambda request: heartbeats.readiness(
-                    request, lambda: self.ready
-                )
+                self.drain.answer_check
             ),
             settings.metrics_address: http_server.HttpServerFactory(
                 self._handle_metrics
@@ -371,11 +364,16 @@
             self.directory.apply_share(value, 'store')
         elif isinstance(value, model.Member):
             if value.name == self.settings.name:
-                if value.server is not None:
-                    self.registrar.restore(value.server)
+                self._restore_server(value)
                 self.publisher.seen(value)
             self.directory.apply_member(value, 'store')
 
+    def _restore_server(self, stored: model.Member):
+        """Takes what an earlier process of this host knew of its server."""
+        if stored.server is not None:
+            self.registrar.restore(stored.server)
+            self.server_check.wake()
+
     def _mesh_deleted(self, item: objects.StoredItem):
         if item.name == codec.member_key(self.settings.name):
             self.publisher.lost()
--- a/hemlockgrade/mesh/proxy.py
+++ b/hemlockgrade/mesh/proxy.py
@@ -326,11 +326,11 @@
         call.maybe_run = True
         reason = http_codec.header(response.headers, exchange.UNKNOWN)
         if reason is not None:
-            peer.report_result(failed=True)
+            peer.report_result(failed=True, now=self.clock())
             kind = Kind.TIMEOUT if reason == 'timeout' else Kind.UNKNOWN
             return Result(kind=kind, reason=reason)
         failed = response.status >= gate_module.FIRST_SERVER_ERROR
-        peer.report_result(failed=failed)
+        peer.report_result(failed=failed, now=self.clock())
         response.headers = http_codec.without_internal(response.headers)
         return Result(
             kind=Kind.ANSWER,
--- a/hemlockgrade/mesh/publisher.py
+++ b/hemlockgrade/mesh/publisher.py
@@ -24,11 +24,13 @@
         store: Where the entry is kept.
         directory: Learns each written entry at once.
         make: Makes the entry as it should be now.
+        restore: Called with the entry of an earlier process of this host.
     """
 
     store: objects.ObjectStore
     directory: directory_module.Directory
     make: Callable[[], model.Member]
+    restore: Callable[[model.Member], None]
     random: random_module.Random = attrs.field(factory=random_module.Random)
     _wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
     _written: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -110,7 +112,7 @@
             # An earlier process of this host, or a write whose answer was
             # lost, wrote it; this process is the only one that does now.
             found = error.current or await self.store.get(codec.MESH_KIND, name)
-            self._revision = found.revision if found is not None else None
+            self._take_over(found)
             self._wanted.set()
             return
         except exceptions.NotFoundError:
@@ -128,6 +130,24 @@
         self.directory.apply_member(self._stored, 'own')
         self._wanted.set()
 
+    def _take_over(self, found: objects.StoredItem | None):
+        """Takes what an earlier process stored, above all a leave."""
+        self._revision = found.revision if found is not None else None
+        if found is None:
+            return
+        try:
+            stored = codec.decode_item(found)
+        except exceptions.InvalidFieldError as error:
+            logger.error(
+                'event=entry_refused name={} revision={} problem={!r}',
+                found.name,
+                found.revision,
+                str(error),
+            )
+            return
+        if isinstance(stored, model.Member):
+            self.restore(stored)
+
 
 def _facts(member: model.Member) -> model.Member:
     """Returns what peers need to know; sequences change all the time."""
--- a/hemlockgrade/mesh/registrar.py
+++ b/hemlockgrade/mesh/registrar.py
@@ -26,8 +26,8 @@
         service: Service of the local server, by the settings.
         address: Address of the local server, by the settings.
         server: The newest incarnation; None before its first heartbeat.
-        confirmed: True once this process itself heard the server; what the
-            store says of it only forbids requests and never allows them.
+        confirmed: True once this process itself heard the server or got an
+            answer of it; what the store says of it only forbids requests.
         on_change: Called when anything but the sequence has changed.
     """
 
@@ -54,6 +54,13 @@
         if self.server is None or _order(server) > _order(self.server):
             self.server = server
 
+    def confirm(self, server: model.Server) -> None:
+        """Allows requests to the stored server, which answered a check."""
+        if self.server != server or self.confirmed:
+            return
+        self.confirmed = True
+        logger.info('event=server_confirmed server={}', server.server_id)
+
     def hear(self, new: model.Server) -> Heard:
         """Takes a heartbeat."""
         if new.address != self.address or new.service != self.service:
--- a/hemlockgrade/platform/codec.py
+++ b/hemlockgrade/platform/codec.py
@@ -26,6 +26,8 @@
 # Set by a server that did not run the request.
 NOT_RUN = b'x-not-executed'
 RETRY_AFTER = b'retry-after'
+# Identifier of the server that answered a check of its health.
+ANSWERING_SERVER = b'x-instance-id'
 
 READINESS_PATH = '/-/readiness'
 HEARTBEAT_PREFIX = '/-/instances/'
@@ -45,7 +47,7 @@
     """
     spec = _table('configuration', spec)
     routes = []
-    connections_by_service = {}
+    check_path_by_service = {}
     limits = model.CallerLimits()
     for entry in _list('Resources', spec.get('Resources')):
         entry = _table('Resources', entry)
@@ -55,15 +57,17 @@
         if kind == 'Routes':
             routes.append(_decode_route(name, body))
         elif kind == 'Services':
-            connections_by_service[_text('Name', name)] = _whole(
-                'MaxConnections', body.get('MaxConnections')
-            )
+            path = body.get('HealthCheckPath')
+            if path:
+                check_path_by_service[_text('Name', name)] = _text(
+                    'HealthCheckPath', path
+                )
         elif kind == 'Limits':
             limits = _decode_limits(body)
     return model.MeshConfiguration(
         version=_decode_version(spec.get('Version')),
         routes=tuple(routes),
-        connections_by_service=connections_by_service,
+        check_path_by_service=check_path_by_service,
         limits=limits,
         document=spec,
     )
--- a/hemlockgrade/plugins/slot_limiter.py
+++ b/hemlockgrade/plugins/slot_limiter.py
@@ -64,7 +64,8 @@
         loop = asyncio.get_running_loop()
         future = loop.create_future()
         self._future_by_ticket[ticket] = future
-        timer = loop.call_later(deadline - now, self._give_up, ticket)
+        give_up_at = self._queue.latest_start(ticket)
+        timer = loop.call_later(give_up_at - now, self._give_up, ticket)
         try:
             await future
         except asyncio.CancelledError:
@@ -96,7 +97,7 @@
 
     def _give_up(self, ticket: limits.Ticket):
         self._queue.abandon(ticket)
-        self._refuse(ticket, 'its deadline passed in the queue')
+        self._refuse(ticket, 'it waited too long for a slot')
 
     def _give_back_unused(self, future: asyncio.Future):
         # The slot was granted in the same turn in which the wait was
--- a/standins/mesh_cluster.py
+++ b/standins/mesh_cluster.py
@@ -96,7 +96,10 @@
                 {
                     'EntryType': 'Services',
                     'Metadata': {'Name': 'booking'},
-                    'Spec': {'MaxConnections': 110},
+                    'Spec': {
+                        'MaxConnections': 110,
+                        'HealthCheckPath': '/health',
+                    },
                 },
             ],
         }
--- a/standins/mesh_server.py
+++ b/standins/mesh_server.py
@@ -4,7 +4,7 @@
 `version`, `zone`, `slots`, `address`, `control` and `work_ms`. It sends
 heartbeats to `control`, signs its answers and counts its runs.
 `POST /.control/set` takes a JSON table: `state`, `work_ms`, `fail`,
-`extra` (a second answer to an earlier request) or `silent`.
+`heartbeat_s`, `extra` (a second answer to an earlier request) or `silent`.
 `GET /.control/runs` gives the ids that it ran.
 """
 
@@ -17,14 +17,18 @@
 from hemlockgrade import http_codec
 from standins import http_connection
 
-HEARTBEAT_S = 0.3
-
 
 class Server:
     """Its facts, its faults and what it ran."""
 
     def __init__(self, facts):
-        self.facts = {'work_ms': 5, 'fail': False, 'state': 'ready', **facts}
+        self.facts = {
+            'work_ms': 5,
+            'fail': False,
+            'state': 'ready',
+            'heartbeat_s': 0.3,
+            **facts,
+        }
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs = []
@@ -70,6 +74,11 @@
         if request.path.startswith('/.control/'):
             self.control(request)
             return
+        if request.path == '/health':
+            ready = self.server.facts['state'] == 'ready'
+            named = [('x-instance-id', self.server.facts['server_id'])]
+            self.send(200 if ready else 503, b'', named)
+            return
         await self.work(request)
 
     def control(self, request):
@@ -124,7 +133,7 @@
     async with listening:
         while True:
             await asyncio.to_thread(server.beat)
-            await asyncio.sleep(HEARTBEAT_S)
+            await asyncio.sleep(server.facts['heartbeat_s'])
 
 
 if __name__ == '__main__':
