--- a/features/product.feature
+++ b/features/product.feature
@@ -29,7 +29,7 @@
 
   Scenario: An unknown plug-in is refused with the names that exist
     When the balancer "no_such" is loaded
-    Then the plug-in error names "least_loaded"
+    Then the plug-in error names "zone"
 
   Scenario: The time line keeps the causal order although clocks differ
     Given a process whose clock is 5 seconds behind another
--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -56,7 +56,7 @@
   Scenario: A cut large answer ends with the caller's connection
     When large answers are cut after their beginning was passed on
     Then the callers see cut answers
-    And the proxy recorded bad bad
+    And the gates recorded bad bad
 
   Scenario: A caller that does not read holds back the target
     # Guards against a large answer piling up in a daemon's memory.
@@ -101,7 +101,7 @@
 
   Scenario: A drain cuts nothing
     When the admission side drains while 10 requests run and 5 wait
-    Then 10 answers are whole and 6 requests were refused as not run
+    Then 15 answers are whole and 1 requests were refused as not run
 
   Scenario: A drain that takes too long ends with unknown outcomes
     When the admission side drains past its deadline
@@ -113,7 +113,7 @@
 
   Scenario: A draining proxy finishes what it has taken
     When the proxy drains while 5 requests run
-    Then 5 answers are whole and 1 requests were refused as not run
+    Then 5 answers are whole and 0 requests were refused as not run
 
   Scenario: Work of a caller that has gone is cancelled
     When a caller's connection is reset while its request runs
@@ -134,16 +134,16 @@
     And each was answered or refused as not run
 
   Scenario: A refused request is run elsewhere
-    # A drain says nothing about a version; a target that does not listen does.
+    # Neither a drain nor a target that does not listen speaks against a version.
     When of three targets one drains and the process of one has ended
     Then every caller got status 200 and outcome None
     And each of the requests ran once
-    And the proxy recorded bad good bad good bad good bad good
+    And the gates recorded good good good good
 
   Scenario: Evidence and loads follow the outcomes
     When a target answers, fails, closes and is too slow
-    Then the proxy recorded good bad bad bad
-    And the load table learns ok error error timeout
+    Then the gates recorded good bad bad bad
+    And the balancer takes 27 percent of its answers for failures
 
   Scenario: A target process announces itself and leaves without a cut
     When a target process is told to end while it answers a request
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -1,32 +1,31 @@
-"""Steps on validation and application of changes."""
+"""Steps on labels and selectors: their checks and the routes they give."""
 
+import attrs
 from behave import given
 from behave import then
 from behave import when
 
-from hemlockgrade import configuration
+from hemlockgrade import directory
 from hemlockgrade import exceptions
 from hemlockgrade import model
+from hemlockgrade import selectors
 
 NOW = 1_000_000.0
 
 
-def change(context, kind, name, body=None, epoch=0):
-    return model.Change(
-        number=context.configuration.version + 1,
-        change_id=f'c{context.configuration.version + 1}',
-        kind=model.ChangeKind(kind),
-        name=name,
-        body=body or {},
-        epoch=epoch,
-        written_at=NOW,
+def define(context, value, **facts):
+    """Adds a definition as the store would hold it."""
+    context.revision += 1
+    definition = model.Definition(
+        value=value, written_at=NOW, revision=context.revision, **facts
     )
-
-
-def accept(context, *arguments, **options):
-    entry = change(context, *arguments, **options)
-    configuration.validate(context.configuration, entry, NOW)
-    context.configuration = configuration.apply(context.configuration, entry)
+    known = context.definitions
+    by_name = (
+        known.label_by_name
+        if isinstance(value, model.Label)
+        else known.selector_by_name
+    )
+    by_name[value.name] = definition
 
 
 def selector_body(shares, agreed_by=None):
@@ -41,33 +40,33 @@
     }
 
 
-@given('an empty configuration')
-def empty_configuration(context):
-    context.configuration = configuration.Configuration()
+@given('nothing is defined')
+def nothing_defined(context):
+    context.revision = 0
+    context.definitions = selectors.Definitions()
 
 
-@given('a configuration in which version v1 serves all of booking')
-def configuration_with_booking(context):
-    empty_configuration(context)
-    for name, kind in (('edge', 'proxy'), ('booking-hosts', 'target')):
-        accept(
-            context,
-            'put_label',
-            name,
-            {'name': name, 'kind': kind, 'members': ['*']},
-        )
-    accept(context, 'put_selector', 'booking', selector_body({'v1': 100}))
+@given('labels and a selector by which version v1 serves all of booking')
+def with_booking(context):
+    nothing_defined(context)
+    known = context.definitions
+    for name, kind, member in (
+        ('edge', 'proxy', 'host-*'),
+        ('booking-hosts', 'target', 'booking-*'),
+    ):
+        body = {'name': name, 'kind': kind, 'members': [member]}
+        define(context, selectors.check_label(known, name, body))
+    body = selector_body({'v1': 100})
+    define(context, selectors.check_selector(known, 'booking', body, NOW))
 
 
 @when(
     'a selector with unknown labels and shares of {share:d} percent is checked'
 )
 def check_bad_selector(context, share):
-    entry = change(
-        context, 'put_selector', 'booking', selector_body({'v1': share})
-    )
+    body = selector_body({'v1': share})
     try:
-        configuration.validate(context.configuration, entry, NOW)
+        selectors.check_selector(context.definitions, 'booking', body, NOW)
     except exceptions.InvalidChangeError as error:
         context.refused = [e.field for e in error.exceptions]
 
@@ -79,34 +78,41 @@
 
 @when('version v2 is named for all of booking')
 def name_v2(context):
-    accept(
+    known = context.definitions
+    body = selector_body({'v2': 100}, agreed_by=NOW + 60)
+    selector = selectors.check_selector(known, 'booking', body, NOW)
+    define(
         context,
-        'put_selector',
-        'booking',
-        selector_body({'v2': 100}, agreed_by=NOW + 60),
+        selector,
+        new_version=selectors.new_version(known, selector),
+        former_shares_by_version=known.settled_shares('booking'),
+    )
+
+
+def set_rollout(context, **facts):
+    definition = context.definitions.selector_by_name['booking']
+    share = model.VersionShare(
+        **{
+            'key': 'selector.booking',
+            'service': 'booking',
+            'version': 'v2',
+            'permille': 0,
+            'state': model.RolloutState.RUNNING,
+            'order_revision': definition.revision,
+            **facts,
+        }
     )
+    context.definitions.share_by_key[share.key] = share
 
 
-@when('epoch {epoch:d} of the rollout lease begins')
-def begin_epoch(context, epoch):
-    accept(context, 'epoch', 'rollout', epoch=epoch)
+@when('the rollout of booking progresses to {permille:d} permille')
+def set_progress(context, permille):
+    set_rollout(context, permille=permille)
 
 
-@when(
-    'the rollout of booking progresses to {permille:d} permille in epoch {epoch:d}'
-)
-def set_progress(context, permille, epoch):
-    rollout = context.configuration.rollouts_by_selector['booking']
-    accept(
-        context,
-        'set_progress',
-        'booking',
-        {
-            'started_by': rollout.started_by,
-            'progress_permille': permille,
-        },
-        epoch=epoch,
-    )
+@when('the rollout of booking is {state}')
+def end_rollout(context, state):
+    set_rollout(context, state=model.RolloutState(state))
 
 
 @then('booking is served by {shares}')
@@ -115,5 +121,82 @@
     for part in shares.split(' and '):
         version, _, percent, _ = part.split()
         expected[version] = int(percent) / 100
-    actual = context.configuration.shares('booking')
+    actual = context.definitions.shares('booking')
     assert actual == expected, actual
+
+
+@then('the removal of label {name} is refused by the field {field}')
+def removal_refused(context, name, field):
+    try:
+        selectors.check_removal(context.definitions, 'label', name)
+    except exceptions.InvalidChangeError as error:
+        assert [e.field for e in error.exceptions] == [field]
+        return
+    raise AssertionError('the removal was allowed')
+
+
+@then('the proxy {proxy_id} has the route {prefix} to targets {pattern}')
+def has_route(context, proxy_id, prefix, pattern):
+    (route,) = context.definitions.routes_for(proxy_id)
+    assert (route.prefix, route.targets.members) == (prefix, (pattern,)), route
+
+
+@then('the proxy {proxy_id} has no route')
+def has_no_route(context, proxy_id):
+    assert not context.definitions.routes_for(proxy_id)
+
+
+@given('a route table of selectors with prefixes {first}, {second} and {third}')
+def selectors_with_prefixes(context, first, second, third):
+    context.directory = directory.Directory('host-1')
+    label = model.Label(name='all', kind=model.LabelKind.PROXY, members=('*',))
+    targets = attrs.evolve(label, name='t', kind=model.LabelKind.TARGET)
+    prefixes = (first, second, third)
+    selector = model.Selector(
+        name='booking',
+        proxies='all',
+        targets='t',
+        service='booking',
+        routes=tuple(model.SelectorRoute(path_prefix=p) for p in prefixes),
+        shares_by_version={'v1': 100},
+    )
+    for number, value in enumerate((label, targets, selector), 1):
+        context.directory.apply_definition(
+            model.Definition(value=value, revision=number), 'test'
+        )
+
+
+@then('the path {path} leads to {prefix}')
+def leads_to(context, path, prefix):
+    found = context.directory.match('any.example', path).route.prefix
+    assert found == prefix, found
+
+
+@when('the configuration routes {prefix} of {host}')
+def configuration_routes(context, prefix, host):
+    route = model.Route(
+        name='configured',
+        host=host,
+        prefix=prefix,
+        idempotent=True,
+        attempts=1,
+        timeout_s=1.0,
+        target_latency_s=1.0,
+        priority=0,
+        shares=(model.ServiceShare(service='other', weight=1.0),),
+    )
+    new = model.MeshConfiguration(
+        version=1,
+        routes=(route,),
+        check_path_by_service={},
+        limits=model.CallerLimits(),
+        document=None,
+    )
+    context.directory.apply_configuration(new, 'test')
+
+
+@then("a request for {path} of {host} takes the {origin}'s")
+def takes(context, path, host, origin):
+    route = context.directory.match(host, path).route
+    expected = '' if origin == 'configuration' else 'booking'
+    assert route.selector == expected, route
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -10,16 +10,16 @@
 from behave import then
 from behave import when
 
+from hemlockgrade import directory
+from hemlockgrade import evidence
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
 from hemlockgrade import logs
-from hemlockgrade.mesh import balancer
-from hemlockgrade.mesh import directory
-from hemlockgrade.mesh import evidence
-from hemlockgrade.mesh import judge
-from hemlockgrade.mesh import model
-from hemlockgrade.mesh import registrar
+from hemlockgrade import model
+from hemlockgrade import registrar
 from hemlockgrade.platform import codec
+from hemlockgrade.plugins import binomial_judge
+from hemlockgrade.plugins import zone_balancer
 
 ADDRESS = '10.0.0.1:80'
 SERVER = model.Server(
@@ -235,7 +235,7 @@
 @given('a balancer of one zone with servers')
 def make_balancer(context):
     context.directory = directory.Directory('a')
-    context.balancer = balancer.Balancer(
+    context.balancer = zone_balancer.ZoneBalancer(
         directory=context.directory,
         zone='a',
         clock=lambda: 100.0,
@@ -268,6 +268,7 @@
 def set_share(context, version, permille, state):
     context.directory.apply_share(
         model.VersionShare(
+            key='booking',
             service='booking',
             version=version,
             permille=permille,
@@ -365,7 +366,7 @@
 )
 def judge_versions(context, old_failed, old, new_failed, new, factor):
     random_ = random.Random(7)
-    context.finding = judge.find_fault(
+    context.finding = binomial_judge.find_fault(
         {
             ('v1', 'r'): sample(random_, old, old_failed),
             ('v2', 'r'): sample(random_, new, new_failed, factor),
@@ -391,7 +392,7 @@
                 failed = sum(random_.random() < 0.01 for _ in range(requests))
                 counts.merge(sample(random_, requests, failed))
             totals = {('v1', 'r'): old, ('v2', 'r'): new}
-            if judge.find_fault(totals, 'v2') is not None:
+            if binomial_judge.find_fault(totals, 'v2') is not None:
                 bad += 1
                 break
     assert bad <= most, bad
--- a/features/steps/product_steps.py
+++ b/features/steps/product_steps.py
@@ -1,6 +1,5 @@
 """Steps on settings, files, plug-ins, the time line and the log."""
 
-import contextlib
 import io
 import json
 import pathlib
@@ -15,7 +14,6 @@
 from behave import when
 from loguru import logger
 
-from hemlockgrade import configuration
 from hemlockgrade import exceptions
 from hemlockgrade import kernel
 from hemlockgrade import logs
@@ -38,11 +36,10 @@
         'daemon_id': 'host-1',
         'proxy_address': 'localhost',
         'admission_address': '127.0.0.1:2',
-        'control_address': '127.0.0.1:3',
         'administration_address': '127.0.0.1:4',
         'local_address': '127.0.0.1:5',
         'administration_token': SECRET,
-        'platform_url': 'http://127.0.0.1:6',
+        'store_address': '127.0.0.1:6',
         'color': 'red',
     }
 
@@ -185,7 +182,7 @@
     context.plugin = namespace['ChangesByAuthor'](time_line=None)
 
     class Failing:
-        def on_configuration_applied(self, applied, changes):
+        def on_definition_changed(self, definition):
             raise RuntimeError('fails')
 
     context.events = kernel.Events()
@@ -195,18 +192,11 @@
 
 @when('a configuration change by "{author}" is applied')
 def apply_change(context, author):
-    change = model.Change(
-        number=1,
-        change_id='c1',
-        kind=model.ChangeKind.PUT_LABEL,
-        name='edge',
-        author=author,
-    )
+    label = model.Label(name='edge', kind=model.LabelKind.PROXY, members=('*',))
     logger.remove()
     context.events.emit(
-        'configuration_applied',
-        applied=configuration.Configuration(version=1),
-        changes=[change],
+        'definition_changed',
+        definition=model.Definition(value=label, author=author, revision=1),
     )
 
 
@@ -217,8 +207,9 @@
 
 @when('the balancer "{name}" is loaded')
 def load_balancer(context, name):
+    kernel.load(daemon_settings.PLUGINS)
     try:
-        kernel.load_plugin('balancers', name)
+        kernel.plugin('balancers', name)
     except exceptions.PluginError as error:
         context.error = error
 
@@ -256,8 +247,7 @@
 @given('a log that hides the token')
 def hiding_log(context):
     context.log = io.StringIO()
-    with contextlib.redirect_stderr(context.log):
-        logs.configure('host-1', 'info', secrets=(TOKEN,))
+    logs.configure('host-1', 'info', (TOKEN,), context.log.write)
 
 
 @when('a line with the token is logged')
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -1,19 +1,19 @@
 """Steps on the request path, over loopback sockets in one process."""
 
 import asyncio
+import contextlib
 import json
 import os
 import socket
 import struct
 import sys
-import time
 
+import attrs
 from behave import then
 from behave import when
 import hypothesis
 from hypothesis import strategies
 
-from hemlockgrade import retries
 from standins import loopback
 from standins import target_server
 
@@ -72,7 +72,7 @@
                 async with loopback.System(targets, **options) as system:
                     await function(context, system, **arguments)
                     context.runs = system.runs_by_path()
-                    context.accounts = system.accounts
+                    context.evidence = system.evidence
 
             loopback.run(main())
 
@@ -153,7 +153,6 @@
 async def cut_each_byte(context, system, message, method):
     context.answers = []
     for at in range(180 if message.endswith('request') else 300):
-        system.proxy.budget = retries.RetryBudget()
         # A new connection for each request, so that each cut is met.
         system.pool.close()
         system.pool._closed = False
@@ -256,15 +255,15 @@
     assert context.cut == [None, None], context.cut
 
 
-@then('the proxy recorded {expected}')
+@then('the gates recorded {expected}')
 def evidence_is(context, expected):
-    found = [ok for _, _, ok in context.accounts.evidence]
+    found = context.evidence
     assert found == [word == 'good' for word in expected.split()], found
 
 
-@then('the load table learns {expected}')
-def loads_are(context, expected):
-    assert context.accounts.outcomes == expected.split()
+@then('the balancer takes {percent:d} percent of its answers for failures')
+def failures_are(context, percent):
+    assert round(context.failures * 100) == percent, context.failures
 
 
 @acting('a caller reads an answer of 60 million bytes after a pause')
@@ -370,7 +369,7 @@
 
 @acting('two callers send the same identifier')
 async def same_identifier(context, system):
-    head = 'x-hemlock-request-id: same-1\r\nx-hemlock-not-run: 1\r\n'
+    head = 'x-hemlock-attempt: same-1\r\nx-hemlock-refused: full\r\n'
     asks = [system.ask('POST', '/i', headers=head) for _ in range(2)]
     context.answers = await asyncio.gather(*asks)
     context.ids = [item['id'] for item in system.targets[0].log]
@@ -384,10 +383,10 @@
 
 @acting('the admission side drains while 10 requests run and 5 wait', slots=10)
 async def drain(context, system):
-    side = system.admissions[0]
+    side = system.sides[0]
     tasks = [start(system, 'POST', f'/d{n}?ms=150') for n in range(15)]
-    await until(lambda: side.loads()['target-0'] == (10, 5))
-    await side.drain(time.monotonic() + 5)
+    await until(lambda: side.loads() == (10, 5))
+    side.gate.leaving = True
     tasks.append(start(system, 'POST', '/later'))
     context.answers = await asyncio.gather(*tasks)
 
@@ -397,9 +396,12 @@
     tasks = [start(system, 'POST', f'/d{n}?ms=100') for n in range(5)]
     await until(lambda: system.targets[0].running == 5)
     system.factory.drain()
-    await system.proxy.drain(time.monotonic() + 5)
-    tasks.append(start(system, 'POST', '/later'))
+    system.stop_listening()
     context.answers = await asyncio.gather(*tasks)
+    # A connection that is refused was not run either.
+    with contextlib.suppress(ConnectionRefusedError):
+        await system.ask('POST', '/later')
+        raise AssertionError('the listener is open')
 
 
 @then(
@@ -417,7 +419,7 @@
 async def drain_cut(context, system):
     task = start(system, 'POST', '/d?ms=2000')
     await until(lambda: system.targets[0].running)
-    await system.admissions[0].drain(time.monotonic() + 0.05)
+    system.sides[0].pool.close()
     context.answers = [await task]
 
 
@@ -440,13 +442,14 @@
     caller.writer.transport.abort()
     await until(lambda: not system.targets[0].running)
     context.cancelled = system.targets[0].counts['cancelled']
-    context.loads = system.admissions[0].loads()
+    await until(lambda: system.sides[0].loads() == (0, 0))
+    context.loads = system.sides[0].loads()
 
 
 @then('the target sees the cancellation and its slot is free')
 def saw_cancel(context):
     assert context.cancelled == 1
-    assert context.loads == {'target-0': (0, 0)}
+    assert context.loads == (0, 0)
 
 
 @acting('a caller sends a request and ends its side of the connection')
@@ -459,16 +462,21 @@
 
 @acting('requests come that no target may run')
 async def nothing_there(context, system):
-    side, boot_id = system.admissions[0], system.admissions[0].boot_id
-    side.boot_id = 'another'
+    known = system.sides[0].registrar
+    server = known.server
+    known.server = attrs.evolve(server, server_id='another')
     context.answers = [await system.ask('POST', '/a')]
-    side.boot_id, system.proxy.routing = boot_id, None
+    known.server = server
+    configuration = system.directory.configuration
+    system.directory.configuration = None
     context.answers.append(await system.ask('POST', '/a'))
-    system.proxy.routing = system.route
+    system.directory.configuration = configuration
+    system.configure('elsewhere')
     context.answers.append(await system.ask('POST', '/nowhere'))
+    system.configure('x')
     head = 'x-request-timeout-ms: 0\r\n'
     context.answers.append(await system.ask('POST', '/a', headers=head))
-    system.route.targets = []
+    system.directory.remove('member.target-0', 9)
     context.answers.append(await system.ask('POST', '/a'))
 
 
@@ -506,7 +514,7 @@
     'of three targets one drains and the process of one has ended', targets=3
 )
 async def three_targets(context, system):
-    await system.admissions[0].drain(time.monotonic() + 1)
+    system.sides[0].gate.leaving = True
     await system.targets[1].stop()
     context.answers = [await system.ask('POST', f'/r{n}') for n in range(4)]
 
@@ -520,6 +528,8 @@
     ]
     for path in ('/good', '/error', '/close', '/late'):
         await system.ask('POST', path)
+    peer = system.balancer.peer('target-0')
+    context.failures = peer.failures
 
 
 @when('a target process is told to end while it answers a request')
--- a/features/steps/system_steps.py
+++ b/features/steps/system_steps.py
@@ -42,7 +42,7 @@
     system = cluster.Cluster(pathlib.Path(directory.name))
     context.system = system
     context.add_cleanup(system.__exit__, None, None, None)
-    system.start_platform()
+    system.start_store()
     for domain in 'abc'[:domains]:
         for number in range(1, count + 1):
             system.start_daemon(f'{domain}-{number}', domain)
@@ -88,7 +88,7 @@
 
 
 def holder(system):
-    """Returns the daemon that holds the rollout lease, if one does."""
+    """Returns the daemon that holds the rollout of booking, if one does."""
     for daemon in status(system)['daemons']:
         if daemon.get('leases'):
             return daemon['daemon_id']
@@ -194,8 +194,13 @@
 )
 def name_version(context, seconds):
     system = context.system
-    for host in list(system.daemons_by_name):
-        start_target(system, 'v2', host)
+    # A host has one target, so the new version comes on hosts of its own.
+    hosts = list(system.daemons_by_name.values())
+    for daemon in hosts:
+        system.start_daemon(f'{daemon.name}-new', daemon.failure_domain)
+    system.wait_for_daemons()
+    for daemon in hosts:
+        start_target(system, 'v2', f'{daemon.name}-new')
     system.ctl_json(
         *('selectors', 'shares', 'booking', 'v2=100'),
         *('--agreed-by', f'+{seconds}s'),
@@ -229,22 +234,16 @@
     system = context.system
     frozen = holder(system)
     process = system.daemons_by_name[frozen]
-    epochs = len(epochs_in_log(system))
+    epoch = checks.share(system)['epoch']
     process.signal(signal.SIGSTOP)
     try:
         cluster.wait_until(
-            lambda: len(epochs_in_log(system)) > epochs, 'another epoch'
+            lambda: checks.share(system)['epoch'] > epoch, 'another epoch'
         )
     finally:
         process.signal(signal.SIGCONT)
 
 
-def epochs_in_log(system):
-    return {
-        c['epoch'] for c in checks.change_log(system) if c['kind'] == 'epoch'
-    }
-
-
 @then('the rollout of booking ends as {state}')
 def rollout_ends(context, state):
     cluster.wait_until(
@@ -256,12 +255,12 @@
     assert ended['state'] == state, ended
 
 
-@then('the log has steps of {count:d} epochs, none stale')
+@then('the steps are of {count:d} epochs, none stale')
 def steps_of_epochs(context, count):
-    changes = checks.change_log(context.system)
-    steps = [c for c in changes if c['kind'] in ('set_progress', 'end_rollout')]
-    assert len({c['epoch'] for c in steps}) == count, steps
-    assert not checks.stale_steps(changes), changes
+    steps = checks.rollout_steps(context.system)
+    epochs = {step['epoch'] for step in steps}
+    assert len(epochs) == count, steps
+    assert not checks.stale_steps(steps), steps
 
 
 @then('the configuration version never fell on any daemon')
@@ -272,34 +271,31 @@
 
 @when('the platform has an outage')
 def platform_outage(context):
-    set_faults(context.system, outage=True)
+    context.system.set_faults(down=True)
 
 
 @when('the platform answers again')
 def platform_back(context):
-    set_faults(context.system)
+    context.system.set_faults()
 
 
 @when('domain {domain} is cut from the platform')
 def cut_from_platform(context, domain):
-    set_faults(context.system, refuse=True, clients=[f'{domain}-*'])
+    address = context.system.store_address(domain)
+    port = int(address.rpartition(':')[2])
+    context.system.set_faults(refuse_ports=[port])
 
 
-@when('the answers of the next {count:d} writes of every daemon are lost')
+@when('the answers of the next {count:d} writes to the store are lost')
 def lose_answers(context, count):
-    set_faults(context.system, lose_answers=count)
-
-
-def set_faults(system, **faults):
-    address = system.platform.addresses['http']
-    cluster.post_json(f'http://{address}/control/faults', faults)
+    context.system.set_faults(lose_answers=count)
 
 
-@then('the log has the label {name} once')
+@then('the store has written the label {name} once')
 def label_once(context, name):
-    changes = checks.change_log(context.system)
-    entries = [c for c in changes if c['name'] == name]
-    assert len(entries) == 1, entries
+    item = checks.stored(context.system, f'label.{name}')
+    metadata = item['Metadata']
+    assert metadata['Rev'] == metadata['CreateRev'], metadata
 
 
 @then('every daemon is on the newest version')
@@ -308,8 +304,8 @@
 
     def newest():
         found = status(system)
-        last = checks.change_log(system)[-1]['number']
-        return not found['unreachable'] and found['lowest_version'] == last
+        last = checks.newest_revision(system)
+        return not found['unreachable'] and found['lowest_version'] >= last
 
     cluster.wait_until(newest, 'every daemon on the newest version')
     delays = checks.convergence_delays(system.ctl_json('timeline'))
@@ -432,7 +428,7 @@
 @when('a label is sent without the token')
 def send_without_token(context):
     system = context.system
-    context.log_before = checks.change_log(system)
+    context.before = checks.newest_revision(system, 'label.', 'selector.')
     address = system.daemons_by_name['a-1'].addresses['administration_address']
     body = {'name': 'x', 'kind': 'proxy', 'members': ['*']}
     call = urllib.request.Request(
@@ -446,10 +442,8 @@
         context.code = error.code
 
 
-@then('the answer is 401 and the log has no new entry')
+@then('the answer is 401 and nothing is written')
 def refused_without_token(context):
     assert context.code == 401
-    changes = checks.change_log(context.system)
-    operators = [c for c in changes if not c['epoch']]
-    before = [c for c in context.log_before if not c['epoch']]
-    assert operators == before, operators
+    after = checks.newest_revision(context.system, 'label.', 'selector.')
+    assert after == context.before, after
--- a/features/steps/tool_steps.py
+++ b/features/steps/tool_steps.py
@@ -42,7 +42,7 @@
     found = ctl_json(context, 'status')
     assert len(found['daemons']) == daemons and not found['unreachable']
     assert found['lowest_version'] == found['highest_version'], found
-    alive = [t for t in found['targets'] if t['state'] == 0]
+    alive = [t for t in found['targets'] if t['state'] == 'ready']
     assert len(alive) == targets, found['targets']
 
 
@@ -57,8 +57,7 @@
         for e in events
         if e['kind'] == 'change_applied' and e['fields']['name'] == name
     }
-    copied = {e['process'] for e in events if e['kind'] == 'snapshot_applied'}
-    assert applied | copied == set(context.system.daemons_by_name), events
+    assert applied == set(context.system.daemons_by_name), events
 
 
 @when('the {kind} {name} is removed with hemlockctl')
@@ -124,10 +123,13 @@
     context.result = context.system.ctl('selectors', 'apply', str(path))
 
 
-@then('the log has no entry of an operator beyond the first {count:d}')
-def no_new_entry(context, count):
-    changes = checks.change_log(context.system)
-    assert len([c for c in changes if not c['epoch']]) == count, changes
+@then('the store has only the {count:d} objects of an operator')
+def no_new_object(context, count):
+    objects = checks.objects(context.system, 'label.', 'selector.')
+    assert len(objects) == count, objects
+    assert all(
+        o['Metadata']['Rev'] == o['Metadata']['CreateRev'] for o in objects
+    )
 
 
 @then('the metrics page shows {name}')
--- a/features/system_daemons.feature
+++ b/features/system_daemons.feature
@@ -1,8 +1,8 @@
 Feature: Daemons, domains and targets that fail or leave keep the promises
 
-  Each scenario starts a platform, daemons in failure domains and targets as
+  Each scenario starts a store, daemons in failure domains and targets as
   processes, lets callers send requests, and drives a fault. The checks count
-  answers, target logs, the change log and time lines; none measures a tight
+  answers, target logs, the store and time lines; none measures a tight
   time.
 
   Scenario: A killed daemon loses no answer of others and runs nothing twice
@@ -44,4 +44,4 @@
   Scenario: The administration API without the token changes nothing
     Given a system of 1 failure domains with 1 daemons each
     When a label is sent without the token
-    Then the answer is 401 and the log has no new entry
+    Then the answer is 401 and nothing is written
--- a/features/system_platform.feature
+++ b/features/system_platform.feature
@@ -1,8 +1,8 @@
 Feature: Outages, lost answers, cuts and races at the platform do no harm
 
-  Each scenario starts a platform, daemons in failure domains and targets as
+  Each scenario starts a store, daemons in failure domains and targets as
   processes, lets callers send requests, and drives a fault. The checks count
-  answers, target logs, the change log and time lines; none measures a tight
+  answers, target logs, the store and time lines; none measures a tight
   time.
 
   Scenario: An outage of the platform stops changes but no request
@@ -19,9 +19,9 @@
 
   Scenario: A lost answer is read back and the change is written once
     Given a system of 1 failure domains with 2 daemons each
-    When the answers of the next 2 writes of every daemon are lost
+    When the answers of the next 2 writes to the store are lost
     And an operator sets the label extra
-    Then the log has the label extra once
+    Then the store has written the label extra once
 
   Scenario: A domain that is cut from the platform gets changes from another
     Given a system of 2 failure domains with 2 daemons each
--- a/features/system_tool.feature
+++ b/features/system_tool.feature
@@ -17,7 +17,7 @@
     Given a system of 1 failure domains with 1 daemons each
     When a selector is applied with <fault>
     Then hemlockctl ends with exit code 3 and names the field <field>
-    And the log has no entry of an operator beyond the first 3
+    And the store has only the 3 objects of an operator
 
     Examples:
       | fault                     | field              |
@@ -30,7 +30,7 @@
   Scenario: The metrics page needs the token and shows the version in force
     Given a system of 1 failure domains with 1 daemons each
     And callers send requests to every proxy
-    Then the metrics page shows hemlock_configuration_version
+    Then the metrics page shows hemlock_table_revision
     And the metrics page shows hemlock_requests_total{outcome="2xx",selector="booking",version="v1"}
-    And the metrics page shows hemlock_targets{state="alive"} 1
+    And the metrics page shows hemlock_targets{state="ready"} 1
     And the metrics page without the token answers 401
--- a/hemlockgrade/admin.py
+++ b/hemlockgrade/admin.py
@@ -1,11 +1,10 @@
 """Administration API of a daemon: JSON over HTTP with a bearer token."""
 
 import asyncio
+from collections.abc import Coroutine
 import hmac
-import time
 from typing import Any
 from typing import Protocol
-import uuid
 
 import klein
 from loguru import logger
@@ -14,10 +13,10 @@
 from twisted.web import http
 from twisted.web import server
 
-from hemlockgrade import changelog
-from hemlockgrade import configuration
+from hemlockgrade import definition_store
+from hemlockgrade import directory as directory_module
 from hemlockgrade import exceptions
-from hemlockgrade import model
+from hemlockgrade import overview
 from hemlockgrade import serialization
 from hemlockgrade import timeline
 
@@ -36,11 +35,8 @@
     """What the administration API needs of the daemon."""
 
     time_line: timeline.Timeline
-    change_log: changelog.ChangeLog
-
-    @property
-    def configuration(self) -> configuration.Configuration:
-        """Returns the configuration in force on this daemon."""
+    definitions: definition_store.DefinitionStore
+    directory: directory_module.Directory
 
     def status(self) -> dict[str, Any]:
         """Describes this daemon."""
@@ -48,10 +44,10 @@
     def render_metrics(self) -> tuple[bytes, dict[str, str]]:
         """Returns the metrics page and its HTTP headers."""
 
-    def targets(self) -> list[model.Target]:
+    def targets(self) -> list[dict[str, Any]]:
         """Returns the targets that this daemon knows."""
 
-    def explain(self, path: str) -> dict[str, Any]:
+    def explain(self, path: str, host: str = '') -> dict[str, Any]:
         """Tells how a request for a path would be served."""
 
 
@@ -66,7 +62,6 @@
     def __init__(self, daemon: DaemonView, token: str):
         self._daemon = daemon
         self._token = token.encode()
-        self._appended = configuration.Configuration()
 
     @app.handle_errors(exceptions.HemlockError)
     def _expected_error(self, request, failure):
@@ -107,8 +102,7 @@
     @app.route('/v1/targets')
     def _targets(self, request):
         self._authorize(request)
-        targets = serialization.to_plain(self._daemon.targets())
-        return _json(request, {'targets': targets})
+        return _json(request, {'targets': self._daemon.targets()})
 
     @app.route('/v1/explain')
     def _explain(self, request):
@@ -118,7 +112,8 @@
             raise exceptions.InvalidFieldError(
                 'path', 'is missing', remedy='add ?path=/...'
             )
-        return _json(request, self._daemon.explain(path))
+        host = _argument(request, 'host') or ''
+        return _json(request, self._daemon.explain(path, host))
 
     @app.route('/v1/events')
     def _events(self, request):
@@ -128,93 +123,64 @@
 
     @app.route('/v1/rollouts')
     def _rollouts(self, request):
-        return self._list(request, 'rollouts_by_selector', 'rollouts')
+        self._authorize(request)
+        listed = overview.rollouts(self._daemon.directory)
+        return self._list(request, 'rollouts', listed)
 
     @app.route('/v1/labels', methods=['GET'])
     def _list_labels(self, request):
-        return self._list(request, 'labels_by_name', 'labels')
+        self._authorize(request)
+        by_name = self._daemon.directory.label_by_name
+        listed = [serialization.to_plain(d.value) for d in by_name.values()]
+        return self._list(request, 'labels', listed)
 
     @app.route('/v1/selectors', methods=['GET'])
     def _list_selectors(self, request):
-        return self._list(request, 'selectors_by_name', 'selectors')
-
-    def _list(self, request, field: str, name: str):
         self._authorize(request)
-        return defer.ensureDeferred(self._read_list(request, field, name))
-
-    async def _read_list(self, request, field: str, name: str):
-        current = self._newest()
-        if not current.version:
-            # A daemon that has just started knows nothing of its own yet.
-            loading = asyncio.ensure_future(self._daemon.change_log.load())
-            current = await defer.Deferred.fromFuture(loading)
-        objects = list(getattr(current, field).values())
-        return _json(
-            request,
-            {
-                'version': current.version,
-                name: serialization.to_plain(objects),
-            },
-        )
+        by_name = self._daemon.directory.selector_by_name
+        listed = [serialization.to_plain(d.value) for d in by_name.values()]
+        return self._list(request, 'selectors', listed)
+
+    def _list(self, request, name: str, listed: list[Any]):
+        version = self._daemon.directory.table_revision
+        return _json(request, {'version': version, name: listed})
 
     @app.route('/v1/labels/<name>', methods=['PUT'])
     def _put_label(self, request, name):
-        return self._change(request, model.ChangeKind.PUT_LABEL, name)
+        return self._put(request, 'label', name)
 
     @app.route('/v1/labels/<name>', methods=['DELETE'])
     def _delete_label(self, request, name):
-        return self._change(request, model.ChangeKind.DELETE_LABEL, name)
+        return self._remove(request, 'label', name)
 
     @app.route('/v1/selectors/<name>', methods=['PUT'])
     def _put_selector(self, request, name):
-        return self._change(request, model.ChangeKind.PUT_SELECTOR, name)
+        return self._put(request, 'selector', name)
 
     @app.route('/v1/selectors/<name>', methods=['DELETE'])
     def _delete_selector(self, request, name):
-        return self._change(request, model.ChangeKind.DELETE_SELECTOR, name)
+        return self._remove(request, 'selector', name)
 
-    def _change(self, request, kind: model.ChangeKind, name: str):
+    def _put(self, request, kind: str, name: str):
         self._authorize(request)
-        body = _body(request) if request.method == b'PUT' else {}
-        draft = model.Change(
-            number=0,
-            change_id=uuid.uuid4().hex,
-            kind=kind,
-            name=name,
-            body=body,
-            author=request.getHeader('x-operator') or 'operator',
-            written_at=time.time(),
+        author = request.getHeader('x-operator') or 'operator'
+        change = self._daemon.definitions.put(
+            kind, name, _body(request), author, _precondition(request)
         )
-        return defer.ensureDeferred(self._append(request, draft))
+        return defer.ensureDeferred(self._accept(request, change))
 
-    async def _append(self, request, draft: model.Change):
-        # Klein awaits Deferreds and the change log runs on asyncio.
-        appending = asyncio.ensure_future(
-            self._append_to_newest(request.getHeader('if-match'), draft)
+    def _remove(self, request, kind: str, name: str):
+        self._authorize(request)
+        change = self._daemon.definitions.remove(
+            kind, name, _precondition(request)
         )
-        after = await defer.Deferred.fromFuture(appending)
-        return _json(request, {'accepted': after.version})
-
-    async def _append_to_newest(
-        self, based_on: str | None, draft: model.Change
-    ) -> configuration.Configuration:
-        base = self._newest()
-        try:
-            _check_precondition(based_on, base, draft)
-            configuration.validate(base, draft, draft.written_at)
-        except exceptions.HemlockError:
-            # A label that another daemon has accepted a moment ago may be
-            # missing here, so a refusal is checked against the platform.
-            base = await self._daemon.change_log.load()
-            _check_precondition(based_on, base, draft)
-            configuration.validate(base, draft, draft.written_at)
-        self._appended = await self._daemon.change_log.append(base, draft)
-        return self._appended
-
-    def _newest(self) -> configuration.Configuration:
-        """Returns the newer of what is in force and what was appended here."""
-        known = (self._daemon.configuration, self._appended)
-        return max(known, key=lambda c: c.version)
+        return defer.ensureDeferred(self._accept(request, change))
+
+    async def _accept(self, request, change: Coroutine[Any, Any, int]):
+        # Klein awaits Deferreds and the store's client runs on asyncio.
+        changing = asyncio.ensure_future(change)
+        revision = await defer.Deferred.fromFuture(changing)
+        return _json(request, {'accepted': revision})
 
     def _authorize(self, request):
         given = request.getHeader(b'authorization') or b''
@@ -228,21 +194,16 @@
             )
 
 
-def _check_precondition(
-    expected: str | None,
-    base: configuration.Configuration,
-    draft: model.Change,
-):
-    """Refuses a change that was prepared on an older state of its object."""
+def _precondition(request) -> int | None:
+    """Returns the version on which a change was prepared, if it says so."""
+    expected = request.getHeader('if-match')
     if expected is None:
-        return
-    key = configuration.object_key(draft) or ''
-    current = base.numbers_by_object.get(key, 0)
-    if not expected.isdigit() or int(expected) < current:
-        raise exceptions.ConflictError(
-            f'{draft.name} was changed by configuration version {current}',
-            remedy='show the object again and repeat your change on it',
+        return None
+    if not expected.isdigit():
+        raise exceptions.InvalidFieldError(
+            'if-match', f'{expected!r} is no version', remedy='send a number'
         )
+    return int(expected)
 
 
 def _body(request) -> dict[str, Any]:
--- a/hemlockgrade/commands/files.py
+++ b/hemlockgrade/commands/files.py
@@ -7,9 +7,9 @@
 import attrs
 import orjson
 
-from hemlockgrade import configuration
 from hemlockgrade import exceptions
 from hemlockgrade import model
+from hemlockgrade import selectors
 
 
 @attrs.frozen(kw_only=True)
@@ -53,38 +53,29 @@
         exceptions.InvalidChangeError: Holds every error of the file.
     """
     content = read(path)
-    current = configuration.Configuration()
+    labels: dict[str, model.Definition] = {}
+    chosen: dict[str, model.Definition] = {}
+    known = selectors.Definitions(label_by_name=labels, selector_by_name=chosen)
     errors: list[exceptions.InvalidFieldError] = []
-    for kind, objects in (
-        (model.ChangeKind.PUT_LABEL, content.labels),
-        (model.ChangeKind.PUT_SELECTOR, content.selectors),
-    ):
-        for body in objects:
-            change = _change(current, kind, body)
-            try:
-                configuration.validate(current, change, time.time())
-                current = configuration.apply(current, change)
-            except exceptions.InvalidChangeError as error:
-                errors.extend(_located(error, change.name))
+    for body in content.labels:
+        name = str(body.get('name', ''))
+        try:
+            label = selectors.check_label(known, name, body)
+            labels[name] = model.Definition(value=label)
+        except exceptions.InvalidChangeError as error:
+            errors.extend(_located(error, name))
+    for body in content.selectors:
+        name = str(body.get('name', ''))
+        try:
+            selector = selectors.check_selector(known, name, body, time.time())
+            chosen[name] = model.Definition(value=selector)
+        except exceptions.InvalidChangeError as error:
+            errors.extend(_located(error, name))
     if errors:
         raise exceptions.InvalidChangeError(path, errors)
     return len(content.labels) + len(content.selectors)
 
 
-def _change(
-    current: configuration.Configuration,
-    kind: model.ChangeKind,
-    body: dict[str, Any],
-) -> model.Change:
-    return model.Change(
-        number=current.version + 1,
-        change_id='',
-        kind=kind,
-        name=str(body.get('name', '')),
-        body=body,
-    )
-
-
 def _located(error: exceptions.InvalidChangeError, name: str):
     for part in error.parts():
         if isinstance(part, exceptions.InvalidFieldError):
--- a/hemlockgrade/config/base.py
+++ b/hemlockgrade/config/base.py
@@ -32,15 +32,16 @@
     except OSError as error:
         raise _group(
             path,
-            [_error('file', error.strerror or str(error), 'check the path')],
+            [key_error('file', error.strerror or str(error), 'check the path')],
         ) from error
     except orjson.JSONDecodeError as error:
         raise _group(
-            path, [_error('file', f'is not JSON: {error}', 'correct the text')]
+            path,
+            [key_error('file', f'is not JSON: {error}', 'correct the text')],
         ) from error
     if not isinstance(data, dict):
         raise _group(
-            path, [_error('file', 'holds no JSON object', 'write {...}')]
+            path, [key_error('file', 'holds no JSON object', 'write {...}')]
         )
     return structure(data, kind, path)
 
@@ -55,7 +56,7 @@
         field.name: field for field in attrs.fields(cast(Any, kind))
     }
     errors = [
-        _error(
+        key_error(
             name,
             'is not a known key',
             f'use one of {", ".join(fields_by_name)}',
@@ -67,18 +68,21 @@
     for name, field in fields_by_name.items():
         if name not in data:
             if field.default is attrs.NOTHING:
-                errors.append(_error(name, 'is missing', 'add the key'))
+                errors.append(key_error(name, 'is missing', 'add the key'))
             continue
         try:
             values[name] = _structure_value(data[name], field)
         except (ValueError, TypeError, cattrs.BaseValidationError) as error:
             shown = '(hidden)' if 'token' in name else repr(data[name])
             errors.append(
-                _error(name, f'has the value {shown}', _remedy(field, error))
+                key_error(name, f'has the value {shown}', _remedy(field, error))
             )
     if errors:
         raise _group(source, errors)
-    return kind(**values)
+    try:
+        return kind(**values)
+    except exceptions.SettingsError as problem:
+        raise _group(source, [problem]) from problem
 
 
 def _structure_value(value: Any, field: attrs.Attribute) -> Any:
@@ -94,7 +98,8 @@
     return field.metadata.get('remedy') or str(error)
 
 
-def _error(key: str, problem: str, remedy: str) -> exceptions.SettingsError:
+def key_error(key: str, problem: str, remedy: str) -> exceptions.SettingsError:
+    """Makes the error of one key."""
     return exceptions.SettingsError(f'{key} {problem}', remedy=remedy)
 
 
@@ -113,6 +118,17 @@
     )
 
 
+def optional_address() -> Any:
+    """Declares a setting of the form `ip:port`, empty by default."""
+    return attrs.field(
+        default='',
+        validator=attrs.validators.or_(
+            attrs.validators.in_(('',)), _check_address
+        ),
+        metadata={'remedy': 'use ip:port, for example 10.0.0.7:7001'},
+    )
+
+
 def address_list(**options) -> Any:
     """Declares a setting that lists values of the form `ip:port`."""
     return attrs.field(
@@ -150,6 +166,18 @@
     )
 
 
+def optional_token() -> Any:
+    """Declares a secret of at least 16 characters, empty by default."""
+    return attrs.field(
+        default='',
+        validator=attrs.validators.or_(
+            attrs.validators.in_(('',)), attrs.validators.min_len(16)
+        ),
+        metadata={'remedy': 'use a secret of at least 16 characters'},
+        repr=False,
+    )
+
+
 def _check_address(instance, attribute, value: str):
     host, _ = addresses.split(value)
     ipaddress.ip_address(host.strip('[]'))
--- a/hemlockgrade/ctl.py
+++ b/hemlockgrade/ctl.py
@@ -270,8 +270,7 @@
                 d.get('daemon_id', d['address']),
                 d.get('failure_domain', ''),
                 d.get('version', 'unreachable'),
-                d.get('role', ''),
-                d.get('parent', ''),
+                d.get('configuration', ''),
                 ', '.join(d.get('leases', [])),
             )
             for d in found['daemons']
@@ -282,7 +281,7 @@
                 t['service'],
                 t['version'],
                 t['failure_domain'],
-                ('alive', 'suspect', 'draining', 'gone')[t['state']],
+                t['state'],
             )
             for t in found['targets']
         ]
@@ -293,8 +292,7 @@
                     'daemon',
                     'failure domain',
                     'version',
-                    'role',
-                    'parent',
+                    'configuration',
                     'leases',
                 ),
                 _table(
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -1,53 +1,59 @@
 """Builds the parts of a daemon, joins them, and stops them in order."""
 
 import asyncio
-import collections
-from collections.abc import Sequence
+from collections.abc import Coroutine
 import contextlib
-import random
 import time
 from typing import Any
 import uuid
 
 from loguru import logger
 
-from hemlockgrade import admin
-from hemlockgrade import admission
-from hemlockgrade import changelog
-from hemlockgrade import configuration as configuration_module
-from hemlockgrade import control_plane
+from hemlockgrade import definition_store
+from hemlockgrade import directory as directory_module
+from hemlockgrade import drain as drain_module
 from hemlockgrade import evidence
+from hemlockgrade import gate as gate_module
+from hemlockgrade import heartbeats
 from hemlockgrade import http_codec
 from hemlockgrade import http_server
+from hemlockgrade import in_flight
 from hemlockgrade import kernel
 from hemlockgrade import ledger
 from hemlockgrade import listeners
-from hemlockgrade import local_api
-from hemlockgrade import metrics
+from hemlockgrade import metrics as metrics_module
 from hemlockgrade import model
-from hemlockgrade import platform_api
-from hemlockgrade import proxy
-from hemlockgrade import routing
+from hemlockgrade import overview
+from hemlockgrade import peer_api
+from hemlockgrade import proxy as proxy_module
+from hemlockgrade import publisher as publisher_module
+from hemlockgrade import registrar as registrar_module
+from hemlockgrade import rollout_task
+from hemlockgrade import selectors
+from hemlockgrade import server_check
+from hemlockgrade import state_sync
+from hemlockgrade import store_feed
 from hemlockgrade import timeline
-from hemlockgrade import traffic
 from hemlockgrade import upstream
 from hemlockgrade.config import daemon as daemon_settings
+from hemlockgrade.platform import codec as platform_codec
+from hemlockgrade.platform import store as store_module
 
-# A bad version gets no share within 3 s, of which evidence may take 1.2 s to
-# the root through four relays that flush every 0.2 s.
-EVIDENCE_INTERVAL_S = 0.4
-# A request that is already on its way on an idle connection is still answered
-# with a refusal; without this time its outcome would be unknown to the sender.
-DRAIN_LINGER_S = 1.0
+# A connection between hosts of one region is made in a few milliseconds.
+PEER_CONNECT_TIMEOUT_S = 0.25
+# The store's values, and the state of a peer, are read whole: a page of a list
+# has 1 MB at most.
+MAX_BUFFERED_BYTES = 4 * 1024 * 1024
 
 
 class Daemon:
-    """One daemon: proxy, admission side, relay and administration API.
+    """One daemon: proxy, admission, configuration and administration API.
 
     Attributes:
-        metrics: Counters and gauges.
+        settings: Settings in force.
+        metrics: Counters, histograms and gauges.
         time_line: Events of this process.
-        change_log: The change log in the platform.
+        directory: What this daemon knows.
     """
 
     def __init__(self, settings: daemon_settings.DaemonSettings, reactor: Any):
@@ -62,270 +68,324 @@
         """
         self.settings = settings
         self._reactor = reactor
-        self._boot_id = uuid.uuid4().hex[:16]
-        self.metrics = metrics.Metrics()
+        self._clock = time.monotonic
+        self.boot_id = uuid.uuid4().hex[:12]
+        self.metrics = metrics_module.Metrics()
         self.time_line = timeline.Timeline(
             settings.daemon_id, timeline.LogicalClock(time.time)
         )
-        self.events = kernel.Events()
-        for name in settings.plugins:
-            plugin = kernel.load_plugin('plugins', name)
-            self.events.register(plugin(self.time_line))
-        self._platform: platform_api.Platform = kernel.load_plugin(
-            'platforms', settings.platform
-        )(settings.platform_url, client_name=settings.daemon_id)
-        self.change_log = changelog.ChangeLog(self._platform)
-        self._control = control_plane.ControlPlane(
-            settings,
-            self._boot_id,
-            self._platform,
-            self.change_log,
-            self.time_line.record,
+        kernel.load(settings.plugins)
+        self.directory = directory_module.Directory(settings.daemon_id)
+        for plugin in kernel.plugins('events'):
+            self.directory.events.register(plugin(self.time_line))
+        self.store = store_module.MetadataStore(
+            settings.store_address, self._pool()
+        )
+        self._in_flight = in_flight.InFlight(self._clock)
+        self._make_server_side()
+        self._make_caller_side()
+        self._make_control()
+
+    def _pool(
+        self, connect_timeout_s: float = upstream.CONNECT_TIMEOUT_S
+    ) -> upstream.ConnectionPool:
+        return upstream.ConnectionPool(
+            self._reactor,
+            connect_timeout_s=connect_timeout_s,
+            request_id_header=platform_codec.REQUEST_ID,
+            max_buffered_bytes=MAX_BUFFERED_BYTES,
         )
-        self._make_request_path()
 
-    def _make_request_path(self) -> None:
+    def _make_server_side(self):
         settings = self.settings
-        self._recorder = evidence.EvidenceRecorder(
-            f'{settings.daemon_id}.{self._boot_id}',
-            clock_offset_s=time.time() - time.monotonic(),
+        self._server_pool = self._pool()
+        self.registrar = registrar_module.Registrar(
+            service=settings.service, address=settings.server_address
         )
-        self._traffic = traffic.TrafficState(
-            settings.daemon_id,
-            settings.failure_domain,
-            self._recorder,
-            self._control.suspect,
+        self._evidence = evidence.ServerEvidence(self.boot_id)
+        self.gate = gate_module.Gate(
+            registrar=self.registrar,
+            pool=self._server_pool,
+            clock=self._clock,
+            ledger=ledger.RequestLedger(self.boot_id),
+            make_limiter=kernel.plugin('limiters', settings.limiter),
+            signed_answers=settings.signed_answers,
+            on_evidence=self._server_answered,
         )
-        self._proxy = proxy.Proxy(
-            proxy_id=settings.daemon_id,
-            pool=upstream.ConnectionPool(self._reactor),
-            loads=self._traffic.loads,
-            evidence=self._traffic,
-            balancer=kernel.load_plugin('balancers', settings.balancer)(
-                settings.failure_domain
-            ),
-            random=random.Random(),
-            stopped_versions=self._traffic.stopped_versions,
-            on_finished=self._request_finished,
+        self._server_check = server_check.ServerCheck(
+            registrar=self.registrar,
+            directory=self.directory,
+            pool=self._server_pool,
+            clock=self._clock,
         )
-        self._admission = admission.Admission(
-            boot_id=self._boot_id,
-            pool=upstream.ConnectionPool(self._reactor),
-            limiter=kernel.load_plugin('limiters', settings.limiter),
-            ledger=ledger.RequestLedger(self._boot_id),
+        self.directory.on_configuration.append(self._server_check.wake)
+        self._publisher = publisher_module.Publisher(
+            store=self.store,
+            directory=self.directory,
+            make=self._entry,
+            restore=self._restore_server,
         )
-        self._local_api = local_api.LocalApi(
-            self._control.members,
-            self._admission,
-            model.Target(
-                target_id='',
-                service='',
-                version='',
-                failure_domain=settings.failure_domain,
-                admission_address=settings.admission_address,
-                slots=1,
-                control_address=settings.control_address,
-                administration_address=settings.administration_address,
-            ),
+        self.registrar.on_change.append(self._publisher.wake)
+        self._heartbeats = heartbeats.HeartbeatApi(
+            registrar=self.registrar,
+            zone=settings.failure_domain,
+            wait_stored=self._publisher.wait_written,
         )
 
-    @property
-    def configuration(self) -> configuration_module.Configuration:
-        """Returns the configuration in force on this daemon."""
-        return self._control.configurations.configuration
+    def _make_caller_side(self):
+        settings = self.settings
+        self._peer_pool = self._pool(PEER_CONNECT_TIMEOUT_S)
+        self.balancer = kernel.plugin('balancers', settings.balancer)(
+            directory=self.directory,
+            zone=settings.failure_domain,
+            clock=self._clock,
+        )
+        self._sync = state_sync.StateSync(
+            directory=self.directory,
+            pool=self._peer_pool,
+            address=settings.admission_address,
+            zone=settings.failure_domain,
+        )
+        self._proxy = proxy_module.Proxy(
+            name=settings.daemon_id,
+            boot_id=self.boot_id,
+            own_service=lambda: self.registrar.known_service,
+            directory=self.directory,
+            balancer=self.balancer,
+            gate=self.gate,
+            pool=self._peer_pool,
+            clock=self._clock,
+            retry_ratio=settings.retry_ratio,
+            retry_slack=settings.retry_slack,
+            sync=self._sync,
+            on_finished=self._request_finished,
+        )
+
+    def _make_control(self):
+        settings = self.settings
+        self._rollouts = rollout_task.RolloutTask(
+            name=settings.daemon_id,
+            store=self.store,
+            directory=self.directory,
+            pool=self._peer_pool,
+            clock=self._clock,
+            judge=kernel.plugin('judges', settings.judge)(),
+            exposed_share=settings.exposed_share,
+        )
+        self.definitions = definition_store.DefinitionStore(
+            store=self.store,
+            on_written=lambda new: self.directory.apply_definition(new, 'own'),
+            on_removed=self.directory.remove,
+        )
+        self.directory.on_definitions.append(self._definition_changed)
+        self._feed = store_feed.StoreFeed(
+            store=self.store,
+            directory=self.directory,
+            publisher=self._publisher,
+            rollouts=self._rollouts,
+            restore=self._restore_server,
+        )
+        self._peer_api = peer_api.PeerApi(
+            gate=self.gate,
+            sync=self._sync,
+            evidence=self._evidence,
+            in_flight=self._in_flight,
+        )
+        self._drain = drain_module.Drain(
+            gate=self.gate,
+            in_flight=self._in_flight,
+            clock=self._clock,
+            is_configured=lambda: self.directory.configured,
+            on_leaving=self._publisher.wake,
+        )
 
-    async def run(self, stopping: asyncio.Event) -> None:
+    async def run(
+        self, stopping: asyncio.Event, *tasks: Coroutine[Any, Any, None]
+    ) -> None:
         """Serves until the event is set, then shuts down gracefully.
 
         Args:
             stopping: Set to ask for the shutdown.
+            tasks: Run beside the daemon's own, and cancelled with them.
 
         Raises:
             exceptions.SettingsError: An address of the settings is in use.
         """
-        settings = self.settings
-        self._control.configurations.subscribe(self._configuration_changed)
-        self._control.members.subscribe(self._members_changed)
+        daemon_id = self.settings.daemon_id
         async with contextlib.AsyncExitStack() as stack:
-            stack.push_async_callback(self._platform.close)
-            stack.callback(self._traffic.close)
-            tasks = await stack.enter_async_context(_Tasks())
-            await self._listen(stack)
-            await self._control.start(stack, tasks.start)
-            tasks.start('upkeep', self._upkeep())
-            self.events.emit('startup', daemon_id=settings.daemon_id)
-            logger.info('event=daemon_started boot={}', self._boot_id)
-            await tasks.wait_for(stopping)
-            await self._drain()
-            self.events.emit('shutdown', daemon_id=settings.daemon_id)
-        logger.info('event=daemon_stopped')
-
-    async def _listen(self, stack: contextlib.AsyncExitStack) -> None:
+            pools = (self._server_pool, self._peer_pool, self.store.pool)
+            for pool in pools:
+                stack.callback(pool.close)
+            accepting = await stack.enter_async_context(
+                contextlib.AsyncExitStack()
+            )
+            callers = await self._listen(stack, accepting)
+            group = await stack.enter_async_context(asyncio.TaskGroup())
+            running = [
+                group.create_task(task)
+                for task in (
+                    self._publisher.run(),
+                    self._rollouts.run(),
+                    self._sync.run(),
+                    self._server_check.run(),
+                    *self._feed.runs(),
+                    *tasks,
+                )
+            ]
+            self._publisher.wake()
+            self.directory.events.emit('startup', daemon_id=daemon_id)
+            logger.info(
+                'event=daemon_started boot={} zone={} service={} callers={}',
+                self.boot_id,
+                self.settings.failure_domain,
+                self.settings.service,
+                self.settings.proxy_address,
+            )
+            await stopping.wait()
+            self.directory.events.emit('drain', daemon_id=daemon_id)
+            await self._drain.run(
+                callers, accepting, self.settings.drain_timeout_s
+            )
+            self.directory.events.emit('shutdown', daemon_id=daemon_id)
+            for task in running:
+                task.cancel()
+        logger.info('event=daemon_stopped boot={}', self.boot_id)
+
+    async def _listen(
+        self,
+        stack: contextlib.AsyncExitStack,
+        accepting: contextlib.AsyncExitStack,
+    ) -> http_server.HttpServerFactory:
         settings = self.settings
-        self._proxy_factory = http_server.HttpServerFactory(self._proxy.handle)
-        self._admission_factory = http_server.HttpServerFactory(
-            self._admission.handle, half_close=False
+        callers = http_server.HttpServerFactory(
+            lambda request: self._in_flight.track(self._proxy.handle(request))
         )
-        for setting, factory in (
-            ('proxy_address', self._proxy_factory),
-            ('admission_address', self._admission_factory),
-            (
-                'local_address',
-                http_server.HttpServerFactory(self._local_api.handle),
+        self.directory.on_configuration.append(
+            lambda: self._limit_callers(callers)
+        )
+        factory_by_setting: dict[str, Any] = {
+            'admission_address': http_server.HttpServerFactory(
+                self._peer_api.handle, half_close=False
             ),
-            (
-                'administration_address',
-                admin.BoundedSite(
-                    admin.make_resource(self, settings.administration_token)
-                ),
+            'local_address': http_server.HttpServerFactory(
+                self._heartbeats.handle
             ),
-        ):
-            address = getattr(settings, setting)
-            await listeners.listen(
-                stack, self._reactor, setting, address, factory
-            )
+            'readiness_address': http_server.HttpServerFactory(
+                self._drain.answer_check
+            ),
+            'metrics_address': http_server.HttpServerFactory(
+                self._handle_metrics
+            ),
+        }
+        if settings.administration_address:
+            # Takes 10 MB of memory, which a daemon without it does not need.
+            from hemlockgrade import admin
 
-    async def _drain(self) -> None:
-        deadline = time.monotonic() + self.settings.drain_timeout_s
-        logger.info('event=drain_started')
-        self.events.emit('drain', daemon_id=self.settings.daemon_id)
-        factories = (self._proxy_factory, self._admission_factory)
-        for factory in factories:
-            factory.drain()
-        for target_id in self._local_api.target_ids:
-            self._local_api.drain(target_id)
-        await asyncio.gather(
-            self._proxy.drain(deadline),
-            self._admission.drain(deadline),
-            self._control.release(),
-            asyncio.sleep(DRAIN_LINGER_S),
-        )
-        for factory in factories:
-            factory.close_idle()
-
-    async def _upkeep(self) -> None:
-        while True:
-            await asyncio.sleep(EVIDENCE_INTERVAL_S)
-            self._local_api.expire()
-            self._traffic.set_unreachable_domains(
-                self._control.members.unreachable_domains
+            factory_by_setting['administration_address'] = admin.BoundedSite(
+                admin.make_resource(self, settings.administration_token)
             )
-            self._control.post_evidence(self._recorder.take(time.time()))
-
-    def _configuration_changed(
-        self,
-        configuration: configuration_module.Configuration,
-        changes: Sequence[model.Change],
-    ) -> None:
-        self._traffic.configuration_changed(configuration)
-        self._proxy.routing = self._traffic
-        self.metrics.configuration_version.set({}, configuration.version)
-        now = time.time()
-        for change in changes:
-            self.time_line.clock.observe(change.written_at)
-            self.metrics.convergence_seconds.observe(
-                {}, max(0.0, now - change.written_at)
-            )
-        self.events.emit(
-            'configuration_applied',
-            applied=configuration,
-            changes=list(changes),
+        for setting, factory in factory_by_setting.items():
+            address = getattr(settings, setting)
+            if address:
+                await listeners.listen(
+                    stack, self._reactor, setting, address, factory
+                )
+        await listeners.listen(
+            accepting,
+            self._reactor,
+            'proxy_address',
+            settings.proxy_address,
+            callers,
         )
-        for change in changes:
-            rollout = configuration.rollouts_by_selector.get(change.name)
-            if rollout is not None:
-                self.events.emit('rollout_changed', rollout=rollout)
+        return callers
 
-    def _request_finished(
-        self,
-        entry: routing.RouteEntry,
-        version: str,
-        response: http_codec.Response,
-        seconds: float,
-    ) -> None:
-        outcome = http_codec.header(response.headers, b'x-hemlock-outcome')
-        labels = {
-            'selector': entry.selector,
-            'version': version,
-            'outcome': outcome or f'{response.status // 100}xx',
-        }
-        self.metrics.requests.inc(labels)
-        self.metrics.request_seconds.observe(
-            {'selector': entry.selector}, seconds
-        )
-        self.events.emit(
-            'request_finished',
-            selector=entry.selector,
-            version=version,
-            status=response.status,
-            seconds=seconds,
+    def reload(self, new: daemon_settings.DaemonSettings) -> None:
+        """Puts changed settings into force, but for addresses and names.
+
+        Args:
+            new: Checked settings.
+        """
+        self.settings = new
+        self._proxy.retry_ratio = new.retry_ratio
+        self._proxy.retry_slack = new.retry_slack
+        self._rollouts.exposed_share = new.exposed_share
+        self.gate.signed_answers = new.signed_answers
+
+    def _limit_callers(self, callers: http_server.HttpServerFactory):
+        configuration = self.directory.configuration
+        if configuration is None:
+            return
+        limits = configuration.limits
+        callers.limits = http_server.Limits(
+            idle_s=limits.idle_s,
+            reading_s=limits.header_s,
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
         )
 
-    def _members_changed(self, targets: list[model.Target]) -> None:
-        self._traffic.members_changed(targets)
-        self.events.emit('members_changed', targets=targets)
+    async def _handle_metrics(
+        self, request: http_codec.Request
+    ) -> http_codec.Response:
+        body, headers = self.render_metrics()
+        return http_codec.Response(
+            status=200,
+            headers=[
+                (name.lower().encode(), value.encode())
+                for name, value in headers.items()
+            ],
+            body=body,
+        )
 
     def render_metrics(self) -> tuple[bytes, dict[str, str]]:
         """Returns the metrics page and its HTTP headers."""
-        counts = collections.Counter(t.state for t in self.targets())
-        for state in model.MemberState:
-            labels = {'state': state.name.lower()}
-            self.metrics.targets.set(labels, counts[state])
-        status = self._control.status()
-        for direction in ('sent', 'received'):
-            self.metrics.control_bytes.set(
-                {'direction': direction}, status[f'control_bytes_{direction}']
-            )
-        return self.metrics.render()
+        return overview.render_metrics(self)
 
     def status(self) -> dict[str, Any]:
         """Describes this daemon."""
-        return {
-            'daemon_id': self.settings.daemon_id,
-            'failure_domain': self.settings.failure_domain,
-            **self._control.status(),
-            'loads': self._admission.loads(),
-            'waiting_selectors': self._traffic.waiting_selectors(),
-        }
+        return overview.status(self)
 
-    def targets(self) -> list[model.Target]:
+    def targets(self) -> list[dict[str, Any]]:
         """Returns the targets that this daemon knows."""
-        return list(self._control.members.targets_by_id.values())
+        return overview.targets(self.directory)
 
-    def explain(self, path: str) -> dict[str, Any]:
-        """Tells how a request for a path would be served."""
-        return traffic.explain(self._traffic, path)
+    def explain(self, path: str, host: str = '') -> dict[str, Any]:
+        """Tells how a request would be served."""
+        return overview.explain(self.directory, host, path)
 
+    def _entry(self) -> model.Member:
+        settings = self.settings
+        return model.Member(
+            name=settings.daemon_id,
+            address=settings.admission_address,
+            administration_address=settings.administration_address,
+            zone=settings.failure_domain,
+            boot_id=self.boot_id,
+            leaving=self.gate.leaving,
+            server=self.registrar.server,
+        )
 
-class _Tasks:
-    """The running tasks of a daemon; the end of one ends the daemon."""
-
-    def __init__(self):
-        self._tasks: set[asyncio.Task] = set()
+    def _restore_server(self, stored: model.Member):
+        """Takes what an earlier process of this host knew of its server."""
+        if stored.server is not None:
+            self.registrar.restore(stored.server)
+            self._server_check.wake()
 
-    def start(self, name: str, coroutine: Any) -> None:
-        """Starts a task."""
-        self._tasks.add(asyncio.create_task(coroutine, name=name))
+    def _server_answered(self, answer: gate_module.Evidence):
+        self._evidence.record(answer)
+        self.metrics.server_seconds.observe({}, answer.latency_s)
 
-    async def wait_for(self, stopping: asyncio.Event) -> None:
-        """Waits for the event.
+    def _request_finished(self, labels: dict[str, str], seconds: float):
+        self.metrics.requests.inc(labels)
+        self.metrics.request_seconds.observe({}, seconds)
 
-        Raises:
-            Exception: A task failed first; its error is raised.
-        """
-        stop = asyncio.create_task(stopping.wait())
-        await asyncio.wait(
-            {stop, *self._tasks}, return_when=asyncio.FIRST_COMPLETED
+    def _definition_changed(self, definition: model.Definition):
+        self.metrics.convergence_seconds.observe(
+            {}, max(0.0, time.time() - definition.written_at)
         )
-        for task in self._tasks:
-            if task.done():
-                stop.cancel()
-                task.result()
-
-    async def __aenter__(self) -> '_Tasks':
-        return self
-
-    async def __aexit__(self, *_) -> None:
-        for task in self._tasks:
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        if isinstance(definition.value, model.Selector):
+            name = definition.value.name
+            order = self.directory.definitions.order_of(name, time.time())
+            if order is None:
+                self._rollouts.drop_order(selectors.ORDER_PREFIX + name)
+            else:
+                self._rollouts.take_order(order)
--- /dev/null
+++ b/hemlockgrade/definition_store.py
@@ -0,0 +1,229 @@
+"""Operators' changes of labels and selectors, checked and stored."""
+
+import asyncio
+from collections.abc import Callable
+import time
+from typing import Any
+
+import attrs
+from loguru import logger
+
+from hemlockgrade import exceptions
+from hemlockgrade import model
+from hemlockgrade import object_codec
+from hemlockgrade import object_store
+from hemlockgrade import selectors
+
+# Attempts at a change while the store does not answer, or while other
+# operators write the same object, and the pause between them, in seconds:
+# 3 s in all, below the time that a call of hemlockctl may take.
+ATTEMPTS = 4
+PAUSE_S = 0.3
+
+
+@attrs.define(eq=False, kw_only=True)
+class DefinitionStore:
+    """Writes labels and selectors as objects of the mesh.
+
+    Each change is checked against what the store holds now, and written over
+    the revision that it was checked against.
+
+    Attributes:
+        store: Where the objects are.
+        on_written: Called with each written definition.
+        on_removed: Called with the key and the revision of each removal.
+    """
+
+    store: object_store.ObjectStore
+    on_written: Callable[[model.Definition], object]
+    on_removed: Callable[[str, int], None]
+
+    async def load(self) -> tuple[selectors.Definitions, int]:
+        """Reads all labels, selectors and rollouts.
+
+        Returns:
+            The definitions and the store's revision.
+
+        Raises:
+            exceptions.PlatformUnavailableError: The store did not answer.
+        """
+        listing = await self.store.list(object_codec.MESH_KIND)
+        labels: dict[str, model.Definition] = {}
+        chosen: dict[str, model.Definition] = {}
+        shares: dict[str, model.VersionShare] = {}
+        for item in listing.items:
+            value = _decode(item)
+            if isinstance(value, model.VersionShare):
+                shares[value.key] = value
+            elif isinstance(value, model.Definition):
+                label = isinstance(value.value, model.Label)
+                (labels if label else chosen)[value.value.name] = value
+        definitions = selectors.Definitions(
+            label_by_name=labels, selector_by_name=chosen, share_by_key=shares
+        )
+        return definitions, listing.revision
+
+    async def put(
+        self,
+        kind: str,
+        name: str,
+        body: dict[str, Any],
+        author: str,
+        based_on: int | None,
+    ) -> int:
+        """Creates or replaces a label or a selector.
+
+        Args:
+            kind: `label` or `selector`.
+            name: Its name.
+            body: Its fields.
+            author: Who changes it.
+            based_on: Refuses the change if the object has a later revision.
+
+        Returns:
+            The revision of the change.
+
+        Raises:
+            exceptions.InvalidChangeError: It was refused by its fields.
+            exceptions.ConflictError: Another change was first.
+            exceptions.PlatformUnavailableError: The store did not answer.
+        """
+
+        def make(known: selectors.Definitions) -> model.Definition:
+            return _make(known, kind, name, body, author)
+
+        return await self._repeat(
+            lambda: self._put(make, f'{kind}.{name}', based_on), based_on
+        )
+
+    async def remove(self, kind: str, name: str, based_on: int | None) -> int:
+        """Removes a label or a selector; see `put`."""
+        return await self._repeat(
+            lambda: self._remove(kind, name, based_on), based_on
+        )
+
+    async def _repeat(self, attempt, based_on: int | None) -> int:
+        """Repeats an attempt that may have been lost, or lost a race.
+
+        A write that took effect without an answer is found by the next
+        attempt, since both are conditional on the same revision.
+        """
+        for number in range(1, ATTEMPTS + 1):
+            try:
+                return await attempt()
+            except object_store.RevisionConflictError as error:
+                if based_on is not None or number == ATTEMPTS:
+                    raise _outdated(error.current) from error
+            except exceptions.PlatformUnavailableError as error:
+                logger.info(
+                    'event=change_not_stored attempt={} problem={!r}',
+                    number,
+                    str(error),
+                )
+                if number == ATTEMPTS:
+                    raise
+            await asyncio.sleep(PAUSE_S)
+        raise AssertionError('unreachable')
+
+    async def _put(self, make, key: str, based_on: int | None) -> int:
+        known, _ = await self.load()
+        current = _current(known, key)
+        new = make(known)
+        if current is not None and _same(current, new):
+            # An earlier attempt took effect, or nothing changes.
+            return current.revision
+        _check_precondition(current, based_on)
+        spec = object_codec.encode(new)
+        if current is None:
+            item = await self.store.create(object_codec.MESH_KIND, key, spec)
+        else:
+            item = await self.store.replace(
+                object_codec.MESH_KIND, key, spec, current.revision
+            )
+        self.on_written(attrs.evolve(new, revision=item.revision))
+        return item.revision
+
+    async def _remove(self, kind: str, name: str, based_on: int | None) -> int:
+        known, revision = await self.load()
+        selectors.check_removal(known, kind, name)
+        key = f'{kind}.{name}'
+        current = _current(known, key)
+        _check_precondition(current, based_on)
+        assert current is not None
+        await self.store.delete(object_codec.MESH_KIND, key, current.revision)
+        removed_at = max(revision, current.revision) + 1
+        self.on_removed(key, removed_at)
+        return removed_at
+
+
+def _make(
+    known: selectors.Definitions,
+    kind: str,
+    name: str,
+    body: dict[str, Any],
+    author: str,
+) -> model.Definition:
+    now = time.time()
+    if kind == 'label':
+        return model.Definition(
+            value=selectors.check_label(known, name, body),
+            author=author,
+            written_at=now,
+        )
+    selector = selectors.check_selector(known, name, body, now)
+    version = selectors.new_version(known, selector)
+    former: dict[str, int] = {}
+    if version is not None:
+        former = known.settled_shares(name)
+    return model.Definition(
+        value=selector,
+        author=author,
+        written_at=now,
+        former_shares_by_version=former,
+        new_version=version,
+    )
+
+
+def _decode(item: object_store.StoredItem) -> object_codec.Value | None:
+    try:
+        return object_codec.decode_item(item)
+    except exceptions.InvalidFieldError as error:
+        logger.error(
+            'event=entry_refused name={} revision={} problem={!r}',
+            item.name,
+            item.revision,
+            str(error),
+        )
+        return None
+
+
+def _current(known: selectors.Definitions, key: str) -> model.Definition | None:
+    kind, _, name = key.partition('.')
+    if kind == 'label':
+        return known.label_by_name.get(name)
+    return known.selector_by_name.get(name)
+
+
+def _same(current: model.Definition, new: model.Definition) -> bool:
+    return current.value == new.value and current.author == new.author
+
+
+def _check_precondition(current: model.Definition | None, based_on: int | None):
+    """Refuses a change that was prepared on an older state of its object."""
+    if based_on is None or current is None or current.revision <= based_on:
+        return
+    raise exceptions.ConflictError(
+        f'{current.value.name} was changed by configuration version '
+        f'{current.revision}',
+        remedy='show the object again and repeat your change on it',
+    )
+
+
+def _outdated(
+    current: object_store.StoredItem | None,
+) -> exceptions.ConflictError:
+    version = 'a later one' if current is None else current.revision
+    return exceptions.ConflictError(
+        f'the object was changed by configuration version {version}',
+        remedy='show the object again and repeat your change on it',
+    )
--- a/hemlockgrade/mesh/drain.py
+++ b/hemlockgrade/drain.py
@@ -2,14 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
+import contextlib
 
 import attrs
 from loguru import logger
 
+from hemlockgrade import gate as gate_module
 from hemlockgrade import http_codec
 from hemlockgrade import http_server
 from hemlockgrade import in_flight as in_flight_module
-from hemlockgrade.mesh import gate as gate_module
 from hemlockgrade.platform import codec as platform_codec
 
 # The platform takes a daemon out after this many missed readiness checks,
@@ -69,7 +70,30 @@
                 self._noticed.set()
         return http_codec.Response(status=503)
 
-    async def wait_for_notice(self, callers: http_server.HttpServerFactory):
+    async def run(
+        self,
+        callers: http_server.HttpServerFactory,
+        accepting: contextlib.AsyncExitStack,
+        timeout_s: float,
+    ) -> None:
+        """Ends with no request cut, within the time allowed.
+
+        Args:
+            callers: Where callers connect.
+            accepting: Owns the listener for callers.
+            timeout_s: Time until the process has to end, in seconds.
+        """
+        now = self.clock()
+        refuse_at = now + timeout_s * ACCEPTING_PART
+        exit_at = now + timeout_s - EXIT_MARGIN_S
+        await self._wait_for_notice(callers)
+        await self._wait_for_quiet(refuse_at)
+        await accepting.aclose()
+        callers.close_idle()
+        await self.in_flight.wait_until_idle(exit_at)
+        logger.info('event=daemon_drained in_flight={}', self.in_flight.count)
+
+    async def _wait_for_notice(self, callers: http_server.HttpServerFactory):
         """Serves on until no callers are sent here any longer.
 
         Other daemons are served as well until then: the server beside this
@@ -88,7 +112,7 @@
         except TimeoutError:
             logger.info('event=readiness_checks_missing seen={}', self._missed)
 
-    async def wait_for_quiet(self, refuse_at: float) -> None:
+    async def _wait_for_quiet(self, refuse_at: float) -> None:
         """Refuses other daemons, and waits until callers stay away.
 
         Args:
--- a/hemlockgrade/mesh/exchange.py
+++ b/hemlockgrade/exchange.py
@@ -5,6 +5,7 @@
 import attrs
 
 from hemlockgrade import http_codec
+from hemlockgrade import ledger
 from hemlockgrade.platform import codec as platform_codec
 
 # Identifier of the server that is to run the request.
@@ -17,6 +18,10 @@
 IDEMPOTENT = b'x-hemlock-idempotent'
 # Name of the route, for the evidence on versions.
 ROUTE = b'x-hemlock-route'
+# Identifier of the attempt, unique over all daemons, and the process that it
+# is sent to; a fence names both.
+ATTEMPT = b'x-hemlock-attempt'
+BOOT = b'x-hemlock-boot'
 # Newest versions that the sender knows: configuration and table.
 VERSIONS = b'x-hemlock-versions'
 # Address at which the sender takes requests of other daemons.
@@ -31,6 +36,7 @@
 STATE_PATH = '/.hemlock/state'
 VERSIONS_PATH = '/.hemlock/versions'
 EVIDENCE_PATH = '/.hemlock/evidence'
+FENCE_PATH = '/.hemlock/fence'
 
 
 class Refusal(enum.StrEnum):
@@ -43,6 +49,8 @@
     SERVER_DOWN = 'server-down'
     OTHER_SERVER = 'other-server'
     SHED = 'shed'
+    FENCED = 'fenced'
+    UNREACHABLE = 'unreachable'
 
     @property
     def closed(self) -> bool:
@@ -112,6 +120,20 @@
     )
 
 
+def fenced(result: ledger.FenceResult) -> http_codec.Response:
+    """Makes the answer to a fence."""
+    return http_codec.Response(status=200, body=result.value.encode())
+
+
+def decode_fenced(response: http_codec.Response) -> ledger.FenceResult:
+    """Reads the answer to a fence."""
+    try:
+        return ledger.FenceResult(response.body.decode('latin-1'))
+    except ValueError:
+        # A newer daemon may know other results; none of them says not run.
+        return ledger.FenceResult.UNKNOWN
+
+
 def unknown(reason: str) -> http_codec.Response:
     """Makes the answer to a request that may have run."""
     return http_codec.Response(
@@ -121,15 +143,16 @@
 
 def time_left_s(headers: http_codec.Headers) -> float | None:
     """Reads how long the sender still waits, in seconds."""
-    return _milliseconds(headers, platform_codec.TIME_LEFT)
+    return milliseconds(headers, platform_codec.TIME_LEFT)
 
 
 def on_time_s(headers: http_codec.Headers) -> float | None:
     """Reads for how long an answer is on time, in seconds."""
-    return _milliseconds(headers, ON_TIME)
+    return milliseconds(headers, ON_TIME)
 
 
-def _milliseconds(headers: http_codec.Headers, name: bytes) -> float | None:
+def milliseconds(headers: http_codec.Headers, name: bytes) -> float | None:
+    """Reads a header of milliseconds, as seconds; None if it has none."""
     text = http_codec.header(headers, name)
     if text is None or not (text.isascii() and text.isdecimal()):
         return None
--- a/hemlockgrade/mesh/gate.py
+++ b/hemlockgrade/gate.py
@@ -7,13 +7,14 @@
 from loguru import logger
 
 from hemlockgrade import exceptions
+from hemlockgrade import exchange
 from hemlockgrade import http_codec
+from hemlockgrade import ledger as ledger_module
+from hemlockgrade import limits
+from hemlockgrade import model
+from hemlockgrade import registrar as registrar_module
 from hemlockgrade import upstream
-from hemlockgrade.mesh import exchange
-from hemlockgrade.mesh import model
-from hemlockgrade.mesh import registrar as registrar_module
 from hemlockgrade.platform import codec as platform_codec
-from hemlockgrade.plugins import slot_limiter
 
 # Kept from the time left, so that an answer at the deadline still arrives.
 HOP_MARGIN_S = 0.005
@@ -44,6 +45,30 @@
     latency_s: float
 
 
+@attrs.define(eq=False, kw_only=True)
+class _Work:
+    """A request that has a slot.
+
+    Attributes:
+        server: The server that runs it.
+        route: Name of its route.
+        attempt_id: Identifier of the attempt.
+        deadline: Monotonic time at which nobody waits any longer.
+        idempotent: True if it may run more than once.
+        started: Monotonic time at which it got the slot.
+        service_s: Time that the server worked, in seconds; None while that is
+            not known.
+    """
+
+    server: model.Server
+    route: str
+    attempt_id: str
+    deadline: float
+    idempotent: bool
+    started: float
+    service_s: float | None = None
+
+
 @attrs.define(eq=False, kw_only=True)
 class Gate:
     """Admits requests to the server beside this daemon.
@@ -52,6 +77,9 @@
         registrar: Knows the server.
         pool: Connections to the server.
         clock: Monotonic time in seconds.
+        ledger: Attempts that went to the server.
+        make_limiter: Makes a limiter for a number of slots.
+        signed_answers: True if only answers with a signature are the server's.
         leaving: True once new requests of other daemons are refused.
         on_evidence: Called with each answer of the server.
     """
@@ -59,9 +87,12 @@
     registrar: registrar_module.Registrar
     pool: upstream.ConnectionPool
     clock: Callable[[], float]
+    ledger: ledger_module.RequestLedger
+    make_limiter: Callable[[int], limits.Limiter]
+    signed_answers: bool = True
     leaving: bool = False
     on_evidence: Callable[[Evidence], None] | None = None
-    _limiter: slot_limiter.SlotLimiter | None = None
+    _limiter: limits.Limiter | None = None
     _limiter_server: tuple[str, int, int] | None = None
     _running: dict[str, int] = attrs.field(factory=dict)
 
@@ -82,6 +113,7 @@
         request: http_codec.Request,
         *,
         server_id: str,
+        attempt_id: str,
         deadline: float,
         priority: int,
         idempotent: bool,
@@ -93,6 +125,7 @@
         Args:
             request: The request, with the caller's headers only.
             server_id: The server that is to run it.
+            attempt_id: Identifier of the attempt.
             deadline: Monotonic time at which nobody waits any longer.
             priority: Its rank; 0 is served first.
             idempotent: True if it may run more than once.
@@ -108,45 +141,69 @@
         limiter = self._limiter_of(server)
         try:
             await limiter.acquire(
-                deadline, priority=priority, on_time_until=on_time_until
+                deadline,
+                attempt_id.rpartition('-')[0],
+                priority=priority,
+                on_time_until=on_time_until,
             )
         except exceptions.RequestNotRunError:
             late = deadline - self.clock() < limiter.service_s
             return exchange.refused(
                 exchange.Refusal.LATE if late else exchange.Refusal.FULL
             )
-        started = self.clock()
-        service_s: float | None = None
-        request_id = (
-            http_codec.header(request.headers, platform_codec.REQUEST_ID) or ''
+        work = _Work(
+            server=server,
+            route=route,
+            attempt_id=attempt_id,
+            deadline=deadline,
+            idempotent=idempotent,
+            started=self.clock(),
+        )
+        request_id = http_codec.header(
+            request.headers, platform_codec.REQUEST_ID
         )
-        self._running[request_id] = priority
+        self._running[request_id or ''] = priority
+        response: http_codec.Response | None = None
         try:
-            response = await self._send(
-                request, server, deadline, idempotent, request_id
-            )
-            service_s = self.clock() - started
+            response = await self._answer(request, work, request_id or '')
+        finally:
+            self._running.pop(request_id or '', None)
+            if response is None or response.stream is None:
+                limiter.release(work.service_s)
+            else:
+                # The slot is in use until the whole answer was passed on.
+                response.stream.when_done(
+                    lambda _: limiter.release(work.service_s)
+                )
+        return response
+
+    async def _answer(
+        self, request: http_codec.Request, work: '_Work', request_id: str
+    ) -> http_codec.Response:
+        """Sends a request that has a slot, and says how that ended."""
+        try:
+            response = await self._send(request, work, request_id)
         except exceptions.ConnectFailedError as error:
             logger.warning(
                 'event=server_unreachable server={} problem={!r}',
-                server.server_id,
+                work.server.server_id,
                 str(error),
             )
             return exchange.refused(exchange.Refusal.SERVER_DOWN)
+        except exceptions.RequestNotRunError:
+            return exchange.refused(exchange.Refusal.FENCED)
         except exceptions.DeadlineExceededError:
-            service_s = self.clock() - started
-            self._record(server, route, False, service_s)
+            work.service_s = self.clock() - work.started
+            self._record(work, False)
             return exchange.unknown('timeout')
         except (
             exceptions.OutcomeUnknownError,
             exceptions.MalformedRequestError,
         ) as error:
-            self._record(server, route, False, self.clock() - started)
-            return exchange.unknown(str(error))
-        finally:
-            limiter.release(service_s)
-            self._running.pop(request_id, None)
-        return self._judge(server, route, response, service_s)
+            self._record(work, False)
+            return exchange.unknown(str(error.args[0]))
+        work.service_s = self.clock() - work.started
+        return self._judge(work, response)
 
     def _refusal(self, server_id: str) -> exchange.Refusal:
         known = self.registrar.server
@@ -159,38 +216,45 @@
         return exchange.Refusal.OTHER_SERVER
 
     async def _send(
-        self,
-        request: http_codec.Request,
-        server: model.Server,
-        deadline: float,
-        idempotent: bool,
-        request_id: str,
+        self, request: http_codec.Request, work: '_Work', request_id: str
     ) -> http_codec.Response:
-        left_ms = max(1, int((deadline - self.clock()) * 1000))
-        headers = [
-            item
-            for item in request.headers
-            if item[0]
-            not in (platform_codec.TIME_LEFT, platform_codec.EXPECTED_SERVER)
-        ]
+        left_ms = max(1, int((work.deadline - self.clock()) * 1000))
+        replaced = (platform_codec.TIME_LEFT, platform_codec.EXPECTED_SERVER)
+        headers = [item for item in request.headers if item[0] not in replaced]
         headers.append((platform_codec.TIME_LEFT, b'%d' % left_ms))
         headers.append(
-            (platform_codec.EXPECTED_SERVER, server.server_id.encode())
+            (platform_codec.EXPECTED_SERVER, work.server.server_id.encode())
         )
+        once = not work.idempotent
         return await self.pool.send(
-            server.address,
+            work.server.address,
             request.with_headers(headers),
-            deadline,
-            max_idle_s=MAX_IDLE_S if idempotent else MAX_IDLE_ONCE_S,
+            work.deadline,
+            max_idle_s=MAX_IDLE_ONCE_S if once else MAX_IDLE_S,
+            before_write=(lambda: self._enter(work)) if once else None,
             request_id=request_id,
         )
 
+    def _enter(self, work: '_Work'):
+        """Notes an attempt before its first byte goes to the server."""
+        now = self.clock()
+        self.ledger.expire(now)
+        self.ledger.admit(work.attempt_id, now)
+
+    def fence(self, headers: http_codec.Headers) -> http_codec.Response:
+        """Tells whether an attempt was run; if not, it never will be."""
+        now = self.clock()
+        self.ledger.expire(now)
+        attempt_id = http_codec.header(headers, exchange.ATTEMPT) or ''
+        boot_id = http_codec.header(headers, exchange.BOOT) or ''
+        try:
+            result = self.ledger.fence(attempt_id, boot_id, now)
+        except exceptions.MalformedRequestError as error:
+            return http_codec.Response(status=400, body=str(error).encode())
+        return exchange.fenced(result)
+
     def _judge(
-        self,
-        server: model.Server,
-        route: str,
-        response: http_codec.Response,
-        latency_s: float,
+        self, work: '_Work', response: http_codec.Response
     ) -> http_codec.Response:
         """Tells answers of the server from refusals and wrong bytes."""
         if http_codec.header(response.headers, platform_codec.NOT_RUN):
@@ -198,28 +262,38 @@
         if response.status == 421:
             return exchange.refused(exchange.Refusal.OTHER_SERVER)
         signed = http_codec.header(response.headers, platform_codec.SIGNATURE)
-        if not signed or _is_encoded(response):
+        if self.signed_answers and (not signed or _is_encoded(response)):
             if response.stream is not None:
                 response.stream.abort()
-            self._record(server, route, False, latency_s)
+            self._record(work, False)
             return exchange.unknown(f'unsigned answer {response.status}')
         ok = response.status < FIRST_SERVER_ERROR
-        self._record(server, route, ok, latency_s)
+        if response.stream is None:
+            self._record(work, ok)
+        else:
+            response.stream.when_done(
+                lambda complete: self._record(work, ok and complete)
+            )
+        response.headers = http_codec.without_internal(response.headers)
         return response
 
-    def _record(
-        self, server: model.Server, route: str, ok: bool, latency_s: float
-    ):
+    def _record(self, work: '_Work', ok: bool):
         if self.on_evidence is not None:
             self.on_evidence(
-                Evidence(server.service, server.version, route, ok, latency_s)
+                Evidence(
+                    work.server.service,
+                    work.server.version,
+                    work.route,
+                    ok,
+                    self.clock() - work.started,
+                )
             )
 
-    def _limiter_of(self, server: model.Server) -> slot_limiter.SlotLimiter:
+    def _limiter_of(self, server: model.Server) -> limits.Limiter:
         """Returns the limiter of this incarnation of the server."""
         key = (server.server_id, server.born_ms, server.slots)
         if self._limiter is None or self._limiter_server != key:
-            self._limiter = slot_limiter.SlotLimiter(server.slots)
+            self._limiter = self.make_limiter(server.slots)
             self._limiter_server = key
         return self._limiter
 
@@ -235,21 +309,22 @@
     """Answers a request of another daemon for the local server."""
     if gate.leaving:
         return exchange.refused(exchange.Refusal.LEAVING)
-    left_s = exchange.time_left_s(request.headers)
-    server_id = http_codec.header(request.headers, exchange.SERVER)
+    headers = request.headers
+    left_s = exchange.time_left_s(headers)
+    server_id = http_codec.header(headers, exchange.SERVER)
     if left_s is None or server_id is None:
         return exchange.refused(exchange.Refusal.OTHER_SERVER)
-    priority = http_codec.header(request.headers, exchange.PRIORITY) or '0'
-    on_time_s = exchange.on_time_s(request.headers)
+    priority = http_codec.header(headers, exchange.PRIORITY) or '0'
+    on_time_s = exchange.on_time_s(headers)
     now = gate.clock()
-    route = http_codec.header(request.headers, exchange.ROUTE) or ''
-    idempotent = http_codec.header(request.headers, exchange.IDEMPOTENT)
+    idempotent = http_codec.header(headers, exchange.IDEMPOTENT)
     return await gate.run(
-        request.with_headers(http_codec.without_internal(request.headers)),
+        request.with_headers(http_codec.without_internal(headers)),
         server_id=server_id,
+        attempt_id=http_codec.header(headers, exchange.ATTEMPT) or '',
         deadline=now + left_s - HOP_MARGIN_S,
         priority=int(priority) if priority.isdecimal() else 0,
         idempotent=idempotent is not None,
-        route=route,
+        route=http_codec.header(headers, exchange.ROUTE) or '',
         on_time_until=math.inf if on_time_s is None else now + on_time_s,
     )
--- a/hemlockgrade/kernel.py
+++ b/hemlockgrade/kernel.py
@@ -1,54 +1,83 @@
-"""Plug-ins by entry point, and the named events they take part in."""
+"""Plug-ins that register themselves, and the named events they take part in."""
 
 from collections.abc import Callable
-from importlib import metadata
+from collections.abc import Iterable
+import importlib
 from typing import Any
+from typing import TypeVar
 
 from loguru import logger
 
 from hemlockgrade import exceptions
 
-GROUP_PREFIX = 'hemlockgrade.'
-
 # In the order in which a daemon emits them during its life.
 EVENTS = (
     'startup',
     'configuration_applied',
+    'definition_changed',
+    'definition_removed',
     'members_changed',
-    'request_finished',
     'rollout_changed',
     'drain',
     'shutdown',
 )
 
 Callback = Callable[..., None]
+T = TypeVar('T')
+
+_plugin_by_name_by_group: dict[str, dict[str, Any]] = {}
 
 
-def load_plugin(group: str, name: str) -> Any:
-    """Loads the object that an installed package registers.
+def register(group: str, name: str) -> Callable[[T], T]:
+    """Registers a plug-in when its module is imported.
 
     Args:
         group: Kind of plug-in, for example `balancers`.
-        name: Name of the entry point.
+        name: Name by which settings choose it.
+    """
+
+    def add(plugin: T) -> T:
+        _plugin_by_name_by_group.setdefault(group, {})[name] = plugin
+        return plugin
+
+    return add
+
+
+def load(modules: Iterable[str]) -> None:
+    """Imports the modules whose plug-ins register themselves.
+
+    Raises:
+        exceptions.PluginError: A module does not load.
+    """
+    for module in modules:
+        try:
+            importlib.import_module(module)
+        except (ImportError, AttributeError) as error:
+            raise exceptions.PluginError(
+                f'plug-in module {module!r} does not load: {error}',
+                remedy='install it or correct the setting plugins',
+            ) from error
+
+
+def plugin(group: str, name: str) -> Any:
+    """Returns a plug-in that has registered itself.
 
     Raises:
-        exceptions.PluginError: No such entry point, or its import failed.
+        exceptions.PluginError: None of that name has.
     """
-    found = metadata.entry_points(group=GROUP_PREFIX + group)
-    matching = [entry for entry in found if entry.name == name]
-    if not matching:
-        known = ', '.join(sorted({entry.name for entry in found})) or 'none'
+    by_name = _plugin_by_name_by_group.get(group, {})
+    if name not in by_name:
+        known = ', '.join(sorted(by_name)) or 'none'
         raise exceptions.PluginError(
-            f'no plug-in {name!r} in {GROUP_PREFIX}{group}',
-            remedy=f'install it or use one of: {known}',
+            f'no plug-in {name!r} among the {group}',
+            remedy=f'add its module to the setting plugins or use: {known}',
         )
-    try:
-        return matching[0].load()
-    except (ImportError, AttributeError) as error:
-        raise exceptions.PluginError(
-            f'plug-in {name!r} does not load: {error}',
-            remedy='reinstall the package that provides it',
-        ) from error
+    return by_name[name]
+
+
+def plugins(group: str) -> list[Any]:
+    """Returns all plug-ins of a group, in the order of registration."""
+    return list(_plugin_by_name_by_group.get(group, {}).values())
 
 
 class Events:
--- a/hemlockgrade/limits.py
+++ b/hemlockgrade/limits.py
@@ -65,6 +65,10 @@
     def queued(self) -> int:
         """Requests that wait for a slot."""
 
+    @property
+    def service_s(self) -> float:
+        """Mean time that the target needs, in seconds."""
+
 
 @attrs.define(eq=False, kw_only=True)
 class Ticket:
--- a/hemlockgrade/logs.py
+++ b/hemlockgrade/logs.py
@@ -1,8 +1,10 @@
 """Set-up of the log: one line of key=value pairs for each event."""
 
+from collections.abc import Callable
 import os
 import sys
 import time
+from typing import Any
 
 import attrs
 from loguru import logger
@@ -22,30 +24,6 @@
 MAX_WAITING_BYTES = 256 * 1024
 
 
-def configure(process: str, level: str, secrets: tuple[str, ...] = ()):
-    """Sends the log to standard error.
-
-    Args:
-        process: Identifier of the process, in every line.
-        level: Least level that is logged.
-        secrets: Texts that are replaced wherever they would appear.
-    """
-
-    def hide_secrets(record):
-        for secret in secrets:
-            record['message'] = record['message'].replace(secret, HIDDEN)
-
-    logger.remove()
-    logger.configure(extra={'process': process}, patcher=hide_secrets)
-    logger.add(
-        sys.stderr,
-        format=_FORMAT,
-        level=level.upper(),
-        backtrace=False,
-        diagnose=False,
-    )
-
-
 @attrs.define(eq=False)
 class BoundedWriter:
     """Writes log lines without ever waiting for their reader.
@@ -97,17 +75,29 @@
         del self._waiting[:written]
 
 
-def configure_bounded(process: str, level: str) -> None:
+def configure(
+    process: str,
+    level: str,
+    secrets: tuple[str, ...] = (),
+    write: Callable[[str], Any] | None = None,
+) -> None:
     """Sends the log to standard output, bounded and without waiting.
 
     Args:
         process: Identifier of the process, in every line.
         level: Least level that is logged.
+        secrets: Texts that are replaced wherever they would appear.
+        write: Takes each line instead of standard output.
     """
+
+    def hide_secrets(record):
+        for secret in secrets:
+            record['message'] = record['message'].replace(secret, HIDDEN)
+
     logger.remove()
-    logger.configure(extra={'process': process})
+    logger.configure(extra={'process': process}, patcher=hide_secrets)
     logger.add(
-        BoundedWriter(sys.stdout.fileno()).write,
+        write or BoundedWriter(sys.stdout.fileno()).write,
         format=_FORMAT,
         level=level.upper(),
         backtrace=False,
--- a/hemlockgrade/mesh/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The daemon beside one server, in a mesh that finds itself in a store."""
--- a/hemlockgrade/metrics.py
+++ b/hemlockgrade/metrics.py
@@ -3,41 +3,61 @@
 import aioprometheus
 from aioprometheus import renderer
 
+# Upper bounds of the latency histograms, in seconds: latency targets of the
+# users lie between 0.06 and 1.5 s.
+LATENCY_BOUNDS_S = (0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5)
+
 
 class Metrics:
-    """Counters and gauges of one daemon."""
+    """Counters, histograms and gauges of one daemon."""
 
     def __init__(self):
         self._registry = aioprometheus.Registry()
         self.requests = self._add(
             aioprometheus.Counter,
             'hemlock_requests_total',
-            'Requests by selector, version and outcome.',
+            'Finished requests by outcome, selector and version.',
         )
         self.request_seconds = self._add(
             aioprometheus.Histogram,
             'hemlock_request_seconds',
             'Time from a request to its whole answer.',
-            buckets=[0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1, 5],
+            buckets=list(LATENCY_BOUNDS_S),
         )
-        self.configuration_version = self._add(
-            aioprometheus.Gauge,
-            'hemlock_configuration_version',
-            'Version of the configuration in force.',
+        self.server_seconds = self._add(
+            aioprometheus.Histogram,
+            'hemlock_server_seconds',
+            'Time that the local server took for a request.',
+            buckets=list(LATENCY_BOUNDS_S),
         )
         self.convergence_seconds = self._add(
             aioprometheus.Histogram,
             'hemlock_convergence_seconds',
             'Time from the acceptance of a change until it is in force here.',
-            buckets=[0.01, 0.05, 0.1, 0.5, 1, 2, 4, 6, 10],
+            buckets=[0.01, 0.05, 0.1, 0.5, 1.0, 2.0, 4.0, 6.0, 10.0],
+        )
+        self.server_load = self._add(
+            aioprometheus.Gauge,
+            'hemlock_server_requests',
+            'Requests at the local server or waiting for it.',
+        )
+        self.configuration_version = self._add(
+            aioprometheus.Gauge,
+            'hemlock_configuration_version',
+            'Version of the configuration in force.',
+        )
+        self.table_revision = self._add(
+            aioprometheus.Gauge,
+            'hemlock_table_revision',
+            'Newest revision of the mesh objects that is known.',
         )
         self.targets = self._add(
             aioprometheus.Gauge, 'hemlock_targets', 'Known targets by state.'
         )
-        self.control_bytes = self._add(
-            aioprometheus.Gauge,
-            'hemlock_control_bytes',
-            'Bytes of control messages by direction.',
+        self.store_calls = self._add(
+            aioprometheus.Counter,
+            'hemlock_store_calls_total',
+            'Calls to the store by method.',
         )
 
     def _add(self, kind, name: str, doc: str, **options):
--- /dev/null
+++ b/hemlockgrade/object_codec.py
@@ -0,0 +1,89 @@
+"""The mesh's own objects as they are stored and sent to peers."""
+
+from typing import Any
+
+import attrs
+import cattrs
+
+from hemlockgrade import exceptions
+from hemlockgrade import model
+from hemlockgrade import object_store
+
+# The one kind of objects that the daemons write for each other.
+MESH_KIND = 'mesh'
+MEMBER_PREFIX = 'member.'
+SHARE_PREFIX = 'share.'
+LABEL_PREFIX = 'label.'
+SELECTOR_PREFIX = 'selector.'
+
+Value = model.Member | model.VersionShare | model.Definition
+
+_converter = cattrs.Converter(forbid_extra_keys=False)
+_KIND_BY_PREFIX: dict[str, Any] = {
+    MEMBER_PREFIX: model.Member,
+    SHARE_PREFIX: model.VersionShare,
+    LABEL_PREFIX: model.Definition,
+    SELECTOR_PREFIX: model.Definition,
+}
+
+
+def _structure_definition(data: Any, _) -> model.Label | model.Selector:
+    if 'kind' in data:
+        return _converter.structure(data, model.Label)
+    return _converter.structure(data, model.Selector)
+
+
+_converter.register_structure_hook(
+    model.Label | model.Selector, _structure_definition
+)
+
+
+def key_of(value: Value) -> str:
+    """Returns the name of the object that holds a value."""
+    if isinstance(value, model.Member):
+        return MEMBER_PREFIX + value.name
+    if isinstance(value, model.VersionShare):
+        return SHARE_PREFIX + value.key
+    label = isinstance(value.value, model.Label)
+    return (LABEL_PREFIX if label else SELECTOR_PREFIX) + value.value.name
+
+
+def encode(value: Value) -> dict[str, Any]:
+    """Encodes a value, without its revision."""
+    data = _converter.unstructure(value)
+    del data['revision']
+    return data
+
+
+def decode(name: str, data: Any, revision: int) -> Value | None:
+    """Decodes the content of an object.
+
+    Args:
+        name: Name of the object.
+        data: Its content.
+        revision: Revision of its last change.
+
+    Returns:
+        None for an object whose name has none of the known prefixes.
+
+    Raises:
+        exceptions.InvalidFieldError: Its content cannot be used.
+    """
+    prefix = name[: name.find('.') + 1]
+    kind = _KIND_BY_PREFIX.get(prefix)
+    if kind is None:
+        return None
+    try:
+        value = _converter.structure(data, kind)
+    except Exception as error:  # noqa: BLE001
+        raise exceptions.InvalidFieldError(
+            name,
+            f'cannot be decoded: {error!r}',
+            remedy='delete the object, its owner writes it again',
+        ) from error
+    return attrs.evolve(value, revision=revision)
+
+
+def decode_item(item: object_store.StoredItem) -> Value | None:
+    """Decodes an object of the mesh's kind; see `decode`."""
+    return decode(item.name, item.spec, item.revision)
--- /dev/null
+++ b/hemlockgrade/overview.py
@@ -0,0 +1,138 @@
+"""A daemon's own description: status, targets, routes and metrics."""
+
+from typing import Any
+from typing import Protocol
+
+from hemlockgrade import directory as directory_module
+from hemlockgrade import gate as gate_module
+from hemlockgrade import metrics as metrics_module
+from hemlockgrade import model
+from hemlockgrade.config import daemon as daemon_settings
+from hemlockgrade.platform import store as store_module
+
+_STATE_OF_LEAVING = 'leaving'
+
+
+class View(Protocol):
+    """The parts of a daemon that are described."""
+
+    settings: daemon_settings.DaemonSettings
+    boot_id: str
+    metrics: metrics_module.Metrics
+    directory: directory_module.Directory
+    gate: gate_module.Gate
+    store: store_module.MetadataStore
+
+
+def status(view: View) -> dict[str, Any]:
+    """Describes a daemon."""
+    queued, service_s = view.gate.load
+    return {
+        'daemon_id': view.settings.daemon_id,
+        'failure_domain': view.settings.failure_domain,
+        'boot_id': view.boot_id,
+        'version': view.directory.table_revision,
+        'configuration': view.directory.configuration_version,
+        'leaving': view.gate.leaving,
+        'leases': sorted(
+            share.key
+            for share in view.directory.share_by_key.values()
+            if share.holder == view.settings.daemon_id
+            and share.state is model.RolloutState.RUNNING
+        ),
+        'requests_at_server': queued,
+        'server_s': round(service_s, 4),
+        'store_calls': sum(view.store.calls_by_method.values()),
+    }
+
+
+def targets(directory: directory_module.Directory) -> list[dict[str, Any]]:
+    """Lists the targets that a daemon knows."""
+    return [
+        {
+            'target_id': member.server.server_id,
+            'daemon_id': member.name,
+            'service': member.server.service,
+            'version': member.server.version,
+            'failure_domain': member.zone,
+            'slots': member.server.slots,
+            'state': _STATE_OF_LEAVING
+            if member.leaving
+            else str(member.server.state),
+            'administration_address': member.administration_address,
+        }
+        for member in directory.member_by_name.values()
+        if member.server is not None
+    ]
+
+
+def explain(
+    directory: directory_module.Directory, host: str, path: str
+) -> dict[str, Any]:
+    """Describes how a request for a path would be served."""
+    entry = directory.match(host, path)
+    if entry is None:
+        return {'path': path, 'route': None, 'why': 'no route matches'}
+    route = entry.route
+    origin = (
+        f'selector {route.selector}'
+        if route.selector
+        else f'configuration {directory.configuration_version}'
+    )
+    found: dict[str, list[str]] = {}
+    for share in route.shares:
+        for member in directory.servers_of(share.service):
+            server = member.server_facts
+            if route.targets is None or route.targets.matches(server.server_id):
+                found.setdefault(server.version, []).append(server.server_id)
+    return {
+        'path': path,
+        'route': route.prefix,
+        'selector': route.selector,
+        'why': f'{route.prefix} is the longest prefix of the path on this '
+        f'proxy, and {origin} has it',
+        'timeout_ms': round(route.timeout_s * 1000),
+        'services': {share.service: share.weight for share in route.shares},
+        'shares': {part.version: part.weight for part in route.versions},
+        'targets': found,
+    }
+
+
+def rollouts(directory: directory_module.Directory) -> list[dict[str, Any]]:
+    """Lists the last rollout of each selector."""
+    definitions = directory.definitions
+    listed = []
+    for name, definition in directory.selector_by_name.items():
+        if definition.new_version is None:
+            continue
+        share = definitions.share_of(definition)
+        listed.append(
+            {
+                'selector': name,
+                'new_version': definition.new_version,
+                'state': 'running' if share is None else str(share.state),
+                'progress_permille': 0 if share is None else share.permille,
+                'reason': '' if share is None else share.reason,
+                'holder': '' if share is None else share.holder,
+                'epoch': 0 if share is None else share.epoch,
+                'old_shares_by_version': definition.former_shares_by_version,
+            }
+        )
+    return listed
+
+
+def render_metrics(view: View) -> tuple[bytes, dict[str, str]]:
+    """Returns the metrics page and its HTTP headers."""
+    metrics, directory = view.metrics, view.directory
+    metrics.server_load.set({}, view.gate.load[0])
+    metrics.configuration_version.set({}, directory.configuration_version)
+    metrics.table_revision.set({}, directory.table_revision)
+    counts: dict[str, int] = {str(state): 0 for state in model.ServerState}
+    for target in targets(directory):
+        state = target['state']
+        counts[state] = counts.get(state, 0) + 1
+    for state, count in counts.items():
+        metrics.targets.set({'state': state}, count)
+    for method, calls in view.store.calls_by_method.items():
+        metrics.store_calls.set({'method': method}, calls)
+    return metrics.render()
--- a/hemlockgrade/platform/codec.py
+++ b/hemlockgrade/platform/codec.py
@@ -1,4 +1,4 @@
-"""The platform's documents and headers, decoded into the mesh's types."""
+"""The platform's documents and headers, decoded into the product's types."""
 
 import math
 from typing import Any
@@ -6,7 +6,7 @@
 import orjson
 
 from hemlockgrade import exceptions
-from hemlockgrade.mesh import model
+from hemlockgrade import model
 
 # Objects that the operator writes.
 CONFIGURATION_KIND = 'config'
@@ -32,6 +32,11 @@
 READINESS_PATH = '/-/readiness'
 HEARTBEAT_PREFIX = '/-/instances/'
 
+_ROLLOUT_STATES = {
+    'running': model.RolloutState.RUNNING,
+    'completed': model.RolloutState.DONE,
+    'rolled_back': model.RolloutState.ROLLED_BACK,
+}
 _STATES = {
     'ready': model.ServerState.READY,
     'draining': model.ServerState.DRAINING,
@@ -161,24 +166,23 @@
     """
     spec = _table('rollout', spec)
     status = status if isinstance(status, dict) else {}
-    try:
-        state = model.RolloutState(status.get('State'))
-    except ValueError:
-        state = None
+    service = _text('Service', spec.get('Service'))
     return model.RolloutOrder(
-        service=_text('Service', spec.get('Service')),
+        key=service,
+        service=service,
         version=_text('TargetVersion', spec.get('TargetVersion')),
         duration_s=_number('DurationS', spec.get('DurationS')),
         revision=revision,
         created_revision=created_revision,
-        state=state,
+        state=_ROLLOUT_STATES.get(str(status.get('State'))),
         reported_version=str(status.get('TargetVersion') or ''),
     )
 
 
 def encode_report(state: model.RolloutState, version: str) -> dict[str, Any]:
     """Encodes the report on a rollout."""
-    return {'State': state.value, 'TargetVersion': version}
+    word = next(w for w, each in _ROLLOUT_STATES.items() if each is state)
+    return {'State': word, 'TargetVersion': version}
 
 
 def _invalid(field: str, value: Any) -> exceptions.InvalidFieldError:
--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -9,8 +9,8 @@
 
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
+from hemlockgrade import object_store
 from hemlockgrade import upstream
-from hemlockgrade.mesh import objects
 
 OBJECTS_PATH = '/-/objects/'
 # The store answers in 4 ms as a rule; on slow days in half a second.
@@ -35,7 +35,7 @@
     pool: upstream.ConnectionPool
     calls_by_method: dict[str, int] = attrs.field(factory=dict)
 
-    async def get(self, kind: str, name: str) -> objects.StoredItem | None:
+    async def get(self, kind: str, name: str) -> object_store.StoredItem | None:
         """Reads one object, or returns None if there is none."""
         try:
             data = await self._call('GET', f'{kind}/{name}')
@@ -43,9 +43,9 @@
             return None
         return _decode_item(kind, data)
 
-    async def list(self, kind: str) -> objects.Listing:
+    async def list(self, kind: str) -> object_store.Listing:
         """Reads all objects of a kind, page by page."""
-        items: list[objects.StoredItem] = []
+        items: list[object_store.StoredItem] = []
         path = kind
         while True:
             data = await self._call('GET', path)
@@ -53,11 +53,13 @@
             if not data.get('HasMore') or not data['items']:
                 break
             path = f'{kind}?after={items[-1].name}'
-        return objects.Listing(items=tuple(items), revision=data['CurrentRev'])
+        return object_store.Listing(
+            items=tuple(items), revision=data['CurrentRev']
+        )
 
     async def watch(
         self, kind: str, revision: int, wait_s: float
-    ) -> objects.Changes:
+    ) -> object_store.Changes:
         """Waits for changes after a revision.
 
         The read may lag behind the newest write, which costs a tenth and
@@ -72,24 +74,26 @@
             timeout_s=wait_s + WATCH_SLACK_S,
         )
         changes = tuple(
-            objects.ItemChange(
+            object_store.ItemChange(
                 item=_decode_item(kind, event['Object']),
                 deleted=bool(event['Deleted']),
             )
             for event in data['events']
         )
-        return objects.Changes(changes=changes, revision=data['CurrentRev'])
+        return object_store.Changes(
+            changes=changes, revision=data['CurrentRev']
+        )
 
     async def create(
         self, kind: str, name: str, spec: Any
-    ) -> objects.StoredItem:
+    ) -> object_store.StoredItem:
         """Writes an object only if there is none."""
         body = {'Metadata': {'Name': name}, 'Spec': spec}
         return _decode_item(kind, await self._call('POST', kind, body))
 
     async def replace(
         self, kind: str, name: str, spec: Any, revision: int
-    ) -> objects.StoredItem:
+    ) -> object_store.StoredItem:
         """Replaces an object only if it has the given revision."""
         body = {'Metadata': {'Name': name, 'Rev': revision}, 'Spec': spec}
         data = await self._call('PUT', f'{kind}/{name}', body)
@@ -97,7 +101,7 @@
 
     async def report(
         self, kind: str, name: str, status: Any, revision: int
-    ) -> objects.StoredItem:
+    ) -> object_store.StoredItem:
         """Replaces an object's status only if it has the given revision."""
         body = {'Metadata': {'Name': name, 'Rev': revision}, 'Status': status}
         data = await self._call('PUT', f'{kind}/{name}/status', body)
@@ -150,11 +154,11 @@
             f'{path} does not exist in the store', remedy='create it first'
         )
     if status == 410:
-        raise objects.HistoryLostError(
+        raise object_store.HistoryLostError(
             f'the history of {path} is gone', remedy='list the kind again'
         )
     if status == 409:
-        raise objects.RevisionConflictError(
+        raise object_store.RevisionConflictError(
             f'{path} has another revision', _decode_conflict(path, response)
         )
     raise _unavailable(method, path, f'status {status}')
@@ -162,7 +166,7 @@
 
 def _decode_conflict(
     path: str, response: http_codec.Response
-) -> objects.StoredItem | None:
+) -> object_store.StoredItem | None:
     kind = path.partition('/')[0]
     try:
         return _decode_item(kind, orjson.loads(response.body))
@@ -170,10 +174,10 @@
         return None
 
 
-def _decode_item(kind: str, data: Any) -> objects.StoredItem:
+def _decode_item(kind: str, data: Any) -> object_store.StoredItem:
     try:
         metadata = data['Metadata']
-        return objects.StoredItem(
+        return object_store.StoredItem(
             kind=kind,
             name=metadata['Name'],
             revision=metadata['Rev'],
--- a/hemlockgrade/mesh/judge.py
+++ b/hemlockgrade/plugins/binomial_judge.py
@@ -8,12 +8,12 @@
 """
 
 from collections.abc import Iterable
-from collections.abc import Mapping
 import math
 
 import attrs
 
-from hemlockgrade.mesh import evidence
+from hemlockgrade import evidence
+from hemlockgrade import kernel
 
 # A rollout makes about a thousand tests, so that a good version is rolled
 # back by chance in one of a hundred at the most.
@@ -30,11 +30,9 @@
 MIN_REQUESTS = 8
 MIN_OLD_REQUESTS = 20
 
-Totals = Mapping[tuple[str, str], evidence.Counts]
-
 
 @attrs.frozen(kw_only=True)
-class Finding:
+class BinomialFinding:
     """Why a version is bad.
 
     Attributes:
@@ -58,7 +56,20 @@
         )
 
 
-def find_fault(totals: Totals, version: str) -> Finding | None:
+@kernel.register('judges', 'binomial')
+class BinomialJudge:
+    """Judges each span of time by itself."""
+
+    def find_fault(
+        self, totals: evidence.Totals, version: str
+    ) -> evidence.Finding | None:
+        """Looks for a reason to roll a version back."""
+        return find_fault(totals, version)
+
+
+def find_fault(
+    totals: evidence.Totals, version: str
+) -> evidence.Finding | None:
     """Looks for a reason to roll a version back.
 
     Args:
@@ -74,8 +85,8 @@
 
 
 def _test(
-    totals: Totals, version: str, routes: Iterable[str], name: str
-) -> Finding | None:
+    totals: evidence.Totals, version: str, routes: Iterable[str], name: str
+) -> evidence.Finding | None:
     chosen = set(routes)
     new = evidence.merged(
         counts
@@ -91,7 +102,7 @@
         return None
     failed_rate = max(MIN_FAILED_RATE, _rate(old.failed, old.requests))
     if _tail(new.requests, new.failed, failed_rate) < ALARM_LEVEL:
-        return Finding(
+        return BinomialFinding(
             route=name,
             what='failed',
             hits=new.failed,
@@ -105,7 +116,7 @@
     usual = old.slower_than(median + _buckets_of(SLOW_FACTOR / COLD_FACTOR))
     slow_rate = max(MIN_SLOW_RATE, _rate(usual, old.requests))
     if _tail(new.requests, slow, slow_rate) < ALARM_LEVEL:
-        return Finding(
+        return BinomialFinding(
             route=name,
             what='slow',
             hits=slow,
--- a/hemlockgrade/plugins/slot_limiter.py
+++ b/hemlockgrade/plugins/slot_limiter.py
@@ -4,9 +4,11 @@
 import math
 import time
 
+from hemlockgrade import kernel
 from hemlockgrade import limits
 
 
+@kernel.register('limiters', 'slots')
 class SlotLimiter:
     """Admits work to one target by its slots."""
 
--- a/hemlockgrade/plugins/timeline_events.py
+++ b/hemlockgrade/plugins/timeline_events.py
@@ -2,11 +2,12 @@
 
 import time
 
-from hemlockgrade import configuration
+from hemlockgrade import kernel
 from hemlockgrade import model
 from hemlockgrade import timeline
 
 
+@kernel.register('events', 'timeline')
 class TimelineEvents:
     """Records configuration, membership, rollouts, drain and shutdown.
 
@@ -21,43 +22,52 @@
         """Records the start."""
         self._time_line.record('startup', daemon=daemon_id)
 
-    def on_configuration_applied(
-        self, applied: configuration.Configuration, changes: list[model.Change]
-    ):
-        """Records each change, or the version of a full copy."""
-        if not changes:
-            self._time_line.record('snapshot_applied', version=applied.version)
-        for change in changes:
-            self._time_line.record(
-                'change_applied',
-                version=change.number,
-                change=str(change.kind),
-                name=change.name,
-                author=change.author,
-                epoch=change.epoch,
-                delay_s=round(time.time() - change.written_at, 3),
-            )
+    def on_configuration_applied(self, version: int, source: str):
+        """Records a version of the platform's configuration."""
+        self._time_line.record(
+            'configuration_applied', version=version, source=source
+        )
+
+    def on_definition_changed(self, definition: model.Definition):
+        """Records a label or a selector, after its cause on another host."""
+        self._time_line.clock.observe(definition.written_at)
+        self._time_line.record(
+            'change_applied',
+            version=definition.revision,
+            name=definition.value.name,
+            author=definition.author,
+            delay_s=round(time.time() - definition.written_at, 3),
+        )
 
-    def on_members_changed(self, targets: list[model.Target]):
-        """Records the new state of each target."""
-        for target in targets:
-            self._time_line.record(
-                'target_changed',
-                target=target.target_id,
-                state=target.state.name.lower(),
-                incarnation=target.incarnation,
-                version=target.version,
-            )
+    def on_definition_removed(self, key: str, revision: int):
+        """Records that a label or a selector is gone."""
+        self._time_line.record(
+            'change_removed', version=revision, name=key.partition('.')[2]
+        )
+
+    def on_members_changed(self, member: model.Member):
+        """Records the new state of a daemon and its target."""
+        server = member.server
+        self._time_line.record(
+            'target_changed',
+            daemon=member.name,
+            target=server.server_id if server else '',
+            state=str(server.state) if server else '',
+            version=server.version if server else '',
+            leaving=member.leaving,
+        )
 
-    def on_rollout_changed(self, rollout: model.Rollout):
+    def on_rollout_changed(self, share: model.VersionShare):
         """Records the state of a rollout."""
         self._time_line.record(
             'rollout_changed',
-            selector=rollout.selector,
-            state=str(rollout.state),
-            progress_permille=rollout.progress_permille,
-            new_version=rollout.new_version,
-            reason=rollout.reason,
+            selector=share.key,
+            state=str(share.state),
+            progress_permille=share.permille,
+            new_version=share.version,
+            holder=share.holder,
+            epoch=share.epoch,
+            reason=share.reason,
         )
 
     def on_drain(self, daemon_id: str):
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -1,410 +1,538 @@
-"""Caller side of the request path: route, send, retry, account."""
+"""Caller side of the request path: route, choose, send, retry, answer."""
 
+import asyncio
 from collections.abc import Callable
-from collections.abc import Sequence
+import enum
 import itertools
-import random as random_module
-import time
-from typing import Any
-from typing import Protocol
 import uuid
 
 import attrs
 from loguru import logger
-import orjson
 
+from hemlockgrade import directory as directory_module
 from hemlockgrade import exceptions
+from hemlockgrade import exchange
+from hemlockgrade import gate as gate_module
 from hemlockgrade import http_codec
-from hemlockgrade import in_flight
 from hemlockgrade import ledger
 from hemlockgrade import model
+from hemlockgrade import peers
 from hemlockgrade import retries
-from hemlockgrade import routing as routing_module
+from hemlockgrade import state_sync
 from hemlockgrade import upstream
-
-# Longest time a caller may ask for; the ledgers' retention is twice this.
-MAX_TIMEOUT_S = 60.0
-# The admission side is told a little less than what remains, so that its
-# refusal arrives before the proxy gives up and has to call it unknown.
-HOP_MARGIN_S = 0.005
-HOP_MARGIN_SHARE = 0.1
-# Limit of a fence call, in seconds.
+from hemlockgrade.platform import codec as platform_codec
+
+# Longest wait of a caller that states none, in seconds.
+DEFAULT_TIMEOUT_S = 30.0
+# A refused request may ask this many servers' daemons; being refused costs a
+# round trip and reaches no server.
+MAX_REFUSALS = 4
+# Part of the users' bound on repeated requests that is used.
+RETRY_BUDGET_PART = 0.8
+# Time below which a further attempt cannot be answered, in seconds.
+MIN_REMAINING_S = 0.01
+# Limit of a fence, in seconds: a connection and an answer within a region.
 FENCE_TIMEOUT_S = 0.5
-# Statuses with which a target or what is before it sheds load.
-SHEDDING_STATUSES = frozenset({502, 503, 504})
-RESERVED_PREFIX = '/.hemlock/'
+# The product's own header for the longest wait of a caller.
+CALLER_TIMEOUT = b'x-request-timeout-ms'
+# Tells the caller of an answer of the daemon's own whether a server ran it.
+OUTCOME = b'x-hemlock-outcome'
+NOT_RUN = b'not-run'
+UNKNOWN = b'unknown'
+# When a refused caller may come back, in seconds: about the time in which a
+# queue at a server empties, and at most this part of the time it has left.
+RETRY_AFTER_S = 0.1
+RETRY_AFTER_PART = 0.3
 
-OK = routing_module.Outcome.OK
-ERROR = routing_module.Outcome.ERROR
-REJECTED = routing_module.Outcome.REJECTED
-UNREACHABLE = routing_module.Outcome.UNREACHABLE
-TIMEOUT = routing_module.Outcome.TIMEOUT
 
+class Kind(enum.Enum):
+    """How an attempt ended."""
 
-class RoutingView(Protocol):
-    """What the proxy knows of the configuration and the targets."""
+    ANSWER = 'answer'
+    REFUSED = 'refused'
+    UNKNOWN = 'unknown'
+    TIMEOUT = 'timeout'
 
-    def match(self, path: str) -> routing_module.RouteEntry | None:
-        """Finds the route of a path."""
 
+@attrs.frozen(kw_only=True)
+class Result:
+    """How an attempt ended.
 
-class EvidenceRecorder(Protocol):
-    """Collects evidence on versions."""
+    Attributes:
+        kind: The outcome.
+        reason: In words, for the log.
+        answer: The server's answer.
+        refusal: Why it was not run.
+    """
 
-    def record(
-        self,
-        entry: routing_module.RouteEntry,
-        version: str,
-        ok: bool,
-        latency_s: float,
-        now: float,
-    ) -> Any:
-        """Counts one answered or failed request of a route."""
+    kind: Kind
+    reason: str = ''
+    answer: http_codec.Response | None = None
+    refusal: exchange.Refusal | None = None
 
+    @property
+    def broken(self) -> bool:
+        """Tells whether the connection broke on the way."""
+        return (
+            self.kind is Kind.UNKNOWN or self.refusal is exchange.Refusal.FENCED
+        )
 
-@attrs.define
-class _Call:
-    """A caller's request on its way through the attempts."""
+
+@attrs.define(kw_only=True)
+class Call:
+    """A caller's request on its way through the attempts.
+
+    Attributes:
+        request: The request, with the headers for the server.
+        request_id: The caller's identifier of it.
+        route: Its route.
+        parent_rank: Rank of the request that the server on this host runs and
+            sent this one for; None if it comes from a caller.
+        service: Service that runs it.
+        started: Monotonic time of its arrival.
+        deadline: Monotonic time at which it has to be answered.
+        idempotent: True if it may run more than once.
+        sent: Servers that it may have reached.
+        refusals: Daemons that refused it.
+        tried: Names of the members tried.
+        version: Version of the server tried last.
+        maybe_run: True if a server may have run it.
+        failure: The server's answer of failure, if there is one.
+        last: How the last attempt ended.
+    """
 
     request: http_codec.Request
-    entry: routing_module.RouteEntry
-    version: str
+    request_id: str
+    route: model.Route
+    parent_rank: int | None
+    service: str
+    started: float
     deadline: float
     idempotent: bool
-    request_id: str
-    count: int = 0
+    sent: int = 0
+    refusals: int = 0
+    tried: list[str] = attrs.field(factory=list)
+    version: str = ''
     maybe_run: bool = False
-    tried: set[str] = attrs.field(factory=set)
-    answer: http_codec.Response | None = None
-
-    def facts(self) -> retries.Attempts:
-        return retries.Attempts(
-            idempotent=self.idempotent,
-            count=self.count,
-            maybe_run=self.maybe_run,
-            deadline=self.deadline,
-        )
-
+    failure: http_codec.Response | None = None
+    last: Result | None = None
 
-@attrs.frozen
-class _Result:
-    """How an attempt ended.
+    @property
+    def priority(self) -> int:
+        """Returns its rank; 0 is served first.
 
-    Attributes:
-        outcome: For the load table; None if it says nothing on the target.
-        ok: For the evidence on the version; None if it says nothing.
-        failure: Why it needs a decision; None for an answer.
-        stream: The rest of the answer's body.
-    """
+        A nested request has the rank of its parent.
+        """
+        if self.parent_rank is not None:
+            return self.parent_rank
+        return self.route.priority
 
-    outcome: routing_module.Outcome | None
-    ok: bool | None = None
-    failure: retries.Failure | None = None
-    stream: http_codec.BodyStream | None = None
+    @property
+    def on_time_until(self) -> float:
+        """Returns the monotonic time until which an answer is on time."""
+        return self.started + self.route.target_latency_s
 
 
-@attrs.define(kw_only=True)
+@attrs.define(eq=False, kw_only=True)
 class Proxy:
-    """Sends each caller's request to a target and returns its answer.
+    """Sends each request of this host to a server and returns its answer.
 
     Attributes:
-        proxy_id: Identifier of this proxy.
-        pool: Connections to the admission sides.
-        loads: Live evidence on targets.
-        evidence: Evidence on versions.
-        balancer: Chooses among targets.
-        random: Source of random numbers.
-        routing: Current routing view; None before the first configuration.
-        stopped_versions: Versions of a route stopped by this proxy.
-        on_finished: Called with the route, the version, the answer and the
-            seconds it took.
-        budget: Budget for retries.
+        name: Name of this host.
+        boot_id: Identifier of this process.
+        own_service: Returns the service of the server on this host.
+        directory: Knows routes and members.
+        balancer: Chooses the server.
+        gate: Admission to the server on this host.
+        pool: Connections to other daemons.
+        clock: Monotonic time in seconds.
+        retry_ratio: Repeated requests as a part of the first ones.
+        retry_slack: Repeated requests beyond that, over all daemons.
+        sync: Learns from answers what peers know.
+        on_finished: Called with the labels and seconds of each request.
     """
 
-    proxy_id: str
+    name: str
+    boot_id: str
+    own_service: Callable[[], str]
+    directory: directory_module.Directory
+    balancer: peers.Balancer
+    gate: gate_module.Gate
     pool: upstream.ConnectionPool
-    loads: routing_module.LoadTable
-    evidence: EvidenceRecorder
-    balancer: routing_module.Balancer
-    random: random_module.Random
-    routing: RoutingView | None = None
-    stopped_versions: Callable[[routing_module.RouteEntry], frozenset[str]] = (
-        lambda _: frozenset()
-    )
-    on_finished: Callable[
-        [routing_module.RouteEntry, str, http_codec.Response, float], None
-    ] = lambda *_: None
-    budget: retries.RetryBudget = attrs.field(factory=retries.RetryBudget)
-    clock: Callable[[], float] = time.monotonic
-    draining: bool = False
-    _in_flight: in_flight.InFlight = attrs.field(init=False)
-    _id_prefix: str = attrs.field(init=False)
+    clock: Callable[[], float]
+    retry_ratio: float
+    retry_slack: float
+    sync: state_sync.StateSync
+    on_finished: Callable[[dict[str, str], float], None]
     _numbers: itertools.count = attrs.field(factory=itertools.count)
-
-    def __attrs_post_init__(self):
-        # A restarted proxy must not repeat identifiers of its predecessor.
-        self._in_flight = in_flight.InFlight(self.clock)
-        self._id_prefix = f'{self.proxy_id}.{uuid.uuid4().hex[:12]}'
+    _budget_by_service: dict[str, retries.RetryBudget] = attrs.field(
+        factory=dict
+    )
 
     async def handle(self, request: http_codec.Request) -> http_codec.Response:
-        """Answers a caller's request.
-
-        Returns:
-            The target's answer, or 404, 502 or 503 of the proxy's own.
-        """
-        if self.draining:
-            return refused('this proxy is draining')
-        if self.routing is None:
-            return refused('this proxy has no configuration yet')
-        if request.path.startswith(RESERVED_PREFIX):
-            return plain(404, 'no route for this path', b'not-run')
-        entry = self.routing.match(request.path)
-        if entry is None:
-            return plain(404, 'no route for this path', b'not-run')
-        version = entry.choose_version(
-            self.random, self.stopped_versions(entry)
-        )
-        if version is None:
-            return refused('no version of the service may be used')
-        call = self._start(request, entry, version)
+        """Answers a caller's request."""
         started = self.clock()
-        response = await self._in_flight.track(self._run(call))
-        self.on_finished(entry, version, response, self.clock() - started)
-        return response
-
-    async def drain(self, deadline: float) -> None:
-        """Refuses new requests and waits for those in flight.
-
-        Args:
-            deadline: Gives up waiting at this time, in monotonic seconds.
-        """
-        self.draining = True
-        if not await self._in_flight.wait_until_idle(deadline):
-            logger.warning(
-                'event=proxy_drain_cut in_flight={}', self._in_flight.count
+        request_id = (
+            http_codec.header(request.headers, platform_codec.REQUEST_ID) or ''
+        )
+        if not request_id:
+            request_id = uuid.uuid4().hex[:16]
+            request.headers.append(
+                (platform_codec.REQUEST_ID, request_id.encode())
             )
+        if not self.directory.configured:
+            self._log_unrouted(request_id, 503, 'no-configuration', started)
+            return _refusal(RETRY_AFTER_S)
+        host = http_codec.header(request.headers, b'host') or ''
+        entry = self.directory.match(host, request.path)
+        if entry is None:
+            self._log_unrouted(request_id, 404, 'no-route', started)
+            return http_codec.Response(status=404, headers=[(OUTCOME, NOT_RUN)])
+        call = self._new_call(request, request_id, entry, started)
+        try:
+            response = await self._attempt_until_done(call)
+        except asyncio.CancelledError:
+            self._log_call(call, 0, 'caller-gone')
+            raise
+        outcome = call.last.reason if call.last is not None else 'no-server'
+        self._log_call(call, response.status, outcome)
+        return response
 
-    def _start(
+    def _new_call(
         self,
         request: http_codec.Request,
-        entry: routing_module.RouteEntry,
-        version: str,
-    ) -> _Call:
-        timeout_s = _timeout_s(request.headers, entry.route.timeout_ms / 1000)
-        request.headers = http_codec.without_internal(request.headers)
-        self.budget.count_request()
-        return _Call(
-            request=request,
-            entry=entry,
-            version=version,
-            deadline=self.clock() + timeout_s,
-            idempotent=retries.is_idempotent(request.method),
-            request_id=self._new_id(),
+        request_id: str,
+        entry: directory_module.RouteEntry,
+        started: float,
+    ) -> Call:
+        left_s = exchange.time_left_s(request.headers)
+        if left_s is None:
+            left_s = exchange.milliseconds(request.headers, CALLER_TIMEOUT)
+        if left_s is None:
+            left_s = DEFAULT_TIMEOUT_S
+        headers = [
+            item
+            for item in http_codec.without_internal(request.headers)
+            if item[0] not in (platform_codec.CALLER_SERVICE, CALLER_TIMEOUT)
+        ]
+        headers.append(
+            (platform_codec.CALLER_SERVICE, self.own_service().encode())
+        )
+        idempotent = entry.route.idempotent
+        if idempotent is None:
+            idempotent = retries.is_idempotent(request.method)
+        return Call(
+            request=request.with_headers(headers),
+            request_id=request_id,
+            route=entry.route,
+            parent_rank=self.gate.rank_of(_parent_id(request_id)),
+            service=entry.next_service(),
+            started=started,
+            deadline=started + min(left_s, entry.route.timeout_s),
+            idempotent=idempotent,
         )
 
-    def _new_id(self) -> str:
-        return f'{self._id_prefix}-{next(self._numbers)}'
-
-    async def _run(self, call: _Call) -> http_codec.Response:
+    async def _attempt_until_done(self, call: Call) -> http_codec.Response:
+        self._budget(call.service).count_request()
         while True:
-            if self.clock() >= call.deadline:
-                return self._finish(call, 'its deadline has passed')
-            target = self._choose(call)
-            if target is None:
-                return self._finish(call, 'no target can be used')
-            failure = await self._attempt(call, target)
-            if failure is None:
-                assert call.answer is not None
-                return self._pass_on(call, call.answer)
-            decision = retries.decide(
-                call.facts(), failure, self.budget, self.clock()
+            peer = self._choose(call)
+            if peer is None:
+                return self._give_up(call)
+            call.tried.append(peer.member.name)
+            call.version = peer.member.server_facts.version
+            result = await self._attempt(call, peer)
+            call.last = result
+            if result.answer is not None and not self._worth_repeating(
+                call, result.answer
+            ):
+                return result.answer
+            if not self._may_repeat(call, result):
+                return self._give_up(call)
+
+    def _choose(self, call: Call) -> peers.Peer | None:
+        peer = self.balancer.choose(
+            call.service, call.tried, call.priority, call.route
+        )
+        if peer is None and call.last is not None and call.last.broken:
+            # A connection that broke says nothing about the server.
+            return self.balancer.choose(
+                call.service, (), call.priority, call.route
             )
-            if decision is retries.RetryDecision.FENCE_FIRST:
-                decision = await self._fence_and_decide(call, target)
-            if decision is not retries.RetryDecision.RETRY_ELSEWHERE:
-                return self._finish(call, 'the request was refused')
-
-    def _choose(self, call: _Call) -> model.Target | None:
-        targets = call.entry.targets_by_version.get(call.version, ())
-        fresh: Sequence[model.Target] = targets
-        if call.tried:
-            fresh = [t for t in targets if t.target_id not in call.tried]
-        return self.balancer.choose(
-            fresh or targets, self.loads, self.clock(), self.random
+        return peer
+
+    def _worth_repeating(self, call: Call, answer: http_codec.Response) -> bool:
+        """Tells whether a server's answer is a failure to try again."""
+        if answer.status < gate_module.FIRST_SERVER_ERROR:
+            return False
+        call.failure = answer
+        return (
+            call.idempotent
+            and answer.stream is None
+            and not self.balancer.fails_everywhere(call.service)
         )
 
-    async def _attempt(
-        self, call: _Call, target: model.Target
-    ) -> retries.Failure | None:
-        call.count += 1
-        call.tried.add(target.target_id)
-        started = self.clock()
-        self.loads.started(target.target_id, started)
-        # A caller that went away says nothing about the target.
-        result = _Result(None)
+    def _may_repeat(self, call: Call, result: Result) -> bool:
+        if call.deadline - self.clock() < MIN_REMAINING_S:
+            return False
+        if result.kind is Kind.REFUSED:
+            if result.refusal is not exchange.Refusal.SHED:
+                call.refusals += 1
+                return call.refusals <= MAX_REFUSALS
+        elif not call.idempotent:
+            return False
+        if call.sent >= call.route.attempts:
+            return False
+        return self._budget(call.service).take()
+
+    async def _attempt(self, call: Call, peer: peers.Peer) -> Result:
+        peer.in_flight += 1
+        attempt_id = f'{self.name}.{self.boot_id}-{next(self._numbers)}'
         try:
-            result = self._classify(call, await self._send(call, target))
-        except exceptions.ConnectFailedError:
-            result = _Result(UNREACHABLE, failure=retries.Failure.NOT_RUN)
+            response = await self._send(call, peer, attempt_id)
+        except exceptions.ConnectFailedError as error:
+            peer.report_unreachable(self.clock())
+            return Result(
+                kind=Kind.REFUSED,
+                reason=f'unreachable: {error.args[0]}',
+                refusal=exchange.Refusal.UNREACHABLE,
+            )
         except exceptions.DeadlineExceededError:
-            result = _Result(TIMEOUT, False, retries.Failure.TIMEOUT)
-        except exceptions.ConnectionClosedError:
-            result = _Result(ERROR, False, retries.Failure.NO_ANSWER)
-        finally:
-            self._account(call, target, started, result)
-        if result.failure not in (None, retries.Failure.NOT_RUN):
+            call.sent += 1
+            call.maybe_run = True
+            return Result(kind=Kind.TIMEOUT, reason='timeout')
+        except (
+            exceptions.OutcomeUnknownError,
+            exceptions.MalformedRequestError,
+        ) as error:
+            if await self._is_fenced(call, peer, attempt_id):
+                return Result(
+                    kind=Kind.REFUSED,
+                    reason=exchange.Refusal.FENCED.value,
+                    refusal=exchange.Refusal.FENCED,
+                )
+            call.sent += 1
             call.maybe_run = True
-        return result.failure
+            return Result(kind=Kind.UNKNOWN, reason=str(error.args[0]))
+        finally:
+            peer.in_flight -= 1
+        return self._read(call, peer, response)
 
-    def _account(
-        self, call: _Call, target: model.Target, started: float, result: _Result
-    ):
-        """Counts an attempt when its answer has ended."""
-        latency_s = self.clock() - started
-
-        def count(complete: bool):
-            now = self.clock()
-            outcome = result.outcome if complete else ERROR
-            if outcome is None:
-                self.loads.cancelled(target.target_id)
-                return
-            self.loads.finished(target.target_id, latency_s, outcome, now)
-            if result.ok is not None:
-                ok = result.ok and complete
-                self._record(call, ok, latency_s, now)
-
-        if result.stream is not None:
-            result.stream.when_done(count)
-            return
-        count(True)
-
-    def _record(self, call: _Call, ok: bool, latency_s: float, now: float):
-        self.evidence.record(call.entry, call.version, ok, latency_s, now)
+    async def _is_fenced(
+        self, call: Call, peer: peers.Peer, attempt_id: str
+    ) -> bool:
+        """Tells whether an attempt was not run and never will be.
+
+        A connection to another daemon may break before or after the server
+        got the request; the daemon knows, and bars what has not arrived yet.
+        """
+        if call.idempotent or peer.member.name == self.name:
+            return False
+        request = http_codec.Request(
+            method='POST',
+            target=exchange.FENCE_PATH,
+            headers=[
+                (exchange.ATTEMPT, attempt_id.encode()),
+                (exchange.BOOT, peer.member.boot_id.encode()),
+            ],
+        )
+        deadline = min(call.deadline, self.clock() + FENCE_TIMEOUT_S)
+        try:
+            response = await self.pool.send(
+                peer.member.address, request, deadline
+            )
+            result = exchange.decode_fenced(response)
+        except exceptions.HemlockError as error:
+            logger.info(
+                'event=fence_failed request={} member={} problem={!r}',
+                call.request_id,
+                peer.member.name,
+                str(error.args[0]),
+            )
+            return False
+        logger.info(
+            'event=request_fenced request={} member={} result={}',
+            call.request_id,
+            peer.member.name,
+            result.value,
+        )
+        return result is ledger.FenceResult.NEVER_SEEN
 
     async def _send(
-        self, call: _Call, target: model.Target
+        self, call: Call, peer: peers.Peer, attempt_id: str
     ) -> http_codec.Response:
-        remaining = call.deadline - self.clock()
-        told_s = remaining - min(HOP_MARGIN_S, remaining * HOP_MARGIN_SHARE)
+        server = peer.member.server_facts
+        if peer.member.name == self.name:
+            response = await self.gate.run(
+                call.request,
+                server_id=server.server_id,
+                attempt_id=attempt_id,
+                deadline=call.deadline,
+                priority=call.priority,
+                idempotent=call.idempotent,
+                route=call.route.name,
+                on_time_until=call.on_time_until,
+            )
+            peer.report_load(*self.gate.load)
+            return response
+        now = self.clock()
+        left_ms = max(1, int((call.deadline - now) * 1000))
+        on_time_ms = max(0, int((call.on_time_until - now) * 1000))
         headers = [
-            *call.request.headers,
-            (b'x-hemlock-request-id', call.request_id.encode()),
-            (b'x-hemlock-timeout-ms', b'%d' % max(told_s * 1000, 0)),
-            (b'x-hemlock-version', call.version.encode()),
-            (b'x-hemlock-target-id', target.target_id.encode()),
+            item
+            for item in call.request.headers
+            if item[0] != platform_codec.TIME_LEFT
+        ]
+        headers += [
+            (platform_codec.TIME_LEFT, b'%d' % left_ms),
+            (exchange.SERVER, server.server_id.encode()),
+            (exchange.ATTEMPT, attempt_id.encode()),
+            (exchange.PRIORITY, b'%d' % call.priority),
+            (exchange.ON_TIME, b'%d' % on_time_ms),
+            (exchange.ROUTE, call.route.name.encode()),
+            *self.sync.headers(),
         ]
-        if target.boot_id:
-            headers.append((b'x-hemlock-boot-id', target.boot_id.encode()))
-        request = call.request.with_headers(headers)
+        if call.idempotent:
+            headers.append((exchange.IDEMPOTENT, b'1'))
         return await self.pool.send(
-            target.admission_address,
-            request,
+            peer.member.address,
+            call.request.with_headers(headers),
             call.deadline,
             request_id=call.request_id,
         )
 
-    def _classify(self, call: _Call, response: http_codec.Response) -> _Result:
-        reason = http_codec.header(response.headers, b'x-hemlock-reason')
-        if http_codec.header(response.headers, b'x-hemlock-not-run') == '1':
-            if reason == 'unreachable':
-                # The target's host answers and the target does not, which
-                # is evidence on its version; an overload or a drain is not.
-                return _Result(UNREACHABLE, False, retries.Failure.NOT_RUN)
-            return _Result(REJECTED, None, retries.Failure.NOT_RUN)
-        outcome = http_codec.header(response.headers, b'x-hemlock-outcome')
-        if outcome == 'unknown':
-            kind = TIMEOUT if reason == 'timeout' else ERROR
-            return _Result(kind, False, retries.Failure.UNKNOWN)
-        call.answer = response
-        if (
-            response.status in SHEDDING_STATUSES
-            and call.idempotent
-            and response.stream is None
-        ):
-            return _Result(REJECTED, False, retries.Failure.SHED)
-        ok = response.status < 500
-        return _Result(OK if ok else ERROR, ok, stream=response.stream)
-
-    async def _fence_and_decide(
-        self, call: _Call, target: model.Target
-    ) -> retries.RetryDecision:
-        result = await self._fence(call, target)
-        logger.info(
-            'event=request_fenced request={} target={} result={}',
-            call.request_id,
-            target.target_id,
-            result,
+    def _read(
+        self,
+        call: Call,
+        peer: peers.Peer,
+        response: http_codec.Response,
+    ) -> Result:
+        """Tells what a daemon's answer says of the attempt."""
+        load = exchange.decode_load(response.headers)
+        if load is not None:
+            peer.report_load(*load)
+        versions = exchange.decode_versions(response.headers)
+        if versions is not None:
+            self.sync.heard(peer.member.address, versions)
+        refusal = exchange.decode_refusal(response.headers)
+        if refusal is not None:
+            peer.report_refusal(refusal.closed, self.clock())
+            if refusal is exchange.Refusal.SHED:
+                call.sent += 1
+            return Result(
+                kind=Kind.REFUSED, reason=refusal.value, refusal=refusal
+            )
+        call.sent += 1
+        call.maybe_run = True
+        reason = http_codec.header(response.headers, exchange.UNKNOWN)
+        if reason is not None:
+            peer.report_result(failed=True, now=self.clock())
+            kind = Kind.TIMEOUT if reason == 'timeout' else Kind.UNKNOWN
+            return Result(kind=kind, reason=reason)
+        failed = response.status >= gate_module.FIRST_SERVER_ERROR
+        peer.report_result(failed=failed, now=self.clock())
+        response.headers = http_codec.without_internal(response.headers)
+        return Result(
+            kind=Kind.ANSWER,
+            reason=f'status {response.status}',
+            answer=response,
+        )
+
+    def _give_up(self, call: Call) -> http_codec.Response:
+        """Makes the final answer of a request that no server answered."""
+        if call.failure is not None:
+            return call.failure
+        left_s = call.deadline - self.clock()
+        if not call.maybe_run:
+            return _refusal(left_s)
+        late = left_s < MIN_REMAINING_S or (
+            call.last is not None and call.last.kind is Kind.TIMEOUT
         )
-        if result is not ledger.FenceResult.NEVER_SEEN:
-            return retries.RetryDecision.GIVE_UP_UNKNOWN
-        call.maybe_run = False
-        call.request_id = self._new_id()
-        return retries.decide(
-            call.facts(), retries.Failure.NOT_RUN, self.budget, self.clock()
+        return http_codec.Response(
+            status=504 if late else 502, headers=[(OUTCOME, UNKNOWN)]
         )
 
-    async def _fence(
-        self, call: _Call, target: model.Target
-    ) -> ledger.FenceResult:
-        request = http_codec.Request(
-            method='POST',
-            target=f'{RESERVED_PREFIX}fence',
-            headers=[
-                (b'x-hemlock-request-id', call.request_id.encode()),
-                (b'x-hemlock-boot-id', target.boot_id.encode()),
-            ],
+    def _budget(self, service: str) -> retries.RetryBudget:
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = retries.RetryBudget()
+            self._budget_by_service[service] = budget
+        daemons = max(1, len(self.directory.member_by_name))
+        budget.share = self.retry_ratio * RETRY_BUDGET_PART
+        budget.reserve = self.retry_slack * RETRY_BUDGET_PART / daemons
+        return budget
+
+    def _log_call(self, call: Call, status: int, outcome: str):
+        self._count(call, status)
+        now = self.clock()
+        logger.info(
+            'event=request_finished request={} route={} nested={} service={} '
+            'status={} outcome={!r} tried={} sent={} refused={} took_ms={:.0f} '
+            'left_ms={:.0f} configuration={} table={}',
+            call.request_id,
+            call.route.name,
+            call.parent_rank is not None,
+            call.service,
+            status,
+            outcome,
+            ','.join(call.tried) or '-',
+            call.sent,
+            call.refusals,
+            (now - call.started) * 1000,
+            (call.deadline - now) * 1000,
+            self.directory.configuration_version,
+            self.directory.table_revision,
         )
-        deadline = min(call.deadline, self.clock() + FENCE_TIMEOUT_S)
-        try:
-            response = await self.pool.send(
-                target.admission_address, request, deadline
-            )
-            return ledger.FenceResult(orjson.loads(response.body)['result'])
-        except (exceptions.HemlockError, ValueError, KeyError, TypeError):
-            return ledger.FenceResult.UNKNOWN
 
-    def _finish(self, call: _Call, reason: str) -> http_codec.Response:
-        if call.answer is not None:
-            return self._pass_on(call, call.answer)
-        if not call.maybe_run:
-            return refused(reason)
-        return unknown('the request may or may not have been run')
+    def _log_unrouted(
+        self, request_id: str, status: int, outcome: str, started: float
+    ):
+        self.on_finished({'outcome': outcome}, self.clock() - started)
+        logger.info(
+            'event=request_finished request={} route=- status={} outcome={!r} '
+            'configuration={}',
+            request_id,
+            status,
+            outcome,
+            self.directory.configuration_version,
+        )
 
-    def _pass_on(
-        self, call: _Call, response: http_codec.Response
-    ) -> http_codec.Response:
-        response.headers = [
-            *http_codec.without_internal(response.headers),
-            (b'x-hemlock-request-id', call.request_id.encode()),
-            (b'x-hemlock-version', call.version.encode()),
-        ]
-        return response
+    def _count(self, call: Call, status: int):
+        """Counts a request by labels of which there are few."""
+        last = call.last
+        if not status:
+            outcome = 'caller-gone'
+        elif last is None:
+            outcome = 'no-server'
+        elif last.answer is not None:
+            outcome = f'{status // 100}xx'
+        elif last.refusal is not None:
+            outcome = last.refusal.value
+        else:
+            outcome = last.kind.value
+        labels = {
+            'outcome': outcome,
+            'selector': call.route.selector,
+            'version': call.version,
+        }
+        self.on_finished(labels, self.clock() - call.started)
+
+
+def _parent_id(request_id: str) -> str:
+    """Returns the id of the request that a server's own call belongs to.
+
+    A server names its calls by the id of the request that it runs, a dot and
+    an id of their own.
+    """
+    return request_id.partition('.')[0]
 
 
-def plain(status: int, message: str, outcome: bytes) -> http_codec.Response:
-    """Makes an answer of the daemon's own."""
+def _refusal(left_s: float) -> http_codec.Response:
+    """Makes the answer to a request that was not run."""
+    wait_s = min(RETRY_AFTER_S, max(0.0, left_s) * RETRY_AFTER_PART)
     return http_codec.Response(
-        status=status,
+        status=503,
         headers=[
-            (b'content-type', b'text/plain; charset=utf-8'),
-            (b'x-hemlock-outcome', outcome),
+            (platform_codec.RETRY_AFTER, b'%.3f' % wait_s),
+            (OUTCOME, NOT_RUN),
         ],
-        body=message.encode(),
     )
-
-
-def refused(reason: str) -> http_codec.Response:
-    """Makes the answer to a request that was not run."""
-    return plain(503, f'not run: {reason}', b'not-run')
-
-
-def unknown(reason: str) -> http_codec.Response:
-    """Makes the answer to a request that may or may not have been run."""
-    return plain(502, reason, b'unknown')
-
-
-def _timeout_s(headers: http_codec.Headers, route_s: float) -> float:
-    text = http_codec.header(headers, b'x-request-timeout-ms')
-    if text is None or not (text.isascii() and text.isdecimal()):
-        return min(route_s, MAX_TIMEOUT_S)
-    return min(int(text[:9]) / 1000, route_s, MAX_TIMEOUT_S)
--- a/hemlockgrade/mesh/publisher.py
+++ b/hemlockgrade/publisher.py
@@ -8,12 +8,12 @@
 from loguru import logger
 
 from hemlockgrade import backoff
+from hemlockgrade import directory as directory_module
 from hemlockgrade import exceptions
-from hemlockgrade.mesh import codec
-from hemlockgrade.mesh import directory as directory_module
-from hemlockgrade.mesh import model
-from hemlockgrade.mesh import objects
-from hemlockgrade.mesh import watcher
+from hemlockgrade import model
+from hemlockgrade import object_codec
+from hemlockgrade import object_store
+from hemlockgrade import watcher
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -27,7 +27,7 @@
         restore: Called with the entry of an earlier process of this host.
     """
 
-    store: objects.ObjectStore
+    store: object_store.ObjectStore
     directory: directory_module.Directory
     make: Callable[[], model.Member]
     restore: Callable[[model.Member], None]
@@ -99,19 +99,23 @@
 
     async def _write(self):
         member = self.make()
-        name = codec.member_key(member.name)
-        spec = codec.encode(member)
+        name = object_codec.key_of(member)
+        spec = object_codec.encode(member)
         try:
             if self._revision is None:
-                item = await self.store.create(codec.MESH_KIND, name, spec)
+                item = await self.store.create(
+                    object_codec.MESH_KIND, name, spec
+                )
             else:
                 item = await self.store.replace(
-                    codec.MESH_KIND, name, spec, self._revision
+                    object_codec.MESH_KIND, name, spec, self._revision
                 )
-        except objects.RevisionConflictError as error:
+        except object_store.RevisionConflictError as error:
             # An earlier process of this host, or a write whose answer was
             # lost, wrote it; this process is the only one that does now.
-            found = error.current or await self.store.get(codec.MESH_KIND, name)
+            found = error.current or await self.store.get(
+                object_codec.MESH_KIND, name
+            )
             self._take_over(found)
             self._wanted.set()
             return
@@ -130,13 +134,13 @@
         self.directory.apply_member(self._stored, 'own')
         self._wanted.set()
 
-    def _take_over(self, found: objects.StoredItem | None):
+    def _take_over(self, found: object_store.StoredItem | None):
         """Takes what an earlier process stored, above all a leave."""
         self._revision = found.revision if found is not None else None
         if found is None:
             return
         try:
-            stored = codec.decode_item(found)
+            stored = object_codec.decode_item(found)
         except exceptions.InvalidFieldError as error:
             logger.error(
                 'event=entry_refused name={} revision={} problem={!r}',
--- a/hemlockgrade/mesh/registrar.py
+++ b/hemlockgrade/registrar.py
@@ -6,7 +6,7 @@
 import attrs
 from loguru import logger
 
-from hemlockgrade.mesh import model
+from hemlockgrade import model
 
 
 class Heard(enum.Enum):
@@ -23,8 +23,10 @@
     """Orders the heartbeats of the local server and its incarnations.
 
     Attributes:
-        service: Service of the local server, by the settings.
-        address: Address of the local server, by the settings.
+        service: Service of the local server, by the settings; empty if they
+            do not name it.
+        address: Address of the local server, by the settings; empty if they
+            do not name it.
         server: The newest incarnation; None before its first heartbeat.
         confirmed: True once this process itself heard the server or got an
             answer of it; what the store says of it only forbids requests.
@@ -37,6 +39,13 @@
     confirmed: bool = False
     on_change: list[Callable[[], None]] = attrs.field(factory=list)
 
+    @property
+    def known_service(self) -> str:
+        """Returns the local server's service; empty if it is not known."""
+        if self.service or self.server is None:
+            return self.service
+        return self.server.service
+
     @property
     def usable(self) -> model.Server | None:
         """Returns the local server if it takes new requests."""
@@ -63,7 +72,9 @@
 
     def hear(self, new: model.Server) -> Heard:
         """Takes a heartbeat."""
-        if new.address != self.address or new.service != self.service:
+        if self.address and new.address != self.address:
+            return Heard.FOREIGN
+        if self.service and new.service != self.service:
             return Heard.FOREIGN
         old = self.server
         if old is not None and not _replaces(old, new):
--- a/hemlockgrade/mesh/rollout_task.py
+++ b/hemlockgrade/rollout_task.py
@@ -9,16 +9,15 @@
 from loguru import logger
 import orjson
 
+from hemlockgrade import directory as directory_module
+from hemlockgrade import evidence
 from hemlockgrade import exceptions
+from hemlockgrade import exchange
 from hemlockgrade import http_codec
+from hemlockgrade import model
+from hemlockgrade import object_codec
+from hemlockgrade import object_store
 from hemlockgrade import upstream
-from hemlockgrade.mesh import codec
-from hemlockgrade.mesh import directory as directory_module
-from hemlockgrade.mesh import evidence
-from hemlockgrade.mesh import exchange
-from hemlockgrade.mesh import judge
-from hemlockgrade.mesh import model
-from hemlockgrade.mesh import objects
 from hemlockgrade.platform import codec as platform_codec
 
 # Time between two looks at the evidence, in seconds.
@@ -97,24 +96,26 @@
         directory: Knows members and shares.
         pool: Connections to other daemons.
         clock: Monotonic time in seconds.
+        judge: Finds bad versions.
         exposed_share: Part of a service's requests that a bad version may
             get.
     """
 
     name: str
-    store: objects.ObjectStore
+    store: object_store.ObjectStore
     directory: directory_module.Directory
     pool: upstream.ConnectionPool
     clock: Callable[[], float]
+    judge: evidence.Judge
     exposed_share: float
-    _order_by_service: dict[str, model.RolloutOrder] = attrs.field(factory=dict)
+    _order_by_key: dict[str, model.RolloutOrder] = attrs.field(factory=dict)
     _ordered_at: dict[str, float] = attrs.field(factory=dict)
-    _seen_by_service: dict[str, tuple[int, float]] = attrs.field(factory=dict)
-    _progress_by_service: dict[str, Progress] = attrs.field(factory=dict)
+    _seen_by_key: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+    _progress_by_key: dict[str, Progress] = attrs.field(factory=dict)
     _written_at: dict[str, float] = attrs.field(factory=dict)
     _wanted: asyncio.Event = attrs.field(factory=asyncio.Event)
 
-    def order_changed(self, item: objects.StoredItem) -> None:
+    def order_changed(self, item: object_store.StoredItem) -> None:
         """Takes an operator's order."""
         try:
             order = platform_codec.decode_order(
@@ -128,7 +129,11 @@
                 str(error),
             )
             return
-        known = self._order_by_service.get(order.service)
+        self.take_order(order)
+
+    def take_order(self, order: model.RolloutOrder) -> None:
+        """Takes an order of the operator or of a selector."""
+        known = self._order_by_key.get(order.key)
         if known is None or not _same_order(known, order):
             logger.info(
                 'event=rollout_ordered service={} version={} duration_s={}',
@@ -136,18 +141,22 @@
                 order.version,
                 order.duration_s,
             )
-            self._ordered_at[order.service] = self.clock()
-        self._order_by_service[order.service] = order
+            self._ordered_at[order.key] = self.clock()
+        self._order_by_key[order.key] = order
         self._wanted.set()
 
-    def order_deleted(self, item: objects.StoredItem) -> None:
+    def order_deleted(self, item: object_store.StoredItem) -> None:
+        """Takes the end of an operator's order."""
+        self.drop_order(item.name)
+
+    def drop_order(self, key: str) -> None:
         """Takes the end of an order."""
-        self._order_by_service.pop(item.name, None)
+        self._order_by_key.pop(key, None)
 
     async def run(self) -> None:
         """Decides on rollouts until it is cancelled."""
         while True:
-            orders = list(self._order_by_service.values())
+            orders = list(self._order_by_key.values())
             open_orders = [o for o in orders if not self._is_settled(o)]
             if not open_orders:
                 self._wanted.clear()
@@ -166,43 +175,50 @@
 
     def _is_settled(self, order: model.RolloutOrder) -> bool:
         """Tells whether the outcome is stored and reported."""
+        if not order.reports:
+            share = self.directory.share_by_key.get(order.key)
+            return (
+                share is not None
+                and _is_for(share, order)
+                and share.state is not model.RolloutState.RUNNING
+            )
         return (
             order.state
-            in (model.RolloutState.COMPLETED, model.RolloutState.ROLLED_BACK)
+            in (model.RolloutState.DONE, model.RolloutState.ROLLED_BACK)
             and order.reported_version == order.version
         )
 
     async def _step(self, order: model.RolloutOrder):
-        share = self.directory.share_by_service.get(order.service)
+        share = self.directory.share_by_key.get(order.key)
         if share is None or not _is_for(share, order):
             await self._take(order, share)
             return
         if share.holder != self.name:
-            self._progress_by_service.pop(order.service, None)
+            self._progress_by_key.pop(order.key, None)
             if self._is_silent(share):
                 await self._take(order, share)
             return
         if share.state is not model.RolloutState.RUNNING:
             await self._report(order, share.state)
             return
-        if order.state is None:
+        if order.state is None and order.reports:
             await self._report(order, model.RolloutState.RUNNING)
         await self._decide(order, share)
 
     def _is_silent(self, share: model.VersionShare) -> bool:
         """Tells whether the holder has not written for its lease."""
         now = self.clock()
-        seen = self._seen_by_service.get(share.service)
+        seen = self._seen_by_key.get(share.key)
         if seen is None or seen[0] != share.revision:
-            self._seen_by_service[share.service] = (share.revision, now)
+            self._seen_by_key[share.key] = (share.revision, now)
             return False
-        return now - seen[1] > LEASE_S + self._delay_s(share.service)
+        return now - seen[1] > LEASE_S + self._delay_s(share.key)
 
-    def _delay_s(self, service: str) -> float:
+    def _delay_s(self, key: str) -> float:
         """Returns how long this daemon lets other candidates go first."""
 
         def rank(name: str) -> bytes:
-            return hashlib.sha256(f'{service}/{name}'.encode()).digest()
+            return hashlib.sha256(f'{key}/{name}'.encode()).digest()
 
         own = rank(self.name)
         before = sum(rank(name) < own for name in self.directory.member_by_name)
@@ -214,8 +230,8 @@
         """Becomes the holder, or starts the rollout."""
         now = self.clock()
         started = share is not None and _is_for(share, order)
-        ordered_at = self._ordered_at.get(order.service, now)
-        if not started and now < ordered_at + self._delay_s(order.service):
+        ordered_at = self._ordered_at.get(order.key, now)
+        if not started and now < ordered_at + self._delay_s(order.key):
             return
         if started and share is not None:
             new = attrs.evolve(
@@ -225,6 +241,7 @@
             )
         else:
             new = model.VersionShare(
+                key=order.key,
                 service=order.service,
                 version=order.version,
                 permille=0,
@@ -236,7 +253,7 @@
                 revision=0 if share is None else share.revision,
             )
         await self._write(new)
-        self._progress_by_service.pop(order.service, None)
+        self._progress_by_key.pop(order.key, None)
         logger.info(
             'event=rollout_held service={} version={} epoch={} permille={}',
             new.service,
@@ -247,22 +264,34 @@
 
     async def _write(self, share: model.VersionShare):
         """Writes a share over the revision that it was made from."""
-        key = codec.share_key(share.service)
-        spec = codec.encode(share)
+        key = object_codec.key_of(share)
+        spec = object_codec.encode(share)
         try:
             if share.revision:
                 item = await self.store.replace(
-                    codec.MESH_KIND, key, spec, share.revision
+                    object_codec.MESH_KIND, key, spec, share.revision
                 )
             else:
-                item = await self.store.create(codec.MESH_KIND, key, spec)
-        except objects.RevisionConflictError as error:
+                item = await self.store.create(
+                    object_codec.MESH_KIND, key, spec
+                )
+        except object_store.RevisionConflictError as error:
             if error.current is not None:
-                value = codec.decode_item(error.current)
+                value = object_codec.decode_item(error.current)
                 if isinstance(value, model.VersionShare):
                     self.directory.apply_share(value, 'conflict')
             raise
-        self._written_at[share.service] = self.clock()
+        self._written_at[share.key] = self.clock()
+        logger.info(
+            'event=rollout_step key={} version={} permille={} state={} '
+            'epoch={} revision={}',
+            share.key,
+            share.version,
+            share.permille,
+            share.state,
+            share.epoch,
+            item.revision,
+        )
         self.directory.apply_share(
             attrs.evolve(share, revision=item.revision), 'own'
         )
@@ -304,15 +333,15 @@
             await self._advance(share, progress, reached)
         if now > progress.finish_by - STEP_S:
             await self._finish(
-                self.directory.share_by_service[order.service],
+                self.directory.share_by_key[order.key],
                 model.RolloutState.ROLLED_BACK,
                 'not judged in time',
             )
-        elif now - self._written_at.get(order.service, 0.0) > RENEWAL_S:
-            await self._renew(order.service)
+        elif now - self._written_at.get(order.key, 0.0) > RENEWAL_S:
+            await self._renew(order.key)
 
     def _progress_of(self, share: model.VersionShare) -> Progress:
-        progress = self._progress_by_service.get(share.service)
+        progress = self._progress_by_key.get(share.key)
         if progress is None:
             now = self.clock()
             left_s = max(0.0, share.finish_by - time.time())
@@ -328,7 +357,7 @@
                 finish_by=now + left_s,
                 gather_until=now + left_s * GATHER_PART,
             )
-            self._progress_by_service[share.service] = progress
+            self._progress_by_key[share.key] = progress
         return progress
 
     async def _poll(
@@ -387,15 +416,15 @@
 
     def _judge(
         self, share: model.VersionShare, progress: Progress
-    ) -> judge.Finding | None:
+    ) -> evidence.Finding | None:
         latest = progress.history[-1]
-        finding = judge.find_fault(latest, share.version)
+        finding = self.judge.find_fault(latest, share.version)
         for span in SPANS:
             if finding is not None:
                 return finding
             if len(progress.history) > span:
                 earlier = progress.history[-1 - span]
-                finding = judge.find_fault(
+                finding = self.judge.find_fault(
                     _difference(latest, earlier), share.version
                 )
         return finding
@@ -416,7 +445,7 @@
         if progress.stage == len(STAGES) - 1:
             if reached:
                 await self._finish(
-                    share, model.RolloutState.COMPLETED, 'no fault found'
+                    share, model.RolloutState.DONE, 'no fault found'
                 )
             return
         judged = evidence.merged(
@@ -443,8 +472,8 @@
         progress.stage_ends = self.clock() + left_s * stage.part / (rest + 0.2)
         progress.stage += 1
 
-    async def _renew(self, service: str):
-        share = self.directory.share_by_service[service]
+    async def _renew(self, key: str):
+        share = self.directory.share_by_key[key]
         await self._write(attrs.evolve(share, renewals=share.renewals + 1))
 
     async def _finish(
@@ -453,9 +482,14 @@
         state: model.RolloutState,
         reason: str,
     ):
-        completed = state is model.RolloutState.COMPLETED
+        completed = state is model.RolloutState.DONE
         await self._write(
-            attrs.evolve(share, state=state, permille=1000 if completed else 0)
+            attrs.evolve(
+                share,
+                state=state,
+                permille=1000 if completed else 0,
+                reason=reason,
+            )
         )
         logger.info(
             'event=rollout_decided service={} version={} state={} reason={!r}',
@@ -464,7 +498,9 @@
             state.value,
             reason,
         )
-        await self._report(self._order_by_service[share.service], state)
+        order = self._order_by_key.get(share.key)
+        if order is not None and order.reports:
+            await self._report(order, state)
 
 
 def _same_order(one: model.RolloutOrder, other: model.RolloutOrder) -> bool:
