--- /dev/null
+++ b/hemlockgrade/selectors.py
@@ -0,0 +1,437 @@
+"""Labels and selectors: whole validation, and the routes that they give."""
+
+from collections.abc import Iterator
+from collections.abc import Mapping
+import math
+from typing import Any
+from typing import TypeVar
+
+import attrs
+import cattrs
+
+from hemlockgrade import exceptions
+from hemlockgrade import model
+from hemlockgrade import serialization
+
+T = TypeVar('T')
+
+# An object goes to every daemon; 4 KB is half a second of its control budget.
+MAX_OBJECT_BYTES = 4096
+MAX_NAME_LENGTH = 63
+MAX_TIMEOUT_MS = 600_000
+# Servers to which a request of a selector's route may be sent.
+ATTEMPTS = 3
+# Shares of rollouts that selectors start are kept under this prefix.
+ORDER_PREFIX = 'selector.'
+
+
+@attrs.frozen(kw_only=True)
+class Definitions:
+    """All labels and selectors, with the state of their rollouts.
+
+    Attributes:
+        label_by_name: All labels.
+        selector_by_name: All selectors.
+        share_by_key: State of rollouts by the key of their order.
+    """
+
+    label_by_name: Mapping[str, model.Definition] = attrs.field(factory=dict)
+    selector_by_name: Mapping[str, model.Definition] = attrs.field(factory=dict)
+    share_by_key: Mapping[str, model.VersionShare] = attrs.field(factory=dict)
+
+    def label(self, name: str) -> model.Label | None:
+        """Returns a label."""
+        found = self.label_by_name.get(name)
+        if found is None or not isinstance(found.value, model.Label):
+            return None
+        return found.value
+
+    def selectors(self) -> Iterator[model.Selector]:
+        """Yields all selectors."""
+        for definition in self.selector_by_name.values():
+            if isinstance(definition.value, model.Selector):
+                yield definition.value
+
+    def share_of(
+        self, definition: model.Definition
+    ) -> model.VersionShare | None:
+        """Returns the state of the rollout that a selector has started."""
+        if definition.new_version is None:
+            return None
+        share = self.share_by_key.get(ORDER_PREFIX + definition.value.name)
+        if share is None or share.order_revision != definition.revision:
+            return None
+        return share
+
+    def settled_shares(self, name: str) -> dict[str, int]:
+        """Returns the shares of the last completed state, in percent."""
+        definition = self.selector_by_name[name]
+        assert isinstance(definition.value, model.Selector)
+        if definition.new_version is None:
+            return definition.value.shares_by_version
+        share = self.share_of(definition)
+        if share is not None and share.state is model.RolloutState.DONE:
+            return definition.value.shares_by_version
+        return definition.former_shares_by_version
+
+    def shares(self, name: str) -> dict[str, float]:
+        """Returns the traffic shares in force, as fractions of 1."""
+        definition = self.selector_by_name[name]
+        assert isinstance(definition.value, model.Selector)
+        goal = definition.value.shares_by_version
+        old = self.settled_shares(name)
+        share = self.share_of(definition)
+        progress = 0.0
+        if share is not None and share.state is model.RolloutState.RUNNING:
+            progress = share.permille / 1000
+        mixed = {
+            version: (
+                old.get(version, 0) * (1 - progress)
+                + goal.get(version, 0) * progress
+            )
+            / 100
+            for version in sorted({*old, *goal})
+        }
+        return {version: part for version, part in mixed.items() if part}
+
+    def routes_for(self, proxy_id: str) -> tuple[model.Route, ...]:
+        """Returns the routes of the selectors that apply to a proxy.
+
+        A selector whose labels are missing gives none: a label may be removed
+        by one operator while another one sets a selector that names it.
+        """
+        routes = []
+        for selector in self.selectors():
+            proxies = self.label(selector.proxies)
+            targets = self.label(selector.targets)
+            if proxies is None or targets is None:
+                continue
+            if proxies.matches(proxy_id):
+                versions = tuple(
+                    model.VersionPart(version=version, weight=weight)
+                    for version, weight in self.shares(selector.name).items()
+                )
+                routes += [
+                    _route(selector, route, targets, versions)
+                    for route in selector.routes
+                ]
+        return tuple(routes)
+
+    def order_of(self, name: str, now: float) -> model.RolloutOrder | None:
+        """Returns the rollout that a selector has started.
+
+        Args:
+            name: Name of the selector.
+            now: Seconds of Unix time.
+        """
+        definition = self.selector_by_name.get(name)
+        if definition is None or definition.new_version is None:
+            return None
+        assert isinstance(definition.value, model.Selector)
+        agreed_by = definition.value.agreed_by or definition.written_at
+        return model.RolloutOrder(
+            key=ORDER_PREFIX + name,
+            service=definition.value.service,
+            version=definition.new_version,
+            duration_s=max(0.0, agreed_by - now),
+            revision=definition.revision,
+            created_revision=definition.revision,
+            reports=False,
+        )
+
+
+def _route(
+    selector: model.Selector,
+    route: model.SelectorRoute,
+    targets: model.Label,
+    versions: tuple[model.VersionPart, ...],
+) -> model.Route:
+    timeout_s = route.timeout_ms / 1000
+    return model.Route(
+        name=f'{selector.name}{route.path_prefix}',
+        host='',
+        prefix=route.path_prefix.rstrip('/') + '/',
+        idempotent=None,
+        attempts=ATTEMPTS,
+        timeout_s=timeout_s,
+        target_latency_s=timeout_s,
+        priority=0,
+        shares=(model.ServiceShare(service=selector.service, weight=1.0),),
+        selector=selector.name,
+        targets=targets,
+        versions=versions,
+    )
+
+
+def check_label(
+    definitions: Definitions, name: str, body: dict[str, Any]
+) -> model.Label:
+    """Checks a label against all that is defined.
+
+    Args:
+        definitions: What is defined already.
+        name: Name of the object.
+        body: Fields of the label.
+
+    Raises:
+        exceptions.InvalidChangeError: Holds an error for each refused field.
+    """
+    label, errors = _parse(body, model.Label)
+    if label is not None:
+        errors += _check_name(label.name, name)
+        errors += _check_label(definitions, label)
+    _raise_if(f'label {name} refused', errors, body)
+    assert label is not None
+    return label
+
+
+def check_selector(
+    definitions: Definitions, name: str, body: dict[str, Any], now: float
+) -> model.Selector:
+    """Checks a selector against all that is defined.
+
+    Args:
+        definitions: What is defined already.
+        name: Name of the object.
+        body: Fields of the selector.
+        now: Seconds of Unix time, for agreed times in the past.
+
+    Raises:
+        exceptions.InvalidChangeError: Holds an error for each refused field.
+    """
+    selector, errors = _parse(body, model.Selector)
+    if selector is not None:
+        errors += _check_name(selector.name, name)
+        errors += _check_labels(definitions, selector)
+        errors += _check_routes(definitions, selector)
+        errors += _check_shares(selector)
+        errors += _check_rollout(definitions, selector, now)
+    _raise_if(f'selector {name} refused', errors, body)
+    assert selector is not None
+    return selector
+
+
+def check_removal(definitions: Definitions, kind: str, name: str) -> None:
+    """Checks whether a label or selector may be removed.
+
+    Args:
+        definitions: What is defined already.
+        kind: `label` or `selector`.
+        name: Its name.
+
+    Raises:
+        exceptions.InvalidChangeError: Holds an error for each reason.
+    """
+    errors = []
+    by_name = (
+        definitions.label_by_name
+        if kind == 'label'
+        else definitions.selector_by_name
+    )
+    if name not in by_name:
+        errors.append(_unknown('name', kind, name))
+    elif kind == 'label':
+        errors += [
+            exceptions.InvalidFieldError(
+                'name',
+                f'label {name} is used by selector {selector.name}',
+                remedy='remove or change the selector first',
+            )
+            for selector in definitions.selectors()
+            if name in (selector.proxies, selector.targets)
+        ]
+    _raise_if(f'removal of {kind} {name} refused', errors, {})
+
+
+def new_version(
+    definitions: Definitions, selector: model.Selector
+) -> str | None:
+    """Names the version that a selector introduces, if any."""
+    if selector.name not in definitions.selector_by_name:
+        return None
+    settled = definitions.settled_shares(selector.name)
+    for version, share in selector.shares_by_version.items():
+        if share and not settled.get(version):
+            return version
+    return None
+
+
+def _raise_if(
+    message: str,
+    errors: list[exceptions.InvalidFieldError],
+    body: dict[str, Any],
+):
+    if len(serialization.to_json(body)) > MAX_OBJECT_BYTES:
+        errors.append(
+            exceptions.InvalidFieldError(
+                'body',
+                f'larger than {MAX_OBJECT_BYTES} bytes',
+                remedy='use patterns for members or split the object',
+            )
+        )
+    if errors:
+        raise exceptions.InvalidChangeError(message, errors)
+
+
+def _parse(
+    body: dict[str, Any], kind: type[T]
+) -> tuple[T | None, list[exceptions.InvalidFieldError]]:
+    try:
+        return serialization.from_plain(body, kind), []
+    except cattrs.BaseValidationError as error:
+        return None, [
+            exceptions.InvalidFieldError(
+                kind.__name__.lower(),
+                line,
+                remedy='fields are '
+                + ', '.join(serialization.field_names(kind)),
+            )
+            for line in serialization.field_errors(error)
+        ]
+
+
+def _check_name(name: str, expected: str):
+    allowed = all(c.isalnum() or c in '-_.' for c in name)
+    if not name or not allowed or len(name) > MAX_NAME_LENGTH:
+        yield exceptions.InvalidFieldError(
+            'name',
+            f'{name!r} is not a valid name',
+            remedy=f'use 1 to {MAX_NAME_LENGTH} letters, digits, - _ or .',
+        )
+    if name != expected:
+        yield exceptions.InvalidFieldError(
+            'name',
+            f'{name!r} differs from the object name {expected!r}',
+            remedy='use the same name in both places',
+        )
+
+
+def _check_label(definitions, label):
+    if not label.members or not all(label.members):
+        yield exceptions.InvalidFieldError(
+            'members',
+            'empty list or empty pattern',
+            remedy='name at least one identifier or pattern',
+        )
+    for selector in definitions.selectors():
+        wanted = {
+            selector.targets: model.LabelKind.TARGET,
+            selector.proxies: model.LabelKind.PROXY,
+        }.get(label.name)
+        if wanted is not None and wanted is not label.kind:
+            yield exceptions.InvalidFieldError(
+                'kind',
+                f'selector {selector.name} uses it as a {wanted} label',
+                remedy='change the selector first or use another name',
+            )
+
+
+def _check_labels(definitions, selector):
+    for field, kind in (
+        ('proxies', model.LabelKind.PROXY),
+        ('targets', model.LabelKind.TARGET),
+    ):
+        name = getattr(selector, field)
+        label = definitions.label(name)
+        if label is None:
+            yield _unknown(field, 'label', name)
+        elif label.kind is not kind:
+            yield exceptions.InvalidFieldError(
+                field,
+                f'label {name} has kind {label.kind}',
+                remedy=f'name a {kind} label',
+            )
+    if not selector.service:
+        yield exceptions.InvalidFieldError(
+            'service', 'is empty', remedy='name the service'
+        )
+
+
+def _check_routes(definitions, selector):
+    if not selector.routes:
+        yield exceptions.InvalidFieldError(
+            'routes', 'is empty', remedy='name at least one path prefix'
+        )
+    for route in selector.routes:
+        if not route.path_prefix.startswith('/'):
+            yield exceptions.InvalidFieldError(
+                'routes.path_prefix',
+                f'{route.path_prefix!r} is not a path',
+                remedy='begin it with /',
+            )
+        if not 0 < route.timeout_ms <= MAX_TIMEOUT_MS:
+            yield exceptions.InvalidFieldError(
+                'routes.timeout_ms',
+                f'{route.timeout_ms} is out of range',
+                remedy=f'use 1 to {MAX_TIMEOUT_MS} milliseconds',
+            )
+    prefixes = [route.path_prefix for route in selector.routes]
+    if len(set(prefixes)) != len(prefixes):
+        yield exceptions.InvalidFieldError(
+            'routes', 'a path prefix stands twice', remedy='keep one of them'
+        )
+    for other in definitions.selectors():
+        if other.name == selector.name or other.proxies != selector.proxies:
+            continue
+        for route in other.routes:
+            if route.path_prefix in prefixes:
+                yield exceptions.InvalidFieldError(
+                    'routes',
+                    f'{route.path_prefix} belongs to selector {other.name}',
+                    remedy='choose another path prefix or change that selector',
+                )
+
+
+def _check_shares(selector):
+    shares = selector.shares_by_version
+    if any(share < 0 for share in shares.values()):
+        yield exceptions.InvalidFieldError(
+            'shares_by_version', 'a share is negative', remedy='use 0 to 100'
+        )
+    if sum(shares.values()) != 100:
+        yield exceptions.InvalidFieldError(
+            'shares_by_version',
+            f'shares add up to {sum(shares.values())}',
+            remedy='make them add up to 100',
+        )
+
+
+def _check_rollout(definitions, selector, now):
+    agreed_by = selector.agreed_by
+    if agreed_by is not None and not math.isfinite(agreed_by):
+        yield exceptions.InvalidFieldError(
+            'agreed_by', 'is not a time', remedy='use seconds of Unix time'
+        )
+        return
+    if new_version(definitions, selector) is None:
+        return
+    settled = definitions.settled_shares(selector.name)
+    new = [
+        version
+        for version, share in selector.shares_by_version.items()
+        if share and not settled.get(version)
+    ]
+    if len(new) > 1:
+        yield exceptions.InvalidFieldError(
+            'shares_by_version',
+            f'names {len(new)} new versions: {", ".join(new)}',
+            remedy='introduce one new version at a time',
+        )
+    if agreed_by is None:
+        yield exceptions.InvalidFieldError(
+            'agreed_by',
+            f'missing, and version {new[0]} is new',
+            remedy='give the time by which the new version takes over',
+        )
+    elif agreed_by <= now:
+        yield exceptions.InvalidFieldError(
+            'agreed_by',
+            'lies in the past',
+            remedy='give a time in the future',
+        )
+
+
+def _unknown(field: str, kind: str, name: str) -> exceptions.InvalidFieldError:
+    return exceptions.InvalidFieldError(
+        field, f'unknown {kind} {name!r}', remedy=f'create the {kind} first'
+    )
--- a/hemlockgrade/mesh/server_check.py
+++ b/hemlockgrade/server_check.py
@@ -6,12 +6,12 @@
 import attrs
 from loguru import logger
 
+from hemlockgrade import directory as directory_module
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
+from hemlockgrade import model
+from hemlockgrade import registrar as registrar_module
 from hemlockgrade import upstream
-from hemlockgrade.mesh import directory as directory_module
-from hemlockgrade.mesh import model
-from hemlockgrade.mesh import registrar as registrar_module
 from hemlockgrade.platform import codec as platform_codec
 
 # A full server refuses the check as it refuses requests; its next heartbeat
--- a/hemlockgrade/mesh/state_sync.py
+++ b/hemlockgrade/state_sync.py
@@ -8,12 +8,12 @@
 from loguru import logger
 import orjson
 
+from hemlockgrade import directory as directory_module
 from hemlockgrade import exceptions
+from hemlockgrade import exchange
 from hemlockgrade import http_codec
+from hemlockgrade import object_codec
 from hemlockgrade import upstream
-from hemlockgrade.mesh import codec
-from hemlockgrade.mesh import directory as directory_module
-from hemlockgrade.mesh import exchange
 from hemlockgrade.platform import codec as platform_codec
 
 # A watch usually brings a change within this time after a peer has it.
@@ -127,14 +127,11 @@
                 'configuration': configuration.document
                 if configuration is not None
                 else None,
-                'members': [
-                    {'revision': m.revision, 'member': codec.encode(m)}
-                    for m in directory.member_by_name.values()
-                ],
-                'shares': [
-                    {'revision': s.revision, 'share': codec.encode(s)}
-                    for s in directory.share_by_service.values()
+                'objects': [
+                    [object_codec.key_of(v), v.revision, object_codec.encode(v)]
+                    for v in directory.objects()
                 ],
+                'removed': directory.removed_by_key,
             }
         )
 
@@ -166,12 +163,12 @@
                 platform_codec.decode_configuration(data['configuration']),
                 source,
             )
-        for entry in data['members']:
-            member = codec.decode_member(entry['member'], entry['revision'])
-            self.directory.apply_member(member, source)
-        for entry in data['shares']:
-            share = codec.decode_share(entry['share'], entry['revision'])
-            self.directory.apply_share(share, source)
+        for name, revision, content in data['objects']:
+            value = object_codec.decode(name, content, revision)
+            if value is not None:
+                self.directory.apply(value, source)
+        for name, revision in data['removed'].items():
+            self.directory.remove(name, revision)
 
     def _is_newer(self, versions: exchange.Versions) -> bool:
         return (
@@ -180,7 +177,7 @@
         )
 
     async def _catch_up(self, address: str, versions: exchange.Versions):
-        if self.directory.configuration is not None:
+        if self.directory.configured:
             await asyncio.sleep(WATCH_GRACE_S)
         if not self._is_newer(versions):
             return
--- /dev/null
+++ b/hemlockgrade/store_feed.py
@@ -0,0 +1,116 @@
+"""Brings what the store holds to the parts of a daemon."""
+
+from collections.abc import Callable
+from collections.abc import Coroutine
+from typing import Any
+
+import attrs
+from loguru import logger
+
+from hemlockgrade import directory as directory_module
+from hemlockgrade import exceptions
+from hemlockgrade import model
+from hemlockgrade import object_codec
+from hemlockgrade import object_store
+from hemlockgrade import publisher as publisher_module
+from hemlockgrade import rollout_task
+from hemlockgrade import watcher
+from hemlockgrade.platform import codec as platform_codec
+
+# Longest wait of one watch, in seconds. A watch whose connection went silent
+# is renewed after that time, so the configuration's is within its bound.
+CONFIGURATION_WAIT_S = 2.0
+MESH_WAIT_S = 5.0
+
+
+@attrs.define(eq=False, kw_only=True)
+class StoreFeed:
+    """Follows the store's kinds and hands each object to its owner.
+
+    Attributes:
+        store: Where the objects are.
+        directory: Learns configurations, members, shares and definitions.
+        publisher: Learns what the store holds of this daemon.
+        rollouts: Learns the operators' orders.
+        restore: Called with the own entry of an earlier process.
+    """
+
+    store: object_store.ObjectStore
+    directory: directory_module.Directory
+    publisher: publisher_module.Publisher
+    rollouts: rollout_task.RolloutTask
+    restore: Callable[[model.Member], None]
+
+    def runs(self) -> list[Coroutine[Any, Any, None]]:
+        """Returns the tasks that follow the store."""
+        watchers = (
+            watcher.Watcher(
+                store=self.store,
+                kind=platform_codec.CONFIGURATION_KIND,
+                wait_s=CONFIGURATION_WAIT_S,
+                on_item=self._configuration_changed,
+                on_deleted=lambda item: None,
+            ),
+            watcher.Watcher(
+                store=self.store,
+                kind=object_codec.MESH_KIND,
+                wait_s=MESH_WAIT_S,
+                on_item=self._object_changed,
+                on_deleted=self._object_deleted,
+                on_listed=self._objects_listed,
+            ),
+            watcher.Watcher(
+                store=self.store,
+                kind=platform_codec.ROLLOUT_KIND,
+                wait_s=MESH_WAIT_S,
+                on_item=self.rollouts.order_changed,
+                on_deleted=self.rollouts.order_deleted,
+            ),
+        )
+        return [each.run() for each in watchers]
+
+    def _configuration_changed(self, item: object_store.StoredItem):
+        if item.name != platform_codec.CONFIGURATION_NAME:
+            return
+        try:
+            new = platform_codec.decode_configuration(item.spec)
+        except exceptions.InvalidFieldError as error:
+            logger.error(
+                'event=configuration_refused revision={} problem={!r}',
+                item.revision,
+                str(error),
+            )
+            return
+        self.directory.apply_configuration(new, 'store')
+
+    def _object_changed(self, item: object_store.StoredItem):
+        try:
+            value = object_codec.decode_item(item)
+        except exceptions.InvalidFieldError as error:
+            logger.error(
+                'event=entry_refused name={} revision={} problem={!r}',
+                item.name,
+                item.revision,
+                str(error),
+            )
+            return
+        if value is None:
+            return
+        if isinstance(value, model.Member) and value.name == self._own_name:
+            self.restore(value)
+            self.publisher.seen(value)
+        self.directory.apply(value, 'store')
+
+    def _object_deleted(self, item: object_store.StoredItem):
+        if item.name == object_codec.MEMBER_PREFIX + self._own_name:
+            self.publisher.lost()
+            return
+        self.directory.remove(item.name, item.revision)
+
+    def _objects_listed(self, listing: object_store.Listing):
+        names = {item.name for item in listing.items}
+        self.directory.remove_missing(names, listing.revision)
+
+    @property
+    def _own_name(self) -> str:
+        return self.directory.name
--- a/hemlockgrade/mesh/watcher.py
+++ b/hemlockgrade/watcher.py
@@ -8,7 +8,7 @@
 
 from hemlockgrade import backoff
 from hemlockgrade import exceptions
-from hemlockgrade.mesh import objects
+from hemlockgrade import object_store
 
 # Pauses after a failed call, in seconds, doubled up to the longest one.
 FIRST_PAUSE_S = 0.1
@@ -29,12 +29,12 @@
         on_listed: Called with the names that a list of all objects holds.
     """
 
-    store: objects.ObjectStore
+    store: object_store.ObjectStore
     kind: str
     wait_s: float
-    on_item: Callable[[objects.StoredItem], None]
-    on_deleted: Callable[[objects.StoredItem], None]
-    on_listed: Callable[[objects.Listing], None] | None = None
+    on_item: Callable[[object_store.StoredItem], None]
+    on_deleted: Callable[[object_store.StoredItem], None]
+    on_listed: Callable[[object_store.Listing], None] | None = None
     random: random_module.Random = attrs.field(factory=random_module.Random)
     connected: bool = False
     _revision: int | None = None
@@ -47,7 +47,7 @@
                 await self._step()
                 pauses.reset()
                 self._set_connected(True, '')
-            except objects.HistoryLostError as error:
+            except object_store.HistoryLostError as error:
                 logger.info(
                     'event=store_history_lost kind={} revision={} problem={!r}',
                     self.kind,
--- a/hemlockgrade/wire/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Messages between daemons; the generated modules are committed."""
--- a/standins/checks.py
+++ b/standins/checks.py
@@ -1,13 +1,16 @@
-"""Checks of what a system of processes did, from its logs and time lines."""
+"""Checks of what a system of processes did, from its store and time lines."""
 
 import collections
-import json
+import re
 from typing import Any
 
 from standins import callers
 from standins import cluster
 
 Log = list[dict[str, Any]]
+_STEP = re.compile(
+    r'event=rollout_step key=(\S+) .*?epoch=(\d+) revision=(\d+)'
+)
 
 
 def target_log(system: cluster.Cluster) -> Log:
@@ -36,48 +39,89 @@
     return [r.path for r in results if r.outcome == 'refused' and r.path in ran]
 
 
-def change_log(system: cluster.Cluster) -> list[dict[str, Any]]:
-    """Reads the change log from the platform, in its order."""
-    assert system.platform is not None
-    address = system.platform.addresses['http']
-    stored = cluster.get_json(f'http://{address}/v1/objects?prefix=changes/')
-    changes = [json.loads(entry['value']) for entry in stored]
-    return sorted(changes, key=lambda change: change['number'])
+def objects(system: cluster.Cluster, *prefixes: str) -> Log:
+    """Reads the mesh's objects whose names begin with one of the prefixes."""
+    found: Log = []
+    while True:
+        after = f'?after={found[-1]["Metadata"]["Name"]}' if found else ''
+        page = system.store('GET', f'mesh{after}')
+        found += page['items']
+        if not page['HasMore']:
+            break
+    return [
+        item
+        for item in found
+        if not prefixes or item['Metadata']['Name'].startswith(prefixes)
+    ]
+
+
+def stored(system: cluster.Cluster, name: str) -> dict[str, Any]:
+    """Reads one of the mesh's objects."""
+    return system.store('GET', f'mesh/{name}')
+
+
+def newest_revision(system: cluster.Cluster, *prefixes: str) -> int:
+    """Returns the newest revision of the mesh's objects."""
+    return max(i['Metadata']['Rev'] for i in objects(system, *prefixes))
+
+
+def share(system: cluster.Cluster) -> dict[str, Any]:
+    """Reads the state of the rollout of booking."""
+    return stored(system, 'share.selector.booking')['Spec']
+
+
+def rollout_steps(system: cluster.Cluster) -> Log:
+    """Reads the steps of rollouts that daemons wrote, by their revision."""
+    steps = [
+        {'key': key, 'epoch': int(epoch), 'revision': int(revision)}
+        for name in system.daemons_by_name
+        for key, epoch, revision in _STEP.findall(
+            (system.directory / f'{name}.log').read_text()
+        )
+    ]
+    return sorted(steps, key=lambda step: step['revision'])
 
 
-def stale_steps(changes: list[dict[str, Any]]) -> list[int]:
-    """Lists the rollout steps that stand behind a newer holder's epoch."""
+def stale_steps(steps: Log) -> Log:
+    """Lists the steps that were written after one of a later epoch."""
+    highest: dict[str, int] = {}
     stale = []
-    newest = 0
-    for change in changes:
-        if change['kind'] == 'epoch' and change['name'] == 'rollout':
-            newest = max(newest, change['epoch'])
-        elif change['epoch'] and change['epoch'] < newest:
-            stale.append(change['number'])
+    for step in steps:
+        if step['epoch'] < highest.get(step['key'], 0):
+            stale.append(step)
+        highest[step['key']] = max(step['epoch'], highest.get(step['key'], 0))
     return stale
 
 
-def falling_versions(events: Log) -> list[str]:
-    """Lists the processes whose configuration version ever fell."""
-    falling = set()
-    last_by_life: dict[tuple[str, int], int] = {}
-    lives: collections.Counter[str] = collections.Counter()
-    for event in sorted(events, key=lambda e: (e['process'], e['time'])):
-        process = event['process']
-        if event['kind'] == 'startup':
-            lives[process] += 1
-        if event['kind'] not in ('change_applied', 'snapshot_applied'):
+def falling_versions(events: Log) -> Log:
+    """Lists the changes that a process applied after a later one."""
+    newest: dict[tuple[str, str], int] = {}
+    fallen = []
+    for event in events:
+        if event['kind'] != 'change_applied':
             continue
-        life = (process, lives[process])
+        key = event['process'], event['fields']['name']
         version = event['fields']['version']
-        if version <= last_by_life.get(life, 0):
-            falling.add(process)
-        last_by_life[life] = version
-    return sorted(falling)
+        if version <= newest.get(key, 0):
+            fallen.append(event)
+        newest[key] = version
+    return fallen
 
 
 def convergence_delays(events: Log) -> list[float]:
-    """Returns the seconds from each change's acceptance to each daemon."""
+    """Returns the seconds from each change to its effect on each daemon.
+
+    A daemon that started after a change learns it late by no fault.
+    """
+    started = {
+        event['process']: event['time']
+        for event in events
+        if event['kind'] == 'startup'
+    }
     return [
-        e['fields']['delay_s'] for e in events if e['kind'] == 'change_applied'
+        event['fields']['delay_s']
+        for event in events
+        if event['kind'] == 'change_applied'
+        and (event['time'] >> 16) / 1000 - event['fields']['delay_s']
+        > (started.get(event['process'], 0) >> 16) / 1000
     ]
--- a/standins/cluster.py
+++ b/standins/cluster.py
@@ -17,6 +17,7 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 TOKEN = 'a-token-for-loopback-trials'
 START_TIMEOUT_S = 30.0
+DOMAINS = ('a', 'b', 'c')
 # Below the range that Linux gives to outgoing connections by default.
 FIRST_PORT = 12_000
 LAST_PORT = 32_000
@@ -74,18 +75,46 @@
         for process in self._all():
             process.popen.wait()
 
-    def start_platform(self, *options: str) -> Process:
-        """Starts the stand-in of the platform."""
-        address = free_address()
+    def start_store(self) -> Process:
+        """Starts the stand-in of the store, or one that has lost all.
+
+        Each failure domain reaches it at an address of its own, so that a
+        fault can be limited to one.
+        """
+        addresses = (
+            self.platform.addresses
+            if self.platform
+            else {domain: free_address() for domain in ('http', *DOMAINS)}
+        )
+        ports = [_port(address) for address in addresses.values()]
         self.platform = self._start(
-            'platform',
-            ['-m', 'standins.platform_server', '--port', _port(address)]
-            + list(options),
-            {'http': address},
+            'store', ['-m', 'standins.metadata_store', *ports], addresses
         )
-        wait_until(lambda: _listens(address), 'platform listens')
+        wait_until(lambda: _listens(addresses['http']), 'the store listens')
         return self.platform
 
+    def store_address(self, failure_domain: str) -> str:
+        """Returns the store's address for the hosts of a failure domain."""
+        addresses = self.platform.addresses
+        return addresses.get(failure_domain, addresses['http'])
+
+    def store(self, method: str, path: str, body: Any = None) -> Any:
+        """Calls the store as the operator; None if it does not answer."""
+        url = f'http://{self.platform.addresses["http"]}/-/objects/{path}'
+        data = None if body is None else json.dumps(body).encode()
+        call = request.Request(url, data=data, method=method)
+        try:
+            with request.urlopen(call, timeout=4) as response:
+                return json.load(response)
+        except OSError:
+            # A refusal or no answer; the caller checks for None.
+            return None
+
+    def set_faults(self, **faults: Any) -> None:
+        """Replaces the faults of the store."""
+        address = self.platform.addresses['http']
+        post_json(f'http://{address}/.control/faults', faults)
+
     def start_daemon(
         self, name: str, failure_domain: str, **settings: Any
     ) -> Process:
@@ -99,7 +128,6 @@
                 for key in (
                     'proxy_address',
                     'admission_address',
-                    'control_address',
                     'administration_address',
                     'local_address',
                 )
@@ -112,7 +140,7 @@
                     'daemon_id': name,
                     'failure_domain': failure_domain,
                     'administration_token': TOKEN,
-                    'platform_url': f'http://{self.platform.addresses["http"]}',
+                    'store_address': self.store_address(failure_domain),
                     **addresses,
                     **settings,
                 }
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -2,22 +2,30 @@
 
 import asyncio
 import contextlib
-import random
 import sys
+import time
 from typing import Any
 
 import attrs
 from loguru import logger
 from twisted.internet import asyncioreactor
 
-from hemlockgrade import admission
+from hemlockgrade import directory
+from hemlockgrade import evidence
+from hemlockgrade import gate
 from hemlockgrade import http_codec
 from hemlockgrade import http_server
+from hemlockgrade import in_flight
 from hemlockgrade import ledger
 from hemlockgrade import model
+from hemlockgrade import peer_api
 from hemlockgrade import proxy
+from hemlockgrade import registrar
+from hemlockgrade import state_sync
 from hemlockgrade import upstream
+from hemlockgrade.platform import codec as platform_codec
 from hemlockgrade.plugins import slot_limiter
+from hemlockgrade.plugins import zone_balancer
 from standins import target_server
 
 TEST_TIMEOUT_S = 60
@@ -40,59 +48,6 @@
         logger.enable('hemlockgrade')
 
 
-@attrs.define
-class OneRoute:
-    """A routing view whose one route leads to the targets of version v1."""
-
-    targets: list[model.Target]
-    timeout_ms: int = 5000
-    selector: str = 'booking'
-
-    @property
-    def route(self):
-        """Returns the route of all paths."""
-        return model.Route(path_prefix='/', timeout_ms=self.timeout_ms)
-
-    @property
-    def targets_by_version(self):
-        """Returns the targets."""
-        return {'v1': self.targets}
-
-    def match(self, path):
-        """Finds the route; paths below /nowhere have none."""
-        return None if path.startswith('/nowhere') else self
-
-    def choose_version(self, random, stopped_versions):
-        """Chooses the only version."""
-        return 'v1'
-
-
-class Accounts:
-    """Load table, evidence recorder and balancer that keep what they get."""
-
-    def __init__(self):
-        self.evidence: list[tuple] = []
-        self.outcomes: list[str] = []
-
-    def choose(self, candidates, loads, now, random):
-        """Chooses the first target."""
-        return candidates[0] if candidates else None
-
-    def started(self, target_id, now):
-        """Does nothing."""
-
-    def finished(self, target_id, latency_s, outcome, now):
-        """Keeps the outcome."""
-        self.outcomes.append(outcome.value)
-
-    def cancelled(self, target_id):
-        """Does nothing."""
-
-    def record(self, entry, version, ok, latency_s, now):
-        """Keeps the evidence."""
-        self.evidence.append((version, entry.route.path_prefix, ok))
-
-
 class CuttingLink:
     """A TCP link that cuts its connections after a number of bytes."""
 
@@ -155,8 +110,23 @@
             await writer.drain()
 
 
+@attrs.define(eq=False)
+class Side:
+    """The daemon beside one target, without its control."""
+
+    registrar: registrar.Registrar
+    gate: gate.Gate
+    pool: upstream.ConnectionPool
+    api: peer_api.PeerApi
+
+    def loads(self) -> tuple[int, int]:
+        """Returns the slots in use and the requests that wait."""
+        limiter = self.gate._limiter
+        return (limiter.in_use, limiter.queued) if limiter else (0, 0)
+
+
 class System:
-    """Targets, an admission side for each, and a proxy."""
+    """Targets, the daemon beside each, and the proxy of a host without one."""
 
     def __init__(self, targets: int = 1, slots: int = 18, timeout_ms=5000):
         self.targets = [
@@ -164,27 +134,38 @@
             for i in range(targets)
         ]
         self.slots = slots
-        self.timeout_ms = timeout_ms
-        self.admissions: list[admission.Admission] = []
+        self.timeout_s = timeout_ms / 1000
+        self.sides: list[Side] = []
         self.links: list[CuttingLink] = []
-        self.accounts = Accounts()
+        self.evidence: list[bool] = []
+        self.directory = directory.Directory('caller')
         self._ports: list[Any] = []
 
     async def __aenter__(self):
         from twisted.internet import reactor
 
         self._reactor = reactor
-        known = [await self._host(target) for target in self.targets]
-        self.pool = upstream.ConnectionPool(reactor)
-        self.route = OneRoute(known, self.timeout_ms)
+        self.balancer = zone_balancer.ZoneBalancer(
+            directory=self.directory, zone='a', clock=time.monotonic
+        )
+        for number, target in enumerate(self.targets, 1):
+            await self._host(target, number)
+        self.configure('x')
+        self.pool = self._pool()
+        no_server = registrar.Registrar(service='', address='')
         self.proxy = proxy.Proxy(
-            proxy_id='proxy-1',
+            name='caller',
+            boot_id='boot',
+            own_service=lambda: 'callers',
+            directory=self.directory,
+            balancer=self.balancer,
+            gate=self._make_gate('caller', no_server),
             pool=self.pool,
-            loads=self.accounts,
-            evidence=self.accounts,
-            balancer=self.accounts,
-            random=random.Random(1),
-            routing=self.route,
+            clock=time.monotonic,
+            retry_ratio=1.0,
+            retry_slack=1e6,
+            sync=self._make_sync(),
+            on_finished=lambda *_: None,
         )
         self.factory, self.address = self._listen(self.proxy.handle)
         return self
@@ -193,7 +174,7 @@
         for port in self._ports:
             port.stopListening()
         self.pool.close()
-        for side in self.admissions:
+        for side in self.sides:
             side.pool.close()
         for link in self.links:
             link.stop()
@@ -202,34 +183,85 @@
         # Lets the closed sockets leave the reactor.
         await asyncio.sleep(0.002)
 
-    async def _host(self, target: target_server.TargetServer) -> model.Target:
-        await target.start()
-        boot_id = f'boot-{target.target_id}'
-        side = admission.Admission(
-            boot_id=boot_id,
-            pool=upstream.ConnectionPool(self._reactor),
-            limiter=slot_limiter.SlotLimiter,
-            ledger=ledger.RequestLedger(boot_id),
+    def configure(self, host: str) -> None:
+        """Routes all paths of a host to the targets."""
+        version = self.directory.configuration_version + 1
+        route = model.Route(
+            name='all',
+            host=host,
+            prefix='/',
+            idempotent=None,
+            attempts=3,
+            timeout_s=self.timeout_s,
+            target_latency_s=self.timeout_s,
+            priority=0,
+            shares=(model.ServiceShare(service='booking', weight=1.0),),
+        )
+        new = model.MeshConfiguration(
+            version=version,
+            routes=(route,),
+            check_path_by_service={},
+            limits=model.CallerLimits(),
+            document=None,
+        )
+        self.directory.apply_configuration(new, 'test')
+
+    def _pool(self) -> upstream.ConnectionPool:
+        return upstream.ConnectionPool(
+            self._reactor, request_id_header=platform_codec.REQUEST_ID
+        )
+
+    def _make_sync(self) -> state_sync.StateSync:
+        return state_sync.StateSync(
+            directory=self.directory, pool=self._pool(), address='', zone='a'
+        )
+
+    def _make_gate(self, name: str, known: registrar.Registrar) -> gate.Gate:
+        return gate.Gate(
+            registrar=known,
+            pool=self._pool(),
+            clock=time.monotonic,
+            ledger=ledger.RequestLedger(f'boot-{name}'),
+            make_limiter=slot_limiter.SlotLimiter,
+            signed_answers=False,
+            on_evidence=lambda answer: self.evidence.append(answer.ok),
         )
-        local = admission.LocalTarget(
-            target_id=target.target_id,
+
+    async def _host(self, target: target_server.TargetServer, number: int):
+        await target.start()
+        server = model.Server(
+            server_id=target.target_id,
+            service='booking',
             address=target.address,
+            zone='a',
+            version='v1',
             slots=self.slots,
-            keep_alive_s=target.keep_alive_s,
+            state=model.ServerState.READY,
+            sequence=1,
+        )
+        known = registrar.Registrar(service='booking', address=target.address)
+        known.hear(server)
+        own = self._make_gate(target.target_id, known)
+        api = peer_api.PeerApi(
+            gate=own,
+            sync=self._make_sync(),
+            evidence=evidence.ServerEvidence('boot'),
+            in_flight=in_flight.InFlight(time.monotonic),
         )
-        side.set_targets([local])
-        self.admissions.append(side)
-        _, address = self._listen(side.handle, half_close=False)
+        self.sides.append(Side(known, own, own.pool, api))
+        _, address = self._listen(api.handle, half_close=False)
         link = CuttingLink(address)
         self.links.append(link)
-        return model.Target(
-            target_id=target.target_id,
-            service='booking',
-            version='v1',
-            failure_domain='a',
-            admission_address=await link.start(),
-            slots=self.slots,
-            boot_id=boot_id,
+        self.directory.apply_member(
+            model.Member(
+                name=target.target_id,
+                address=await link.start(),
+                zone='a',
+                boot_id=f'boot-{target.target_id}',
+                server=server,
+                revision=number,
+            ),
+            'test',
         )
 
     def _listen(self, handler, half_close=True):
@@ -241,6 +273,10 @@
         self._ports.append(port)
         return factory, f'127.0.0.1:{port.getHost().port}'
 
+    def stop_listening(self) -> None:
+        """Closes the listener for callers."""
+        self._ports[-1].stopListening()
+
     def runs_by_path(self) -> dict[str, int]:
         """Counts how often each path ran, over all targets."""
         counts: dict[str, int] = {}
--- a/standins/mesh_cluster.py
+++ b/standins/mesh_cluster.py
@@ -11,27 +11,6 @@
 HOST_NAME = 'shop.example'
 _ids = itertools.count(1)
 
-_SETTINGS = """
-NodeName = "{name}"
-Ip = "127.0.0.1"
-Zone = "{zone}"
-InternalPorts = [{metrics}, {metrics}]
-AppAddr = "{server}"
-Service = "{service}"
-[Listen]
-Inbound = "{peer}"
-Outbound = "{caller}"
-Ready = "{ready}"
-Control = "{control}"
-[Bounds]
-GraceS = 6
-RetryBudgetRatio = 0.2
-BudgetSlack = 56
-ExposeShare = 0.1
-[Provider]
-Address = "{store}"
-"""
-
 
 def route(name, prefix, kind='idempotent', service='booking', timeout_ms=1000):
     """Returns a route of a configuration."""
@@ -58,35 +37,6 @@
         super().__init__(directory)
         self.servers_by_name: dict[str, cluster.Process] = {}
 
-    def start_store(self) -> None:
-        """Starts the stand-in of the store, or one that has lost all."""
-        address = (
-            self.platform.addresses['http']
-            if self.platform
-            else cluster.free_address()
-        )
-        self.platform = self._start(
-            'store',
-            ['-m', 'standins.metadata_store', address.rpartition(':')[2]],
-            {'http': address},
-        )
-        cluster.wait_until(lambda: self.store('GET', 'config'), 'store listens')
-
-    def store(self, method: str, path: str, body=None):
-        """Calls the store as the operator; None if it does not answer."""
-        status, data = ask(
-            self.platform.addresses['http'],
-            method,
-            f'/-/objects/{path}',
-            json.dumps(body).encode() if body is not None else b'',
-        )[:2]
-        return json.loads(data) if status == 200 else None
-
-    def set_faults(self, **faults) -> None:
-        """Replaces the faults of the store."""
-        body = json.dumps(faults).encode()
-        ask(self.platform.addresses['http'], 'POST', '/.control/faults', body)
-
     def configure(self, version: int, *routes) -> None:
         """Writes a configuration as the operator."""
         spec = {
@@ -133,26 +83,37 @@
                 )
             }
         )
-        path = self.directory / f'{name}.toml'
-        path.write_text(
-            _SETTINGS.format(
-                **{
-                    **addresses,
-                    'metrics': addresses['metrics'].rpartition(':')[2],
-                },
-                name=name,
-                zone=zone,
-                service='booking',
-                store=self.platform.addresses['http'],
-            )
-        )
+        self.write_settings(name, zone, addresses)
         self.daemons_by_name[name] = self._start(
             name,
-            ['-m', 'hemlockgrade.mesh.cli'],
+            ['-m', 'hemlockgrade'],
             addresses,
-            HEMLOCKGRADE_NODE_FILE=str(path),
+            HEMLOCKGRADE_NODE_FILE=str(self.directory / f'{name}.json'),
         )
 
+    def write_settings(self, name: str, zone: str, addresses, **changes):
+        """Writes a daemon's settings as the platform fills them in."""
+        settings = {
+            'daemon_id': name,
+            'failure_domain': zone,
+            'proxy_address': addresses['caller'],
+            'admission_address': addresses['peer'],
+            'local_address': addresses['control'],
+            'store_address': self.store_address(zone),
+            'service': 'booking',
+            'server_address': addresses['server'],
+            'readiness_address': addresses['ready'],
+            'metrics_address': addresses['metrics'],
+            'signed_answers': True,
+            'retry_ratio': 0.2,
+            'retry_slack': 56,
+            'exposed_share': 0.1,
+            'drain_timeout_s': 6,
+            **changes,
+        }
+        path = self.directory / f'{name}.json'
+        path.write_text(json.dumps(settings))
+
     def start_server(self, name: str, zone: str, version: str = 'v1') -> None:
         """Starts a server beside a daemon, as a new incarnation."""
         addresses = self.daemons_by_name[name].addresses
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -1,7 +1,8 @@
 """A stand-in of the platform's metadata store, with faults.
 
-Run as `python -m standins.metadata_store PORT`. `POST /.control/faults` takes
-a JSON table of faults: `down` answers 503, `silent` answers nothing,
+Run as `python -m standins.metadata_store PORT ...`; all ports serve the same
+objects. `POST /.control/faults` takes a JSON table of faults: `down` answers
+503, `silent` answers nothing, `refuse_ports` lists the ports that answer 503,
 `lose_answers` is a number of writes whose answer is lost, `forget` drops the
 history once. `GET /.control/calls` counts the calls by method.
 """
@@ -119,7 +120,10 @@
         store.calls[request.method] += 1
         if store.faults.get('silent'):
             return None
-        if store.faults.get('down'):
+        port = self.transport.get_extra_info('sockname')[1]
+        if store.faults.get('down') or port in store.faults.get(
+            'refuse_ports', ()
+        ):
             return 503, {}
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
         path = url.path.removeprefix(OBJECTS).split('/')
@@ -186,15 +190,15 @@
         )
 
 
-async def main(port):
+async def main(ports):
     """Serves until it is killed."""
     store = Store()
-    server = await asyncio.get_running_loop().create_server(
-        lambda: Connection(store), '127.0.0.1', port
-    )
-    print(json.dumps({'port': port}), flush=True)
-    await server.serve_forever()
+    loop = asyncio.get_running_loop()
+    for port in ports:
+        await loop.create_server(lambda: Connection(store), '127.0.0.1', port)
+    print(json.dumps({'ports': ports}), flush=True)
+    await asyncio.Event().wait()
 
 
 if __name__ == '__main__':
-    asyncio.run(main(int(sys.argv[1])))
+    asyncio.run(main([int(port) for port in sys.argv[1:]]))
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -180,7 +180,7 @@
             server.counts['shed'] += 1
             self.answer(request, 503, b'shed', {})
             return
-        name = http_codec.header(request.headers, b'x-hemlock-request-id')
+        name = http_codec.header(request.headers, b'x-request-id')
         entry = {'id': name, 'method': request.method, 'path': request.path}
         server.log.append(entry)
         server.running += 1
@@ -201,7 +201,7 @@
             return
         query = dict(urllib.parse.parse_qsl(request.target.partition('?')[2]))
         headers = request.headers
-        limit_ms = http_codec.header(headers, b'x-hemlock-timeout-ms')
+        limit_ms = http_codec.header(headers, b'x-deadline-ms')
         limit_s = float(limit_ms or DEFAULT_TIMEOUT_MS) / 1000
         delay_s = self.server.service_s(query)
         delay_s += fault.ms / 1000 if fault.kind in ('slow', 'late') else 0
@@ -230,10 +230,10 @@
     def answer(self, request, status, body, query, cut_at=None):
         mode = query.get('body', 'length')
         head = [f'HTTP/1.1 {status} Status', 'content-type: application/json']
-        name = http_codec.header(request.headers, b'x-hemlock-request-id')
-        head += [f'x-hemlock-request-id: {name}'] if name else []
+        name = http_codec.header(request.headers, b'x-request-id')
+        head += [f'x-request-id: {name}'] if name else []
         if 'forge' in query:
-            head += ['x-hemlock-not-run: 1', 'x-hemlock-outcome: not-run']
+            head += ['x-hemlock-refused: full', 'x-hemlock-outcome: not-run']
         if mode == 'chunked':
             head.append('transfer-encoding: chunked')
             parts = (body[: len(body) // 2], body[len(body) // 2 :], b'')
