--- a/hemlockgrade/directory.py
+++ b/hemlockgrade/directory.py
@@ -107,6 +107,7 @@
     )
     on_members: list[Callable[[], None]] = attrs.field(factory=list)
     events: kernel.Events = attrs.field(factory=kernel.Events)
+    _defined: bool = False
     _table: RouteTable = attrs.field(factory=lambda: RouteTable(()))
 
     @property
@@ -163,6 +164,7 @@
         if self._is_outdated(new, by_name.get(new.value.name)):
             return False
         by_name[new.value.name] = new
+        self._defined = True
         self.table_revision = max(self.table_revision, new.revision)
         self._rebuild_table()
         logger.info(
@@ -193,8 +195,8 @@
 
     @property
     def configured(self) -> bool:
-        """Tells whether there are routes to serve."""
-        return self.configuration is not None or bool(self.selector_by_name)
+        """Tells whether the routes are known; a lack of them is, too."""
+        return self.configuration is not None or self._defined
 
     def objects(self) -> Iterator[object_codec.Value]:
         """Yields all objects of the mesh's own."""
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -236,7 +236,7 @@
         self._budget(call.service).count_request()
         while True:
             peer = self._choose(call)
-            if peer is None:
+            if peer is None or call.deadline <= self.clock():
                 return self._give_up(call)
             call.tried.append(peer.member.name)
             call.version = peer.member.server_facts.version
