Make fewer calls to the store, run demonstration and benchmarks on one daemon

Cause: each change of an entry woke the watch of every daemon, so a start of all daemons cost daemons times entries calls, and each daemon renewed three watches every 2 to 5 s and wrote its entry once without and once with its server.

Ruled out: one watch for all kinds, the store has none; fewer watchers and a tree, which delays a change when its relay dies.

Change: after changes of the mesh's objects a watch waits 0.2 s in the mean, so changes that come together cost one call; watches wait 10 and 20 s, since silent connections are found by their probes and peers compare versions; the first entry is written with the first heartbeat. The demonstration, the mutations and the benchmarks start the daemon that there is.

--- a/bench/request_path.py
+++ b/bench/request_path.py
@@ -1,10 +1,10 @@
 """Latency that the two daemons of a call add, and their processor time.
 
-Usage: `python bench/request_path.py [--seconds 20] [--rounds 3]`. Target,
-proxy side and admission side are separate processes. Rounds with the target
-called directly alternate with rounds through both hops and through two
-processes that only copy bytes, so that all meet the same state of the
-machine; the copies show what two more processes cost on it in any case.
+Usage: `python bench/request_path.py [--seconds 20] [--rounds 3]`. Target, the
+daemon of the callers and the daemon beside the target are separate processes.
+Rounds with the target called directly alternate with rounds through both hops
+and through two processes that only copy bytes, so that all meet the same state
+of the machine; the copies show what two more processes cost in any case.
 Arrivals are open loop (Poisson, seeded); a latency counts from the arrival,
 waiting for a free connection included. Half of the requests are POST. Prints
 one JSON line a rate and a path.
@@ -21,11 +21,13 @@
 import random
 import subprocess
 import sys
+import tempfile
 import time
 
 import attrs
 import psutil
-from twisted.internet import asyncioreactor
+
+from standins import cluster
 
 RATES = (122, 244)
 CONNECTIONS = 16
@@ -93,68 +95,6 @@
     return round(ordered[index] * 1000, 3)
 
 
-def serve(role: str, upstream_address: str):
-    """Runs one side until its standard input closes."""
-    asyncioreactor.install(asyncio.new_event_loop())
-    from twisted.internet import reactor
-
-    from hemlockgrade import admission
-    from hemlockgrade import http_server
-    from hemlockgrade import ledger
-    from hemlockgrade import model
-    from hemlockgrade import proxy
-    from hemlockgrade import upstream
-    from hemlockgrade.plugins import slot_limiter
-    from standins import loopback
-
-    pool = upstream.ConnectionPool(reactor)
-    if role == 'admission':
-        side = admission.Admission(
-            boot_id='boot',
-            pool=pool,
-            limiter=slot_limiter.SlotLimiter,
-            ledger=ledger.RequestLedger('boot'),
-        )
-        side.set_targets(
-            [
-                admission.LocalTarget(
-                    target_id='t', address=upstream_address, slots=SLOTS
-                )
-            ]
-        )
-        handler = side.handle
-    else:
-        target = model.Target(
-            target_id='t',
-            service='booking',
-            version='v1',
-            failure_domain='a',
-            admission_address=upstream_address,
-            slots=SLOTS,
-            boot_id='boot',
-        )
-        accounts = loopback.Accounts()
-        handler = proxy.Proxy(
-            proxy_id='p',
-            pool=pool,
-            loads=accounts,
-            evidence=accounts,
-            balancer=accounts,
-            random=random.Random(1),
-            routing=loopback.OneRoute([target]),
-        ).handle
-
-    def listen():
-        factory = http_server.HttpServerFactory(
-            handler, half_close=role != 'admission'
-        )
-        port = reactor.listenTCP(0, factory, 1024, '127.0.0.1')
-        print(json.dumps({'port': port.getHost().port}), flush=True)
-
-    reactor.callWhenRunning(listen)
-    reactor.run()
-
-
 async def relay(address: str):
     """Copies bytes between its callers and an address."""
 
@@ -259,34 +199,75 @@
     print(json.dumps({'rate': rate, 'limit_met': met}), flush=True)
 
 
+def start_daemons(system: cluster.Cluster) -> str:
+    """Starts two daemons and a target; returns the target's address."""
+    system.start_store()
+    for name in ('callers', 'server'):
+        system.start_daemon(name, 'a')
+    system.wait_for_daemons()
+    target = system.start_target(
+        'server-target',
+        'booking',
+        'v1',
+        'server',
+        *('--answer-bytes', str(ANSWER_BYTES)),
+        *('--keep-alive-s', '60', '--slots', str(SLOTS)),
+    )
+    content = {
+        'labels': [
+            {'name': 'all', 'kind': 'proxy', 'members': ['*']},
+            {'name': 'targets', 'kind': 'target', 'members': ['*']},
+        ],
+        'selectors': [
+            {
+                'name': 'booking',
+                'proxies': 'all',
+                'targets': 'targets',
+                'service': 'booking',
+                'routes': [{'path_prefix': '/'}],
+                'shares_by_version': {'v1': 100},
+            }
+        ],
+    }
+    path = system.directory / 'selectors.json'
+    path.write_text(json.dumps(content))
+    system.ctl_json('selectors', 'apply', str(path))
+    cluster.wait_until(
+        lambda: system.administration('callers', '/v1/explain?path=/b').get(
+            'targets'
+        ),
+        'the callers know the target',
+    )
+    return target.addresses['http']
+
+
 async def main(options):
     with contextlib.ExitStack() as stack:
-        target, target_address = stack.enter_context(
-            process(
-                '-m', 'standins.target_server',
-                '--answer-bytes', str(ANSWER_BYTES), '--keep-alive-s', '60',
-            )
-        )  # fmt: skip
+        directory = stack.enter_context(tempfile.TemporaryDirectory())
+        system = stack.enter_context(cluster.Cluster(pathlib.Path(directory)))
+        target_address = start_daemons(system)
         script = str(pathlib.Path(__file__).resolve())
-        admission, admission_address = stack.enter_context(
-            process(script, '--role', 'admission', '--to', target_address)
-        )
-        proxy, proxy_address = stack.enter_context(
-            process(script, '--role', 'proxy', '--to', admission_address)
-        )
         copies = target_address
         for _ in range(2):
             _, copies = stack.enter_context(
                 process(script, '--role', 'relay', '--to', copies)
             )
+        daemons = system.daemons_by_name
         addresses = {
             'direct': target_address,
             'copies': copies,
-            'hops': proxy_address,
+            'hops': daemons['callers'].addresses['proxy_address'],
         }
         for address in addresses.values():
             await Load(address).run(RATES[-1], WARM_UP_S, random.Random(0))
-        hops = {'proxy': proxy, 'admission': admission, 'target': target}
+        processes = {
+            **daemons,
+            'target': system.targets_by_id['server-target'],
+        }
+        hops = {
+            name: psutil.Process(each.popen.pid)
+            for name, each in processes.items()
+        }
         await measure(addresses, hops, options)
 
 
@@ -299,7 +280,5 @@
     chosen = parser.parse_args()
     if chosen.role == 'relay':
         asyncio.run(relay(chosen.to))
-    elif chosen.role:
-        serve(chosen.role, chosen.to)
     else:
         asyncio.run(main(chosen))
--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -234,3 +234,9 @@
   Scenario: Logs are bounded and never wait for their reader
     When 5000 log lines are written to a pipe that nobody reads
     Then it took less than 1 second and the dropped lines were counted
+
+  Scenario: Changes that come together cost few calls to the store
+    # Guards against daemons times changes calls at a start of all daemons.
+    Given a store in which an object changes every 5 milliseconds
+    When a watcher that batches for 0.2 seconds follows it for 1 second
+    Then it made at most 12 calls and saw the last change within 0.4 seconds
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -1,5 +1,7 @@
 """Steps on the decisions of the daemon beside a server."""
 
+import asyncio
+import contextlib
 import json
 import os
 import random
@@ -16,7 +18,9 @@
 from hemlockgrade import http_codec
 from hemlockgrade import logs
 from hemlockgrade import model
+from hemlockgrade import object_store
 from hemlockgrade import registrar
+from hemlockgrade import watcher
 from hemlockgrade.platform import codec
 from hemlockgrade.plugins import binomial_judge
 from hemlockgrade.plugins import zone_balancer
@@ -449,3 +453,68 @@
 def lines_dropped(context):
     assert context.took < 1, context.took
     assert context.writer.dropped > 2000, context.writer.dropped
+
+
+class ChangingStore:
+    """A store whose one object changes all the time."""
+
+    def __init__(self, every_s):
+        self.every_s = every_s
+        self.began = time.monotonic()
+        self.calls = 0
+
+    def revision(self):
+        return 1 + int((time.monotonic() - self.began) / self.every_s)
+
+    def item(self):
+        return object_store.StoredItem(
+            kind='mesh', name='x', revision=self.revision()
+        )
+
+    async def list(self, kind):
+        self.calls += 1
+        return object_store.Listing(
+            items=(self.item(),), revision=self.revision()
+        )
+
+    async def watch(self, kind, revision, wait_s):
+        self.calls += 1
+        while self.revision() <= revision:
+            await asyncio.sleep(self.every_s / 5)
+        change = object_store.ItemChange(item=self.item(), deleted=False)
+        return object_store.Changes(changes=(change,), revision=self.revision())
+
+
+@given('a store in which an object changes every {ms:d} milliseconds')
+def changing_store(context, ms):
+    context.store = ChangingStore(ms / 1000)
+
+
+@when('a watcher that batches for {batch:g} seconds follows it for 1 second')
+def follow_store(context, batch):
+    context.seen_at = []
+    follower = watcher.Watcher(
+        store=context.store,
+        kind='mesh',
+        wait_s=1.0,
+        on_item=lambda item: context.seen_at.append(time.monotonic()),
+        on_deleted=lambda item: None,
+        batch_s=batch,
+        random=random.Random(1),
+    )
+
+    async def follow():
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(1.0):
+                await follower.run()
+
+    asyncio.run(follow())
+    context.ended_at = time.monotonic()
+
+
+@then(
+    'it made at most {most:d} calls and saw the last change within {s:g} seconds'
+)
+def few_calls(context, most, s):
+    assert context.store.calls <= most, context.store.calls
+    assert context.ended_at - context.seen_at[-1] <= s, context.seen_at
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -44,6 +44,9 @@
 # The store's values, and the state of a peer, are read whole: a page of a list
 # has 1 MB at most.
 MAX_BUFFERED_BYTES = 4 * 1024 * 1024
+# The own entry is written with the server's first heartbeat, which comes within
+# 1.5 s, so that it is not written twice; without one it is after this time.
+FIRST_ENTRY_S = 2.0
 
 
 class Daemon:
@@ -232,7 +235,10 @@
                     *tasks,
                 )
             ]
-            self._publisher.wake()
+            first_entry = asyncio.get_running_loop().call_later(
+                FIRST_ENTRY_S, self._publisher.wake
+            )
+            stack.callback(first_entry.cancel)
             self.directory.events.emit('startup', daemon_id=daemon_id)
             logger.info(
                 'event=daemon_started boot={} zone={} service={} callers={}',
--- a/hemlockgrade/registrar.py
+++ b/hemlockgrade/registrar.py
@@ -69,6 +69,8 @@
             return
         self.confirmed = True
         logger.info('event=server_confirmed server={}', server.server_id)
+        for callback in self.on_change:
+            callback()
 
     def hear(self, new: model.Server) -> Heard:
         """Takes a heartbeat."""
--- a/hemlockgrade/state_sync.py
+++ b/hemlockgrade/state_sync.py
@@ -16,8 +16,10 @@
 from hemlockgrade import upstream
 from hemlockgrade.platform import codec as platform_codec
 
-# A watch usually brings a change within this time after a peer has it.
-WATCH_GRACE_S = 0.15
+# A watch usually brings a change of the mesh's objects within this time after a
+# peer has it, in seconds, and a configuration sooner.
+TABLE_GRACE_S = 0.6
+CONFIGURATION_GRACE_S = 0.15
 # Time between two comparisons with a peer, in seconds.
 COMPARE_S = 1.0
 # Part of the comparisons that cross failure domains, where bytes are priced.
@@ -178,7 +180,12 @@
 
     async def _catch_up(self, address: str, versions: exchange.Versions):
         if self.directory.configured:
-            await asyncio.sleep(WATCH_GRACE_S)
+            known = self.directory.configuration_version
+            await asyncio.sleep(
+                CONFIGURATION_GRACE_S
+                if versions.configuration > known
+                else TABLE_GRACE_S
+            )
         if not self._is_newer(versions):
             return
         try:
--- a/hemlockgrade/store_feed.py
+++ b/hemlockgrade/store_feed.py
@@ -17,10 +17,14 @@
 from hemlockgrade import watcher
 from hemlockgrade.platform import codec as platform_codec
 
-# Longest wait of one watch, in seconds. A watch whose connection went silent
-# is renewed after that time, so the configuration's is within its bound.
-CONFIGURATION_WAIT_S = 2.0
-MESH_WAIT_S = 5.0
+# Longest wait of one watch, in seconds; each renewal by each daemon is a call
+# that the users pay for. A connection that went silent is noticed sooner by its
+# probes, and peers tell each other of newer versions.
+CONFIGURATION_WAIT_S = 10.0
+MESH_WAIT_S = 20.0
+# Mean pause after changes of the mesh's objects, in seconds. Daemons that know
+# an old entry are refused by the host it is about, so nothing rests on it.
+MESH_BATCH_S = 0.2
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -58,6 +62,7 @@
                 on_item=self._object_changed,
                 on_deleted=self._object_deleted,
                 on_listed=self._objects_listed,
+                batch_s=MESH_BATCH_S,
             ),
             watcher.Watcher(
                 store=self.store,
--- a/scripts/run_demo.py
+++ b/scripts/run_demo.py
@@ -1,4 +1,7 @@
-"""The demonstration: two rollouts and a killed daemon under load."""
+"""The demonstration: two rollouts and a killed daemon under load.
+
+Each host has one daemon and one target, so a new version comes on new hosts.
+"""
 
 import json
 import pathlib
@@ -14,7 +17,6 @@
 
 DOMAINS = ('county-east', 'county-north', 'county-west')
 HOSTS_PER_DOMAIN = 2
-PERMITS_HOSTS = 3
 TARGET_OPTIONS = ('--service-ms', '3', '--slots', '18')
 MAX_CONVERGENCE_S = 6.0
 MAX_BAD_SHARE = 0.05
@@ -55,13 +57,13 @@
         )
         load.start()
         time.sleep(2)
-        started = move_good_version(system, hosts)
+        started = move_good_version(system)
         killed = hosts[0]
         kill(system, killed)
         time.sleep(3)
         restart(system, killed)
         bad_since = time.monotonic()
-        bad = move_bad_version(system, hosts)
+        bad = move_bad_version(system)
         say(f'permits v2: {bad["state"]}: {bad["reason"]}')
         outcome = wait_for_end(system, 'booking')
         say(f'booking v2: {outcome["state"]}: {outcome["reason"]}')
@@ -78,40 +80,39 @@
 
 
 def start(system: cluster.Cluster) -> list[str]:
-    """Starts platform, daemons and targets, and sets the configuration."""
-    system.start_platform()
-    hosts = [
-        f'{domain}-{number}'
-        for number in range(1, HOSTS_PER_DOMAIN + 1)
-        for domain in DOMAINS
-    ]
-    for host in hosts:
-        system.start_daemon(host, host.rpartition('-')[0])
-    system.wait_for_daemons()
-    for host in hosts:
-        start_target(system, 'booking', 'v1', host)
-    for host in hosts[:PERMITS_HOSTS]:
-        start_target(system, 'permits', 'v1', host)
-    say(f'{len(hosts)} daemons in {len(DOMAINS)} failure domains')
+    """Starts store, daemons and targets, and sets the configuration."""
+    system.start_store()
+    booking = start_hosts(system, 'booking', 'v1', HOSTS_PER_DOMAIN)
+    permits = start_hosts(system, 'permits', 'v1', 1)
+    say(
+        f'{len(booking + permits)} daemons in {len(DOMAINS)} failure domains, '
+        'each beside one target'
+    )
     path = system.directory / 'configuration.json'
     path.write_text(json.dumps(CONFIGURATION))
     for accepted in system.ctl_json('selectors', 'apply', str(path)):
         say(f'accepted {accepted["object"]} as version {accepted["version"]}')
     cluster.wait_until(lambda: serves_everywhere(system), 'routes serve')
     say('all proxies serve booking and permits')
-    return hosts
-
-
-def start_target(system, service, version, host, *options) -> None:
-    """Starts a target of a service in a host."""
-    system.start_target(
-        f'{service}-{version}-{host}',
-        service,
-        version,
-        host,
-        *TARGET_OPTIONS,
-        *options,
-    )
+    return booking
+
+
+def start_hosts(
+    system: cluster.Cluster, service: str, version: str, per_domain: int
+) -> list[str]:
+    """Starts hosts with a target of a service in every failure domain."""
+    domain_by_host = {
+        f'{domain}-{service}-{version}-{number}': domain
+        for number in range(1, per_domain + 1)
+        for domain in DOMAINS
+    }
+    for host, domain in domain_by_host.items():
+        system.start_daemon(host, domain)
+    system.wait_for_daemons()
+    for host in domain_by_host:
+        target_id = f'{service}-{version}-{host}'
+        system.start_target(target_id, service, version, host, *TARGET_OPTIONS)
+    return list(domain_by_host)
 
 
 def serves_everywhere(system: cluster.Cluster) -> bool:
@@ -125,10 +126,9 @@
     )
 
 
-def move_good_version(system: cluster.Cluster, hosts: list[str]) -> float:
+def move_good_version(system: cluster.Cluster) -> float:
     """Starts booking v2 and its rollout; returns the start time."""
-    for host in hosts:
-        start_target(system, 'booking', 'v2', host)
+    start_hosts(system, 'booking', 'v2', HOSTS_PER_DOMAIN)
     answer = system.ctl_json(
         *('selectors', 'shares', 'booking', 'v2=100'),
         *('--agreed-by', f'+{GOOD_ROLLOUT_S}s'),
@@ -137,10 +137,9 @@
     return time.monotonic()
 
 
-def move_bad_version(system: cluster.Cluster, hosts: list[str]) -> dict:
+def move_bad_version(system: cluster.Cluster) -> dict:
     """Starts a permits v2 that fails often; returns its rollout's end."""
-    for host in hosts[:PERMITS_HOSTS]:
-        start_target(system, 'permits', 'v2', host)
+    start_hosts(system, 'permits', 'v2', 1)
     for target_id, target in system.targets_by_id.items():
         if target_id.startswith('permits-v2'):
             address = target.addresses['http']
@@ -191,7 +190,7 @@
 
 def restart(system: cluster.Cluster, host: str) -> None:
     """Starts a killed daemon again, with empty memory."""
-    system.start_daemon(host, host.rpartition('-')[0])
+    system.start_daemon(host, system.daemons_by_name[host].failure_domain)
     system.wait_for_daemons()
     say(f'restarted the daemon {host}')
 
@@ -229,9 +228,7 @@
         'versions_taken_back': ends.count('rolled_back'),
         'changes_applied': len(delays),
         'convergence_seconds_max': max(delays, default=0.0),
-        'control_bytes': sum(
-            d.get('control_bytes_sent', 0) for d in status['daemons']
-        ),
+        'store_calls': sum(d.get('store_calls', 0) for d in status['daemons']),
         'bad_version_share_max': round(bad_share(load.results, bad_since), 4),
     }
 
--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -29,7 +29,6 @@
     """A guard that is taken out.
 
     Attributes:
-        invariant: What the guard protects, I1 to I10 of docs/design.md.
         guard: What is removed, in words.
         module: File below `hemlockgrade/`.
         old: Its text.
@@ -37,7 +36,6 @@
         feature: Scenarios that have to notice.
     """
 
-    invariant: str
     guard: str
     module: str
     old: str
@@ -47,40 +45,49 @@
 
 MUTATIONS = (
     Mutation(
-        invariant='I1',
-        guard='a full copy of an older version is ignored',
-        module='configuration_task.py',
-        old='if snapshot.version <= self._configuration.version:',
-        new='if False:',
-        feature='distribution',
+        guard='a configuration is not replaced by an older one',
+        module='directory.py',
+        old='        if new.version <= before:\n            return False\n',
+        new='',
+        feature='mesh_decisions',
     ),
     Mutation(
-        invariant='I2',
-        guard='new shares wait for a target of each version',
-        module='routing.py',
-        old='if all(targets.values()):',
-        new='if True:',
-        feature='routing',
+        guard='an outcome of an earlier rollout does not count for a later one',
+        module='selectors.py',
+        old='share.order_revision != definition.revision',
+        new='False',
+        feature='configuration',
     ),
     Mutation(
-        invariant='I3',
-        guard='a change is checked whole again after a lost race',
-        module='changelog.py',
-        old='            configuration_module.validate(current, change, '
-        'self._clock())\n',
-        new='',
-        feature='changelog',
+        guard='a route of a host goes before those of selectors',
+        module='directory.py',
+        old='            if entry is not None:\n                return entry\n'
+        '        # Prefixes',
+        new='        # Prefixes',
+        feature='configuration',
     ),
     Mutation(
-        invariant='I4',
-        guard='a version judged bad is rolled back',
-        module='rollout.py',
-        old='if verdict.outcome is Outcome.BAD:',
+        guard='a late heartbeat does not undo a leave',
+        module='registrar.py',
+        old='if old.state is model.ServerState.GONE:',
         new='if False:',
-        feature='rollout',
+        feature='mesh_decisions',
+    ),
+    Mutation(
+        guard='a check does not undo a leave',
+        module='registrar.py',
+        old='if self.server != server or self.confirmed:',
+        new='if self.confirmed:',
+        feature='mesh_decisions',
+    ),
+    Mutation(
+        guard='an answer that names another request is dropped',
+        module='upstream.py',
+        old='not self._request_id or named in (None, self._request_id)',
+        new='True',
+        feature='request_path',
     ),
     Mutation(
-        invariant='I5',
         guard='a connection is closed after a failed exchange',
         module='upstream.py',
         old='            connection.abort()\n            raise',
@@ -88,101 +95,67 @@
         feature='request_path',
     ),
     Mutation(
-        invariant='I6',
         guard='an answer lost after a byte was sent is not called a refusal',
-        module='admission.py',
-        old='            return proxy.unknown(str(error))',
-        new="            return not_run('lost', str(error))",
+        module='gate.py',
+        old='            return exchange.unknown(str(error.args[0]))',
+        new='            return exchange.refused(exchange.Refusal.SHED)',
         feature='request_path',
     ),
     Mutation(
-        invariant='I7',
-        guard='a non-idempotent request is fenced before it is sent again',
+        guard='a request that may run once is entered before it is sent',
+        module='gate.py',
+        old='before_write=(lambda: self._enter(work)) if once else None',
+        new='before_write=None',
+        feature='request_path',
+    ),
+    Mutation(
+        guard='a request that may run once is fenced before it is sent again',
         module='proxy.py',
-        old='if result is not ledger.FenceResult.NEVER_SEEN:',
-        new='if False:',
+        old='return result is ledger.FenceResult.NEVER_SEEN',
+        new='return True',
         feature='request_path',
     ),
     Mutation(
-        invariant='I7',
-        guard='a non-idempotent request is not sent again when it may have run',
-        module='retries.py',
-        old='if not not_run and not attempts.idempotent:',
-        new='if False:',
-        feature='retries',
+        guard='headers of a server cannot forge an outcome',
+        module='gate.py',
+        old='response.headers = http_codec.without_internal(response.headers)',
+        new='pass',
+        feature='request_path',
     ),
     Mutation(
-        invariant='I8',
-        guard='a draining target takes no new work',
+        guard='a draining limiter takes no new work',
         module='limits.py',
         old="        if self.draining:\n            raise refusal('the target",
         new="        if False:\n            raise refusal('the target",
         feature='limits',
     ),
     Mutation(
-        invariant='I8',
-        guard='a proxy sends a draining target no new work',
-        module='routing.py',
-        old='if target.state <= SUSPECT',
-        new='if target.state <= 2',
-        feature='routing',
+        guard='a waiting request is refused once it cannot be served in time',
+        module='plugins/slot_limiter.py',
+        old='give_up_at = self._queue.latest_start(ticket)',
+        new='give_up_at = deadline',
+        feature='limits',
     ),
     Mutation(
-        invariant='I9',
         guard='a stop waits for the requests in flight',
         module='in_flight.py',
         old='        while self.count:',
         new='        while False:',
-        feature='request_path',
+        feature='mesh_processes',
     ),
     Mutation(
-        invariant='I10',
-        guard='a lost answer is read back',
-        module='changelog.py',
-        old='                if not error.outcome_known:\n',
-        new='                if False:\n',
-        feature='changelog',
+        guard='a lost answer of the store is read back',
+        module='definition_store.py',
+        old='        if current is not None and _same(current, new):',
+        new='        if False:',
+        feature='system_platform',
     ),
     Mutation(
-        invariant='I10',
-        guard='a writer checks that its number was not deleted before',
-        module='changelog.py',
-        old='return number > index.trimmed_to',
-        new='return True',
-        feature='changelog',
-    ),
-    Mutation(
-        invariant='I10',
-        guard='a silent parent is left',
-        module='control_stream.py',
-        old='            if left <= 0:\n                return self._end',
-        new='            if False:\n                return self._end',
-        feature='distribution',
-    ),
-    Mutation(
-        invariant='leases',
-        guard='a holder stops before its lease ends',
-        module='lease.py',
-        old='return started_at + term_s * (1 - MARGIN)',
-        new='return started_at + term_s * 3',
-        feature='lease',
-    ),
-    Mutation(
-        invariant='leases',
-        guard='a step of an older epoch has no effect',
-        module='configuration.py',
-        old='if change.epoch < configuration.epochs_by_lease.get('
-        "'rollout', 0):",
-        new='if False:',
-        feature='configuration',
-    ),
-    Mutation(
-        invariant='membership',
-        guard='one observer does not remove a target at once',
-        module='membership.py',
-        old='len(evidence.observer_ids) >= OBSERVERS_TO_REMOVE',
-        new='True',
-        feature='membership',
+        guard='failing servers give way to another failure domain',
+        module='plugins/zone_balancer.py',
+        old='and not self._is_failing(best)',
+        new='',
+        feature='mesh_decisions',
     ),
 )
 
@@ -190,9 +163,11 @@
 def main() -> int:
     """Runs all mutations and returns the exit code."""
     parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument('--only', default='', help='an invariant, as I7')
+    parser.add_argument(
+        '--only', default='', help='a part of the name of a guard'
+    )
     options = parser.parse_args()
-    chosen = [m for m in MUTATIONS if options.only in ('', m.invariant)]
+    chosen = [m for m in MUTATIONS if options.only in m.guard]
     with concurrent.futures.ThreadPoolExecutor(PARALLEL) as pool:
         noticed = list(pool.map(_run, chosen))
     print(f'{sum(noticed)} passed, {len(noticed) - sum(noticed)} failed')
@@ -212,7 +187,7 @@
         module.write_text(text.replace(mutation.old, mutation.new))
         failing = _failing_scenarios(copy, mutation.feature)
     print(
-        f'{mutation.invariant}: without "{mutation.guard}": '
+        f'without "{mutation.guard}": '
         + ('; '.join(failing) or 'NOTHING FAILS'),
         flush=True,
     )
