--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -148,6 +148,29 @@
     When the share of v2 is 0 thousandths and rolled_back
     Then of 50 choices a gets 50
 
+  Scenario Outline: A selector gives each version its part
+    Given a balancer of one zone with servers
+      | name | version | born | service_ms |
+      | a    | <has_a> | 100  | 10         |
+      | b    | <has_b> | 200  | 10         |
+    When a selector gives v1 90 and the new version v2 10 percent
+    Then of 100 choices of the selector v1 gets <v1>, v2 gets <v2> and <none> find no server
+
+    Examples: Traffic of a version without a server does not move to a new one.
+      | has_a | has_b | v1  | v2 | none |
+      | v1    | v2    | 90  | 10 | 0    |
+      | v1    | v1    | 100 | 0  | 0    |
+      | v2    | v2    | 0   | 10 | 90   |
+      | v3    | v3    | 0   | 0  | 100  |
+
+  Scenario: A selector uses only the targets of its label
+    Given a balancer of one zone with servers
+      | name | version | born | service_ms |
+      | a    | v1      | 100  | 10         |
+      | b    | v1      | 200  | 10         |
+    When a selector names the targets i-2
+    Then all 20 choices of that selector are b
+
   Scenario: A server that was never measured is tried
     Given a balancer of one zone with servers
       | name | version | born | service_ms |
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -303,6 +303,68 @@
     assert chosen.count(name) == count, chosen.count(name)
 
 
+def set_selector(context, pattern, *versions):
+    targets = model.Label(
+        name='t', kind=model.LabelKind.TARGET, members=(pattern,)
+    )
+    context.route = model.Route(
+        name='s/',
+        host='',
+        prefix='/',
+        idempotent=None,
+        attempts=3,
+        timeout_s=1.0,
+        target_latency_s=1.0,
+        priority=0,
+        shares=(model.ServiceShare(service='booking', weight=1.0),),
+        selector='s',
+        targets=targets,
+        versions=versions,
+    )
+
+
+@when('a selector gives v1 {old:d} and the new version v2 {new:d} percent')
+def selector_of_two(context, old, new):
+    set_selector(
+        context,
+        '*',
+        model.VersionPart(version='v1', weight=old / 100),
+        model.VersionPart(version='v2', weight=new / 100, settled=False),
+    )
+
+
+@when('a selector names the targets {pattern}')
+def selector_of_targets(context, pattern):
+    part = model.VersionPart(version='v1', weight=1.0)
+    set_selector(context, pattern, part)
+
+
+def choose_all(context, count):
+    chosen = [
+        context.balancer.choose('booking', (), 0, context.route)
+        for _ in range(count)
+    ]
+    return [c.member if c is not None else None for c in chosen]
+
+
+@then(
+    'of {count:d} choices of the selector v1 gets {v1:d}, v2 gets {v2:d} and '
+    '{none:d} find no server'
+)
+def selector_counts(context, count, v1, v2, none):
+    versions = [
+        m.server_facts.version if m else '-' for m in choose_all(context, count)
+    ]
+    found = [versions.count(each) for each in ('v1', 'v2', '-')]
+    assert found == [v1, v2, none], found
+
+
+@then('all {count:d} choices of that selector are {name:w}')
+def selector_members(context, count, name):
+    names = [m.name for m in choose_all(context, count)]
+    assert names == [name] * count, names
+
+
 @then('the next choice is {name}')
 def next_choice(context, name):
     assert context.balancer.choose('booking', ()).member.name == name
--- a/hemlockgrade/plugins/zone_balancer.py
+++ b/hemlockgrade/plugins/zone_balancer.py
@@ -174,24 +174,21 @@
     ) -> list[peers_module.Peer]:
         """Returns the labelled peers of the version whose turn it is.
 
-        A version without a server gives its turns to the others.
+        Turns of a settled version without a server go to another settled one;
+        they never go to a version that a rollout introduces.
         """
         labelled: dict[str, list[peers_module.Peer]] = {}
         for peer in peers:
             server = peer.member.server_facts
             if targets.matches(server.server_id):
                 labelled.setdefault(server.version, []).append(peer)
+        present = [p for p in route.versions if p.version in labelled]
+        parts = present if any(p.settled for p in present) else route.versions
         order = self._turns_by_selector.setdefault(
             route.selector, turns.Turns()
         )
-        version = order.next(
-            {
-                part.version: part.weight
-                for part in route.versions
-                if part.version in labelled
-            }
-        )
-        return [] if version is None else labelled[version]
+        version = order.next({part.version: part.weight for part in parts})
+        return [] if version is None else labelled.get(version, [])
 
     def _takes_new(self, service: str, permille: int) -> bool:
         credit = self._share_credit_by_service.get(service, 0.0)
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -38,6 +38,8 @@
 # Tells the caller of an answer of the daemon's own whether a server ran it.
 OUTCOME = b'x-hemlock-outcome'
 NOT_RUN = b'not-run'
+# Tells the caller of a selector's route which version answered.
+VERSION = b'x-hemlock-version'
 UNKNOWN = b'unknown'
 # When a refused caller may come back, in seconds: about the time in which a
 # queue at a server empties, and at most this part of the time it has left.
@@ -431,6 +433,8 @@
         failed = response.status >= gate_module.FIRST_SERVER_ERROR
         peer.report_result(failed=failed, now=self.clock())
         response.headers = http_codec.without_internal(response.headers)
+        if call.route.selector:
+            response.headers.append((VERSION, call.version.encode()))
         return Result(
             kind=Kind.ANSWER,
             reason=f'status {response.status}',
--- a/hemlockgrade/selectors.py
+++ b/hemlockgrade/selectors.py
@@ -107,8 +107,13 @@
             if proxies is None or targets is None:
                 continue
             if proxies.matches(proxy_id):
+                settled = self.settled_shares(selector.name)
                 versions = tuple(
-                    model.VersionPart(version=version, weight=weight)
+                    model.VersionPart(
+                        version=version,
+                        weight=weight,
+                        settled=bool(settled.get(version)),
+                    )
                     for version, weight in self.shares(selector.name).items()
                 )
                 routes += [
