Take nothing from the retry budget for refusals of daemons

Cause: since the decision on repetitions was joined in retries.py, trying another server after a daemon's refusal took from the retry budget, which is for requests that reach servers.

Change: a refusal by a daemon costs nothing, one by a server draws on the budget and the attempts. The rows of the scenario say both.

--- a/features/retries.feature
+++ b/features/retries.feature
@@ -1,6 +1,8 @@
 Feature: A request is sent again only when that is safe and affordable
 
   Scenario Outline: Decision by what is known of the failure
+    # Being refused by a daemon reaches no server and is no repetition; counted
+    # as one, it used up the budget under overload and requests were given up.
     When a <method> fails with <failure> and <earlier> earlier
     Then the retry decision is <decision>
 
@@ -21,11 +23,15 @@
       | get    | no_answer | nothing        | give_up_unknown  |
       | PURGE  | unknown   | nothing        | give_up_unknown  |
       | POST   | not_run   | no time        | give_up_not_run  |
-      | POST   | not_run   | no budget      | give_up_not_run  |
+      | POST   | not_run   | no budget      | retry_elsewhere  |
+      | POST   | shed      | nothing        | retry_elsewhere  |
+      | POST   | shed      | no budget      | give_up_not_run  |
+      | POST   | shed      | three attempts | give_up_not_run  |
       | POST   | not_run   | three attempts | give_up_not_run  |
       | POST   | not_run   | five refusals  | give_up_not_run  |
       | GET    | not_run   | a possible run | retry_elsewhere  |
-      | GET    | not_run   | a possible run and no budget | give_up_unknown |
+      | GET    | shed      | a possible run and no budget | give_up_unknown |
+      | GET    | not_run   | a possible run and no budget | retry_elsewhere |
       | GET    | no_answer | no time        | give_up_unknown  |
       | GET    | no_answer | no budget      | give_up_unknown  |
 
--- a/hemlockgrade/retries.py
+++ b/hemlockgrade/retries.py
@@ -20,6 +20,7 @@
     """How an attempt failed."""
 
     NOT_RUN = 'not_run'
+    SHED = 'shed'
     FAILED = 'failed'
     NO_ANSWER = 'no_answer'
     UNKNOWN = 'unknown'
@@ -91,11 +92,16 @@
 def decide(
     attempts: Attempts, failure: Failure, budget: RetryBudget, now: float
 ) -> RetryDecision:
-    """Decides on a failed attempt; takes from the budget for a retry."""
-    not_run = failure is Failure.NOT_RUN
+    """Decides on a failed attempt; takes from the budget for a retry.
+
+    A request that a daemon refused has reached no server, so trying another
+    one is no repetition and takes nothing from the budget.
+    """
+    not_run = failure in (Failure.NOT_RUN, Failure.SHED)
     if not not_run and not attempts.idempotent:
         return RetryDecision.GIVE_UP_UNKNOWN
-    if _may_try_again(attempts, now) and budget.take():
+    free = failure is Failure.NOT_RUN
+    if _may_try_again(attempts, now) and (free or budget.take()):
         return RetryDecision.RETRY_ELSEWHERE
     if not_run and not attempts.maybe_run:
         return RetryDecision.GIVE_UP_NOT_RUN
--- a/hemlockgrade/sender.py
+++ b/hemlockgrade/sender.py
@@ -211,8 +211,9 @@
 
 
 def _refused(refusal: exchange.Refusal, reason: str = '') -> call_module.Result:
+    shed = refusal is exchange.Refusal.SHED
     return call_module.Result(
         reason=reason or refusal.value,
-        failure=retries.Failure.NOT_RUN,
+        failure=retries.Failure.SHED if shed else retries.Failure.NOT_RUN,
         refusal=refusal,
     )
