Decide the kind of a definition once, keep settled peers between changes

Found by reading the change again: whether a definition is a label or a selector was decided in four places, the conflict of two operators was worded twice, the administration API asked the daemon for what the overview has although it asks the overview for rollouts, and the balancer worked out the settled version anew for each request, although only members change it.

Change: Definition.kind and Definitions.of_kind serve all of them; the API asks the overview; the balancer keeps the settled peers of a service until one of its members changes. Behaviour is meant unchanged, no test is touched.

Ruled out: one weighted turn for platform rollouts and selectors; the smooth turns give the new version its first request sooner.

--- a/hemlockgrade/admin.py
+++ b/hemlockgrade/admin.py
@@ -14,7 +14,6 @@
 from twisted.web import server
 
 from hemlockgrade import definition_store
-from hemlockgrade import directory as directory_module
 from hemlockgrade import exceptions
 from hemlockgrade import overview
 from hemlockgrade import serialization
@@ -31,24 +30,11 @@
 }
 
 
-class DaemonView(Protocol):
+class DaemonView(overview.View, Protocol):
     """What the administration API needs of the daemon."""
 
     time_line: timeline.Timeline
     definitions: definition_store.DefinitionStore
-    directory: directory_module.Directory
-
-    def status(self) -> dict[str, Any]:
-        """Describes this daemon."""
-
-    def render_metrics(self) -> tuple[bytes, dict[str, str]]:
-        """Returns the metrics page and its HTTP headers."""
-
-    def targets(self) -> list[dict[str, Any]]:
-        """Returns the targets that this daemon knows."""
-
-    def explain(self, path: str, host: str = '') -> dict[str, Any]:
-        """Tells how a request for a path would be served."""
 
 
 def make_resource(daemon: DaemonView, token: str) -> Any:
@@ -89,7 +75,7 @@
     @app.route('/metrics')
     def _metrics(self, request):
         self._authorize(request)
-        page, headers = self._daemon.render_metrics()
+        page, headers = overview.render_metrics(self._daemon)
         for name, value in headers.items():
             request.setHeader(name, value)
         return page
@@ -97,12 +83,13 @@
     @app.route('/v1/status')
     def _status(self, request):
         self._authorize(request)
-        return _json(request, self._daemon.status())
+        return _json(request, overview.status(self._daemon))
 
     @app.route('/v1/targets')
     def _targets(self, request):
         self._authorize(request)
-        return _json(request, {'targets': self._daemon.targets()})
+        listed = overview.targets(self._daemon.directory)
+        return _json(request, {'targets': listed})
 
     @app.route('/v1/explain')
     def _explain(self, request):
@@ -113,7 +100,8 @@
                 'path', 'is missing', remedy='add ?path=/...'
             )
         host = _argument(request, 'host') or ''
-        return _json(request, self._daemon.explain(path, host))
+        found = overview.explain(self._daemon.directory, host, path)
+        return _json(request, found)
 
     @app.route('/v1/events')
     def _events(self, request):
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -338,7 +338,7 @@
     async def _handle_metrics(
         self, request: http_codec.Request
     ) -> http_codec.Response:
-        body, headers = self.render_metrics()
+        body, headers = overview.render_metrics(self)
         return http_codec.Response(
             status=200,
             headers=[
@@ -348,22 +348,6 @@
             body=body,
         )
 
-    def render_metrics(self) -> tuple[bytes, dict[str, str]]:
-        """Returns the metrics page and its HTTP headers."""
-        return overview.render_metrics(self)
-
-    def status(self) -> dict[str, Any]:
-        """Describes this daemon."""
-        return overview.status(self)
-
-    def targets(self) -> list[dict[str, Any]]:
-        """Returns the targets that this daemon knows."""
-        return overview.targets(self.directory)
-
-    def explain(self, path: str, host: str = '') -> dict[str, Any]:
-        """Tells how a request would be served."""
-        return overview.explain(self.directory, host, path)
-
     def _entry(self) -> model.Member:
         settings = self.settings
         return model.Member(
--- a/hemlockgrade/definition_store.py
+++ b/hemlockgrade/definition_store.py
@@ -48,18 +48,21 @@
             exceptions.PlatformUnavailableError: The store did not answer.
         """
         listing = await self.store.list(object_codec.MESH_KIND)
-        labels: dict[str, model.Definition] = {}
-        chosen: dict[str, model.Definition] = {}
+        defined: dict[str, dict[str, model.Definition]] = {
+            'label': {},
+            'selector': {},
+        }
         shares: dict[str, model.VersionShare] = {}
         for item in listing.items:
             value = object_codec.decode_or_log(item)
             if isinstance(value, model.VersionShare):
                 shares[value.key] = value
             elif isinstance(value, model.Definition):
-                label = isinstance(value.value, model.Label)
-                (labels if label else chosen)[value.value.name] = value
+                defined[value.kind][value.value.name] = value
         definitions = selectors.Definitions(
-            label_by_name=labels, selector_by_name=chosen, share_by_key=shares
+            label_by_name=defined['label'],
+            selector_by_name=defined['selector'],
+            share_by_key=shares,
         )
         return definitions, listing.revision
 
@@ -113,7 +116,9 @@
                 return await attempt()
             except object_store.RevisionConflictError as error:
                 if based_on is not None or number == ATTEMPTS:
-                    raise _outdated(error.current) from error
+                    found = error.current
+                    version = 'a later one' if found is None else found.revision
+                    raise _outdated('the object', version) from error
             except exceptions.PlatformUnavailableError as error:
                 logger.info(
                     'event=change_not_stored attempt={} problem={!r}',
@@ -186,9 +191,7 @@
 
 def _current(known: selectors.Definitions, key: str) -> model.Definition | None:
     kind, _, name = key.partition('.')
-    if kind == 'label':
-        return known.label_by_name.get(name)
-    return known.selector_by_name.get(name)
+    return known.of_kind(kind).get(name)
 
 
 def _same(current: model.Definition, new: model.Definition) -> bool:
@@ -199,18 +202,11 @@
     """Refuses a change that was prepared on an older state of its object."""
     if based_on is None or current is None or current.revision <= based_on:
         return
-    raise exceptions.ConflictError(
-        f'{current.value.name} was changed by configuration version '
-        f'{current.revision}',
-        remedy='show the object again and repeat your change on it',
-    )
+    raise _outdated(current.value.name, current.revision)
 
 
-def _outdated(
-    current: object_store.StoredItem | None,
-) -> exceptions.ConflictError:
-    version = 'a later one' if current is None else current.revision
+def _outdated(name: str, version: int | str) -> exceptions.ConflictError:
     return exceptions.ConflictError(
-        f'the object was changed by configuration version {version}',
+        f'{name} was changed by configuration version {version}',
         remedy='show the object again and repeat your change on it',
     )
--- a/hemlockgrade/directory.py
+++ b/hemlockgrade/directory.py
@@ -161,7 +161,7 @@
 
     def apply_definition(self, new: model.Definition, source: str) -> bool:
         """Takes a label or selector, unless a newer revision is known."""
-        by_name = self._definitions_by_name(new)
+        by_name = self._values_by_prefix()[new.kind]
         if self._is_outdated(new, by_name.get(new.value.name)):
             return False
         by_name[new.value.name] = new
@@ -171,7 +171,7 @@
         logger.info(
             'event=definition_applied kind={} name={} revision={} author={} '
             'source={}',
-            _kind(new),
+            new.kind,
             new.value.name,
             new.revision,
             new.author,
@@ -182,13 +182,6 @@
             callback(new)
         return True
 
-    def _definitions_by_name(
-        self, definition: model.Definition
-    ) -> dict[str, model.Definition]:
-        if isinstance(definition.value, model.Label):
-            return self.label_by_name
-        return self.selector_by_name
-
     def _rebuild_table(self):
         routes = () if self.configuration is None else self.configuration.routes
         own = self.definitions.routes_for(self.name)
@@ -314,14 +307,11 @@
                 share.revision,
                 source,
             )
-            if share.key in self._selector_keys():
+            if share.key.startswith(selectors.ORDER_PREFIX):
                 self._rebuild_table()
             self.events.emit('rollout_changed', share=share)
         return True
 
-    def _selector_keys(self) -> set[str]:
-        return {selectors.ORDER_PREFIX + n for n in self.selector_by_name}
-
     def servers_of(self, service: str) -> list[model.Member]:
         """Returns the members whose servers of a service take requests."""
         return [
@@ -345,7 +335,3 @@
         members, key=lambda member: (member.server_facts.born_ms, member.name)
     )
     return oldest.server_facts.version
-
-
-def _kind(definition: model.Definition) -> str:
-    return 'label' if isinstance(definition.value, model.Label) else 'selector'
--- a/hemlockgrade/heartbeats.py
+++ b/hemlockgrade/heartbeats.py
@@ -137,13 +137,16 @@
 
     def _server_of(self, said: Announcement) -> model.Server:
         """Orders announcements, which carry no sequence of their own."""
-        old = self.registrar.server
-        same = (
-            old is not None
-            and old.server_id == said.target_id
-            and old.state is model.ServerState.READY
+        known = self.registrar.server
+        if (
+            known is not None
+            and known.server_id == said.target_id
+            and known.state is model.ServerState.READY
             and self._instance_id in ('', said.instance_id)
-        )
+        ):
+            sequence, born_ms = known.sequence + 1, known.born_ms
+        else:
+            sequence, born_ms = 1, int(time.time() * 1000)
         return model.Server(
             server_id=said.target_id,
             service=said.service,
@@ -152,10 +155,8 @@
             version=said.version,
             slots=said.slots,
             state=model.ServerState.READY,
-            sequence=old.sequence + 1 if old is not None and same else 1,
-            born_ms=old.born_ms
-            if old is not None and same
-            else int(time.time() * 1000),
+            sequence=sequence,
+            born_ms=born_ms,
         )
 
     async def _store_first(self, server_id: str):
--- a/hemlockgrade/model.py
+++ b/hemlockgrade/model.py
@@ -92,6 +92,11 @@
     new_version: str | None = None
     revision: int = 0
 
+    @property
+    def kind(self) -> str:
+        """Returns `label` or `selector`."""
+        return 'label' if isinstance(self.value, Label) else 'selector'
+
 
 @attrs.frozen(kw_only=True)
 class ServiceShare:
--- a/hemlockgrade/object_codec.py
+++ b/hemlockgrade/object_codec.py
@@ -45,8 +45,7 @@
         return MEMBER_PREFIX + value.name
     if isinstance(value, model.VersionShare):
         return SHARE_PREFIX + value.key
-    label = isinstance(value.value, model.Label)
-    return (LABEL_PREFIX if label else SELECTOR_PREFIX) + value.value.name
+    return f'{value.kind}.{value.value.name}'
 
 
 def encode(value: Value) -> dict[str, Any]:
--- a/hemlockgrade/plugins/zone_balancer.py
+++ b/hemlockgrade/plugins/zone_balancer.py
@@ -44,6 +44,9 @@
     _peers_by_service: dict[str, list[peers_module.Peer]] = attrs.field(
         factory=dict
     )
+    _settled_by_service: dict[str, list[peers_module.Peer]] = attrs.field(
+        factory=dict
+    )
     _share_credit_by_service: dict[str, float] = attrs.field(factory=dict)
     _turns_by_selector: dict[str, turns.Turns] = attrs.field(factory=dict)
 
@@ -148,12 +151,7 @@
             return self._of_selector(peers, route, route.targets)
         share = self.directory.share_by_key.get(service)
         if share is None:
-            settled = directory_module.settled_version(
-                [peer.member for peer in peers]
-            )
-            return [
-                p for p in peers if p.member.server_facts.version == settled
-            ]
+            return self._settled(service, peers)
         new = [
             p for p in peers if p.member.server_facts.version == share.version
         ]
@@ -168,6 +166,21 @@
             return old or new
         return new
 
+    def _settled(
+        self, service: str, peers: list[peers_module.Peer]
+    ) -> list[peers_module.Peer]:
+        """Returns the peers of the settled version, until a member changes."""
+        settled = self._settled_by_service.get(service)
+        if settled is None:
+            version = directory_module.settled_version(
+                [peer.member for peer in peers]
+            )
+            settled = [
+                p for p in peers if p.member.server_facts.version == version
+            ]
+            self._settled_by_service[service] = settled
+        return settled
+
     def _of_selector(
         self,
         peers: list[peers_module.Peer],
@@ -205,6 +218,7 @@
         peer = self._peer_by_name.get(name)
         if peer is not None and peer.member.server is not None:
             service = peer.member.server_facts.service
+            self._settled_by_service.pop(service, None)
             serving = self._peers_by_service.get(service, [])
             if peer in serving:
                 serving.remove(peer)
@@ -219,6 +233,7 @@
             peer.avoid_until = 0.0
         if member.serving:
             service = member.server_facts.service
+            self._settled_by_service.pop(service, None)
             self._peers_by_service.setdefault(service, []).append(peer)
 
 
--- a/hemlockgrade/selectors.py
+++ b/hemlockgrade/selectors.py
@@ -39,6 +39,10 @@
     selector_by_name: Mapping[str, model.Definition] = attrs.field(factory=dict)
     share_by_key: Mapping[str, model.VersionShare] = attrs.field(factory=dict)
 
+    def of_kind(self, kind: str) -> Mapping[str, model.Definition]:
+        """Returns all labels or all selectors, by their kind."""
+        return self.label_by_name if kind == 'label' else self.selector_by_name
+
     def label(self, name: str) -> model.Label | None:
         """Returns a label."""
         found = self.label_by_name.get(name)
@@ -228,12 +232,7 @@
         exceptions.InvalidChangeError: Holds an error for each reason.
     """
     errors = []
-    by_name = (
-        definitions.label_by_name
-        if kind == 'label'
-        else definitions.selector_by_name
-    )
-    if name not in by_name:
+    if name not in definitions.of_kind(kind):
         errors.append(_unknown('name', kind, name))
     elif kind == 'label':
         errors += [
