Log the steps of a shutdown and how late a request arrived

The log of the incident could not tell a request that the end of the process had cut from one whose connection had broken: both ended with 'no time left to connect', although the request had 1.0 s left. request_finished now has the time since SIGTERM at which the request arrived, a closed pool names the end of the process as the reason, and a stop logs when peers are refused and when the listener closes. Callers see no change.

--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -32,6 +32,7 @@
 from hemlockgrade import selectors
 from hemlockgrade import sender as sender_module
 from hemlockgrade import server_check
+from hemlockgrade import shutdown
 from hemlockgrade import state_sync
 from hemlockgrade import store_feed
 from hemlockgrade import timeline
@@ -95,6 +96,7 @@
             settings.store_address, self._build_pool()
         )
         self._in_flight = in_flight.InFlightCounter(self._clock)
+        self._shutdown = shutdown.Shutdown()
         self._build_server_side()
         self._build_caller_side()
         self._build_control()
@@ -176,6 +178,7 @@
             admission=self.admission,
             sender=sender,
             clock=self._clock,
+            shutdown=self._shutdown,
             retry_ratio=settings.retry_ratio,
             retry_slack=settings.retry_slack,
             on_finished=self._record_request,
@@ -215,6 +218,7 @@
         self._drain = drain_module.Drain(
             admission=self.admission,
             in_flight=self._in_flight,
+            shutdown=self._shutdown,
             clock=self._clock,
             is_configured=lambda: self.directory.configured,
             on_leaving=self._publisher.schedule_update,
--- a/hemlockgrade/drain.py
+++ b/hemlockgrade/drain.py
@@ -11,6 +11,7 @@
 from hemlockgrade import http_codec
 from hemlockgrade import http_server
 from hemlockgrade import in_flight as in_flight_module
+from hemlockgrade import shutdown as shutdown_module
 from hemlockgrade.platform import codec as platform_codec
 
 # The platform stops sending callers to a daemon after this many failed
@@ -41,6 +42,7 @@
         admission: Admission to the local server. It refuses requests of other
             daemons once the platform sends no more callers.
         in_flight: Counts the requests of callers and of other daemons.
+        shutdown: Records the time of the stop signal.
         clock: Returns the monotonic time in seconds.
         is_configured: Returns whether a configuration, a label or a selector
             was ever applied.
@@ -49,6 +51,7 @@
 
     admission: admission_module.AdmissionController
     in_flight: in_flight_module.InFlightCounter
+    shutdown: shutdown_module.Shutdown
     clock: Callable[[], float]
     is_configured: Callable[[], bool]
     on_leaving: Callable[[], None]
@@ -93,14 +96,16 @@
                 seconds.
         """
         now = self.clock()
+        self.shutdown.requested_at = now
         stop_listening_at = now + timeout_s * ACCEPTING_GRACE_FRACTION
         exit_at = now + timeout_s - EXIT_MARGIN_S
         await self._wait_for_removal(callers)
         await self._wait_for_last_request(stop_listening_at)
         await listener_stack.aclose()
         callers.close_idle()
+        self._log('caller_listener_closed')
         await self.in_flight.wait_until_idle(exit_at)
-        logger.info('event=daemon_drained in_flight={}', self.in_flight.count)
+        self._log('daemon_drained')
 
     async def _wait_for_removal(self, callers: http_server.HttpServerFactory):
         """Waits until the platform sends no more callers to this daemon.
@@ -114,7 +119,7 @@
         """
         self._stopping = True
         callers.drain()
-        logger.info('event=daemon_draining in_flight={}', self.in_flight.count)
+        self._log('daemon_draining')
         try:
             async with asyncio.timeout(MAX_REMOVAL_WAIT_S):
                 await self._removed.wait()
@@ -132,6 +137,7 @@
                 even if callers still send requests.
         """
         self.admission.leaving = True
+        self._log('peers_refused')
         self.on_leaving()
         previous_total = -1
         while (
@@ -146,3 +152,11 @@
                     max(0, stop_listening_at - self.clock()),
                 )
             )
+
+    def _log(self, event: str):
+        logger.info(
+            'event={} in_flight={} stopping_ms={}',
+            event,
+            self.in_flight.count,
+            self.shutdown.elapsed_ms(self.clock()),
+        )
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -19,6 +19,7 @@
 from hemlockgrade import peers
 from hemlockgrade import retries
 from hemlockgrade import sender as sender_module
+from hemlockgrade import shutdown as shutdown_module
 from hemlockgrade.platform import codec as platform_codec
 
 # Timeout of a request whose caller states none, in seconds.
@@ -53,6 +54,7 @@
         admission: Admission to the local server.
         sender: Sends the attempts.
         clock: Returns the monotonic time in seconds.
+        shutdown: Tells when this process was told to stop.
         retry_ratio: Largest allowed number of retries of a service, as a
             fraction of its first attempts.
         retry_slack: Number of retries of a service that are allowed beyond
@@ -67,6 +69,7 @@
     admission: admission_module.AdmissionController
     sender: sender_module.Sender
     clock: Callable[[], float]
+    shutdown: shutdown_module.Shutdown
     retry_ratio: float
     retry_slack: float
     on_finished: Callable[[dict[str, str], float], None]
@@ -245,7 +248,7 @@
         logger.info(
             'event=request_finished request={} route={} nested={} service={} '
             'status={} outcome={!r} tried={} sent={} refused={} took_ms={:.0f} '
-            'left_ms={:.0f} configuration={} table={}',
+            'left_ms={:.0f} stopping_ms={} configuration={} table={}',
             call.request_id,
             call.route.name,
             call.parent_priority is not None,
@@ -257,6 +260,7 @@
             call.refusals,
             (now - call.started) * 1000,
             (call.deadline - now) * 1000,
+            self.shutdown.elapsed_ms(call.started),
             self.directory.configuration_version,
             self.directory.table_revision,
         )
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -308,7 +308,12 @@
         connection = _Connection(self, address)
         loop = asyncio.get_running_loop()
         timeout_s = min(self.connect_timeout_s, deadline - loop.time())
-        if self._closed or timeout_s <= 0:
+        if self._closed:
+            raise exceptions.ConnectFailedError(
+                f'not connecting to {address} because this process is ending',
+                remedy='send the request again after the restart',
+            )
+        if timeout_s <= 0:
             raise exceptions.ConnectFailedError(
                 f'no time left to connect to {address}',
                 remedy='allow more time',
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -22,6 +22,7 @@
 from hemlockgrade import proxy
 from hemlockgrade import registrar
 from hemlockgrade import sender
+from hemlockgrade import shutdown
 from hemlockgrade import state_sync
 from hemlockgrade import upstream
 from hemlockgrade.platform import codec as platform_codec
@@ -216,6 +217,7 @@
                 sync=self._build_sync(),
             ),
             clock=time.monotonic,
+            shutdown=shutdown.Shutdown(),
             retry_ratio=1.0,
             retry_slack=1e6,
             on_finished=lambda *_: None,
