--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -88,6 +88,12 @@
     When the second daemon is stopped under load
     Then none of the requests that it has read failed
 
+  @known_red
+  Scenario: A request that arrives late in a shutdown is not given up
+    Given a mesh of 2 hosts
+    When the second daemon is stopped while callers send it requests of 2 seconds
+    Then each of these requests got its response or a refusal before it ran
+
   Scenario: A non-idempotent request runs once when its response is lost
     Given a mesh of 2 hosts
     When the servers run requests and send no responses
--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -4,6 +4,7 @@
 import json
 import pathlib
 import signal
+import socket
 import tempfile
 import threading
 import time
@@ -311,6 +312,75 @@
     assert 'event=log_lines_dropped' not in log
 
 
+@when(
+    'the second daemon is stopped while callers send it requests of {seconds:d} seconds'
+)
+def stop_daemon_under_slow_requests(context, seconds):
+    mesh = context.mesh
+    mesh.configure(
+        6, mesh_cluster.build_route('slow', '/slow/', timeout_ms=3000)
+    )
+    cluster.wait_until(
+        lambda: mesh.is_serving('h2', '/slow/x'), 'the route is in force'
+    )
+    for name in context.host_names:
+        mesh.set_server(name, work_ms=seconds * 1000)
+    address = mesh.daemon_by_name['h2'].addresses['caller']
+    stopped_at = time.monotonic() + 0.3
+    context.late_requests = []
+
+    def send_requests(first_at):
+        time.sleep(max(0, first_at - time.monotonic()))
+        while accepts_connections(address):
+            sent_at = time.monotonic()
+            status, _, headers, request_id = mesh.call(
+                'h2', '/slow/x', **{'X-Deadline-Ms': '3000'}
+            )
+            context.late_requests.append(
+                (round(sent_at - stopped_at, 2), status, headers, request_id)
+            )
+            if status == 503:
+                time.sleep(float(headers['Retry-After']))
+
+    threads = [
+        threading.Thread(target=send_requests, args=(stopped_at + offset,))
+        for offset in (-0.3, 0.2, 0.8)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(max(0, stopped_at - time.monotonic()))
+    context.exit_code = mesh.daemon_by_name['h2'].stop()
+    for thread in threads:
+        thread.join()
+
+
+def accepts_connections(address):
+    """Tells whether a connection to an address can be opened."""
+    host, port = address.split(':')
+    try:
+        socket.create_connection((host, int(port)), timeout=1).close()
+    except OSError:
+        return False
+    return True
+
+
+@then('each of these requests got its response or a refusal before it ran')
+def check_late_requests(context):
+    ran = {
+        request_id
+        for name in context.host_names
+        for request_id in context.mesh.executed_request_ids(name)
+    }
+    assert context.exit_code == 0
+    assert max(sent_s for sent_s, *_ in context.late_requests) > 3
+    wrong = [
+        (sent_s, status, request_id)
+        for sent_s, status, _, request_id in context.late_requests
+        if status != 200 and not (status == 503 and request_id not in ran)
+    ]
+    assert not wrong, wrong
+
+
 @when('the servers run requests and send no responses')
 def silence_servers(context):
     for name in context.host_names:
