Refuse requests of peers that may outlast a stopping daemon

A caller of another host got a 502 for a request that the daemon beside the server had accepted 2.5 s after SIGTERM and interrupted at 5.3 s: the daemon accepted every request of a peer until it took itself out, whatever time the request could take. It is the cause of the incident at the other end of the request path; here no caller has to be served by this very daemon, because a refused peer sends the request to another server at once. So from SIGTERM on a request of a peer is accepted only if its deadline is before the interruption.

--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -93,6 +93,12 @@
     When the second daemon is stopped while callers send it requests of 2 seconds
     Then each of these requests got its response or a refusal before it ran
 
+  Scenario: A request of a peer that arrives late in a shutdown is not given up
+    Given a mesh of 2 hosts
+    When the server of the first host drains
+    And the second daemon is stopped while callers of the first send requests of 2.8 seconds
+    Then each of these requests got its response or a refusal before it ran
+
   Scenario: A non-idempotent request runs once when its response is lost
     Given a mesh of 2 hosts
     When the servers run requests and send no responses
--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -313,15 +313,33 @@
 
 
 @when(
-    'the second daemon is stopped while callers send it requests of {seconds:d} seconds'
+    'the second daemon is stopped while callers send it requests of {seconds:g} seconds'
 )
 def stop_daemon_under_slow_requests(context, seconds):
+    stop_second_daemon_under_requests(context, 'h2', seconds)
+
+
+@when(
+    'the second daemon is stopped while callers of the first send requests of {seconds:g} seconds'
+)
+def stop_daemon_under_slow_peer_requests(context, seconds):
+    stop_second_daemon_under_requests(context, 'h1', seconds)
+
+
+def stop_second_daemon_under_requests(context, caller_host, seconds):
+    """Stops a daemon while three callers each send one request after another.
+
+    Args:
+        context: Context of the scenario.
+        caller_host: Host whose callers send the requests.
+        seconds: Time that each request takes at its server.
+    """
     mesh = context.mesh
     mesh.configure(
         6, mesh_cluster.build_route('slow', '/slow/', timeout_ms=3000)
     )
     cluster.wait_until(
-        lambda: mesh.is_serving('h2', '/slow/x'), 'the route is in force'
+        lambda: mesh.is_serving(caller_host, '/slow/x'), 'the route is in force'
     )
     for name in context.host_names:
         mesh.set_server(name, work_ms=seconds * 1000)
@@ -334,7 +352,7 @@
         while accepts_connections(address):
             sent_at = time.monotonic()
             status, _, headers, request_id = mesh.call(
-                'h2', '/slow/x', **{'X-Deadline-Ms': '3000'}
+                caller_host, '/slow/x', **{'X-Deadline-Ms': '3000'}
             )
             context.late_requests.append(
                 (round(sent_at - stopped_at, 2), status, headers, request_id)
--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -13,6 +13,7 @@
 from hemlockgrade import model
 from hemlockgrade import peer_protocol
 from hemlockgrade import registrar as registrar_module
+from hemlockgrade import shutdown as shutdown_module
 from hemlockgrade import upstream
 from hemlockgrade.platform import codec as platform_codec
 
@@ -82,6 +83,7 @@
         clock: Returns the monotonic time in seconds.
         ledger: Records the attempts of requests that are not idempotent, and
             the fenced attempts.
+        shutdown: Schedule of the shutdown of this process.
         create_limiter: Creates a limiter for a number of slots.
         requires_signature: True if a response without the signature of the
             server is not accepted as the response of the server.
@@ -94,6 +96,7 @@
     pool: upstream.ConnectionPool
     clock: Callable[[], float]
     ledger: ledger_module.AttemptLedger
+    shutdown: shutdown_module.Shutdown
     create_limiter: Callable[[int], limits.Limiter]
     requires_signature: bool = True
     leaving: bool = False
@@ -414,16 +417,19 @@
         return peer_protocol.refusal_response(
             peer_protocol.Refusal.OTHER_SERVER
         )
+    now = admission.clock()
+    deadline = now + left_s - RESPONSE_MARGIN_S
+    if not admission.shutdown.completes(deadline):
+        return peer_protocol.refusal_response(peer_protocol.Refusal.LEAVING)
     priority = http_codec.header(headers, peer_protocol.PRIORITY_HEADER) or '0'
     on_time_s = peer_protocol.decode_on_time_s(headers)
-    now = admission.clock()
     idempotent = http_codec.header(headers, peer_protocol.IDEMPOTENT_HEADER)
     return await admission.run(
         request.with_headers(http_codec.without_internal_headers(headers)),
         server_id=server_id,
         attempt_id=http_codec.header(headers, peer_protocol.ATTEMPT_HEADER)
         or '',
-        deadline=now + left_s - RESPONSE_MARGIN_S,
+        deadline=deadline,
         priority=int(priority) if priority.isdecimal() else 0,
         idempotent=idempotent is not None,
         route=http_codec.header(headers, peer_protocol.ROUTE_HEADER) or '',
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -124,6 +124,7 @@
             pool=self._server_pool,
             clock=self._clock,
             ledger=ledger.AttemptLedger(self.boot_id),
+            shutdown=self._shutdown,
             create_limiter=kernel.get_plugin('limiters', settings.limiter),
             requires_signature=settings.signed_answers,
             on_response=self._record_response,
--- a/hemlockgrade/shutdown.py
+++ b/hemlockgrade/shutdown.py
@@ -34,7 +34,19 @@
                 in seconds.
             now: Monotonic time in seconds.
         """
-        return now < self.open_until or deadline <= self.interrupts_at
+        return now < self.open_until or self.completes(deadline)
+
+    def completes(self, deadline: float) -> bool:
+        """Returns whether a request certainly ends before it is interrupted.
+
+        Peers that are refused send a request to another server at once, so
+        nothing else is accepted of them after the stop signal.
+
+        Args:
+            deadline: Monotonic time at which the request ends at the latest,
+                in seconds.
+        """
+        return deadline <= self.interrupts_at
 
     def elapsed_ms(self, now: float) -> str:
         """Returns the time since the stop signal for a log line.
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -282,6 +282,7 @@
             pool=self._build_pool(),
             clock=time.monotonic,
             ledger=ledger.AttemptLedger(f'boot-{name}'),
+            shutdown=shutdown.Shutdown(),
             create_limiter=slot_limiter.SlotLimiter,
             requires_signature=False,
             on_response=lambda response: self.recorded_successes.append(
