Write the last responses before a stopping daemon ends

A caller that reads slowly got 2.6 of 3 MB of a response and then the end of the connection: a request counted as finished when its response was handed to the connection, and the process ended while up to the whole response was still in its own buffer.

mesh_processes "A response that its caller reads late in a shutdown is complete" failed before (IncompleteRead: 2621356 bytes read, 378644 more expected; 1 of 1 run) and passes in 3 of 3.

--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -99,6 +99,11 @@
     And the second daemon is stopped while callers of the first send requests of 2.8 seconds
     Then each of these requests got its response or a refusal before it ran
 
+  Scenario: A response that its caller reads late in a shutdown is complete
+    Given a mesh of 1 hosts
+    When the first daemon is stopped while a caller waits 4 seconds to read a response of 3 MB
+    Then the caller gets the whole response
+
   Scenario: A non-idempotent request runs once when its response is lost
     Given a mesh of 2 hosts
     When the servers run requests and send no responses
--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -399,6 +399,41 @@
     assert not wrong, wrong
 
 
+@when(
+    'the first daemon is stopped while a caller waits {seconds:d} seconds to read a response of {megabytes:d} MB'
+)
+def stop_daemon_under_late_reader(context, seconds, megabytes):
+    mesh = context.mesh
+    mesh.set_server('h1', body_bytes=megabytes * 1_000_000)
+    daemon = mesh.daemon_by_name['h1']
+    host, port = daemon.addresses['caller'].split(':')
+    with socket.socket() as connection:
+        # A small window keeps most of the response in the daemon.
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16_384)
+        connection.settimeout(10)
+        connection.connect((host, int(port)))
+        connection.sendall(
+            b'GET /shop/x HTTP/1.1\r\nHost: %b\r\nX-Request-Id: 1a\r\n'
+            b'X-Deadline-Ms: 1000\r\n\r\n' % mesh_cluster.HOST_NAME.encode()
+        )
+        cluster.wait_until(
+            lambda: 'request_finished request=1a' in mesh.read_log('h1'),
+            'the daemon has the response',
+        )
+        daemon.signal(signal.SIGTERM)
+        time.sleep(seconds)
+        response = http.client.HTTPResponse(connection, method='GET')
+        response.begin()
+        context.response = response.status, len(response.read())
+    context.exit_code = daemon.popen.wait(10)
+
+
+@then('the caller gets the whole response')
+def check_whole_response(context):
+    assert context.response == (200, 3_000_000), context.response
+    assert context.exit_code == 0
+
+
 @when('the servers run requests and send no responses')
 def silence_servers(context):
     for name in context.host_names:
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -247,7 +247,9 @@
             caller_listener_stack = await stack.enter_async_context(
                 contextlib.AsyncExitStack()
             )
-            caller_factory = await self._listen(stack, caller_listener_stack)
+            caller_factory, peer_factory = await self._listen(
+                stack, caller_listener_stack
+            )
             task_group = await stack.enter_async_context(asyncio.TaskGroup())
             running_tasks = [
                 task_group.create_task(task)
@@ -276,6 +278,7 @@
             self.directory.events.emit('drain', daemon_id=daemon_id)
             await self._drain.run(
                 caller_factory,
+                peer_factory,
                 caller_listener_stack,
                 self.settings.drain_timeout_s,
             )
@@ -288,7 +291,12 @@
         self,
         stack: contextlib.AsyncExitStack,
         caller_listener_stack: contextlib.AsyncExitStack,
-    ) -> http_server.HttpServerFactory:
+    ) -> tuple[http_server.HttpServerFactory, http_server.HttpServerFactory]:
+        """Opens all listeners.
+
+        Returns:
+            The factories of the connections of callers and of peers.
+        """
         settings = self.settings
         caller_factory = http_server.HttpServerFactory(
             lambda request: self._in_flight.track(self._proxy.handle(request))
@@ -296,10 +304,11 @@
         self.directory.on_configuration.append(
             lambda: self._apply_caller_limits(caller_factory)
         )
+        peer_factory = http_server.HttpServerFactory(
+            self._peer_api.handle, allow_half_close=False
+        )
         factory_by_setting: dict[str, Any] = {
-            'admission_address': http_server.HttpServerFactory(
-                self._peer_api.handle, allow_half_close=False
-            ),
+            'admission_address': peer_factory,
             'local_address': http_server.HttpServerFactory(
                 self._heartbeats.handle
             ),
@@ -333,7 +342,7 @@
             settings.proxy_address,
             caller_factory,
         )
-        return caller_factory
+        return caller_factory, peer_factory
 
     def reload(self, new: daemon_settings.DaemonSettings) -> None:
         """Applies changed settings, of which only some have an effect.
--- a/hemlockgrade/drain.py
+++ b/hemlockgrade/drain.py
@@ -84,6 +84,7 @@
     async def run(
         self,
         callers: http_server.HttpServerFactory,
+        peers: http_server.HttpServerFactory,
         listener_stack: contextlib.AsyncExitStack,
         timeout_s: float,
     ) -> None:
@@ -95,6 +96,7 @@
 
         Args:
             callers: Factory of the connections of callers.
+            peers: Factory of the connections of other daemons.
             listener_stack: Exit stack that closes the listener for callers.
             timeout_s: Grace period: time until the process has to end, in
                 seconds.
@@ -113,6 +115,9 @@
         callers.close_idle()
         self._log('caller_listener_closed')
         await self.in_flight.wait_until_idle(self.shutdown.interrupts_at)
+        peers.close_idle()
+        for factory in (callers, peers):
+            await factory.wait_until_sent(self.shutdown.interrupts_at)
         self._log('daemon_drained')
 
     async def _wait_for_removal(self, callers: http_server.HttpServerFactory):
--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -24,6 +24,8 @@
 # connection that is closed with unread bytes is reset, and its last response is
 # lost.
 LINGER_S = 1.0
+# Time between two checks whether all responses are written, in seconds.
+SENT_CHECK_INTERVAL_S = 0.02
 
 
 class _Phase(enum.Enum):
@@ -110,6 +112,11 @@
         """Returns whether a request on this connection awaits its response."""
         return self._task is not None or self._stream is not None
 
+    @property
+    def has_unsent_data(self) -> bool:
+        """Returns whether the connection closes once its data is written."""
+        return self._closed and self._phase is not _Phase.LINGERING
+
     def connectionMade(self):  # noqa: N802
         """Registers the connection."""
         self._loop = asyncio.get_running_loop()
@@ -408,6 +415,18 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    async def wait_until_sent(self, deadline: float) -> None:
+        """Waits until closing connections have written their responses.
+
+        Args:
+            deadline: Time of the event loop at which the wait ends, in seconds.
+        """
+        loop = asyncio.get_running_loop()
+        while loop.time() < deadline and any(
+            connection.has_unsent_data for connection in self.connections
+        ):
+            await asyncio.sleep(SENT_CHECK_INTERVAL_S)
+
 
 def _error_response(
     error: exceptions.MalformedRequestError,
--- a/standins/mesh_server.py
+++ b/standins/mesh_server.py
@@ -7,9 +7,10 @@
 
 `POST /.control/set` changes these keys, and the following ones, while the
 server runs: `state`, `fail` (responds with status 500), `heartbeat_s`, `extra`
-(writes the response to an earlier request once more before each response) and
-`silent` (writes no response). `GET /.control/runs` returns the identifiers of
-the requests that the server ran.
+(writes the response to an earlier request once more before each response),
+`silent` (writes no response) and `body_bytes` (smallest size of a body).
+`GET /.control/runs` returns the identifiers of the requests that the server
+ran.
 """
 
 import asyncio
@@ -129,6 +130,7 @@
             self.transport.write(self.previous_response)
         caller_service = http_codec.header(request.headers, b'x-caller-service')
         body = f'{options["server_id"]} ran {request_id} for {caller_service}'
+        body = body.ljust(options.get('body_bytes', 0))
         status = 500 if options['fail'] else 200
         self.previous_response = self.send(
             status,
