Answer the last callers when a stopping daemon closes its listener

Callers that connected in the moment in which a stopping daemon closed its listener had their connection reset after they had sent the request: the kernel resets what waits in the queue of a listener, and connections just accepted were closed as idle before their request was read. The daemon now accepts all waiting connections right before the listener closes, and closes idle ones 0.1 s later. Connections that arrive in the microseconds between the last accept and the close are still reset by the kernel.

--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -104,6 +104,11 @@
     When the first daemon is stopped while a caller waits 4 seconds to read a response of 3 MB
     Then the caller gets the whole response
 
+  Scenario: A connection that waits when the listener closes is not reset
+    Given a mesh of 1 hosts
+    When 12 callers connect while the first daemon closes its listener
+    Then each of these callers gets a response
+
   Scenario: A non-idempotent request runs once when its response is lost
     Given a mesh of 2 hosts
     When the servers run requests and send no responses
--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -434,6 +434,46 @@
     assert context.exit_code == 0
 
 
+@when('{count:d} callers connect while the first daemon closes its listener')
+def connect_while_listener_closes(context, count):
+    daemon = context.mesh.daemon_by_name['h1']
+    host, port = daemon.addresses['caller'].split(':')
+    stopped_at = time.monotonic()
+    daemon.signal(signal.SIGTERM)
+    # Without readiness checks the listener closes 3.0 s after SIGTERM. The
+    # pause makes the daemon see the connections and that time at once.
+    time.sleep(stopped_at + 2.85 - time.monotonic())
+    daemon.signal(signal.SIGSTOP)
+    connections = []
+    for number in range(count):
+        connection = socket.create_connection((host, int(port)), timeout=5)
+        context.add_cleanup(connection.close)
+        connection.sendall(
+            b'GET /shop/x HTTP/1.1\r\nHost: %b\r\nX-Request-Id: %d\r\n'
+            b'X-Deadline-Ms: 1000\r\n\r\n'
+            % (mesh_cluster.HOST_NAME.encode(), number)
+        )
+        connections.append(connection)
+    time.sleep(stopped_at + 3.3 - time.monotonic())
+    daemon.signal(signal.SIGCONT)
+    context.statuses = [read_status(connection) for connection in connections]
+
+
+def read_status(connection):
+    """Returns the status of a response, or 0 if the connection was reset."""
+    response = http.client.HTTPResponse(connection, method='GET')
+    try:
+        response.begin()
+    except (OSError, http.client.HTTPException):
+        return 0
+    return response.status
+
+
+@then('each of these callers gets a response')
+def check_each_gets_response(context):
+    assert set(context.statuses) <= {200, 503}, context.statuses
+
+
 @when('the servers run requests and send no responses')
 def silence_servers(context):
     for name in context.host_names:
--- a/hemlockgrade/drain.py
+++ b/hemlockgrade/drain.py
@@ -32,6 +32,9 @@
 # A draining daemon stops listening for callers after this time without a
 # request, in seconds.
 NO_REQUEST_INTERVAL_S = 0.3
+# Idle connections of callers are closed this time after the listener, in
+# seconds, because the requests of the last ones may still be under way.
+LAST_REQUEST_WAIT_S = 0.1
 # Time at the end of the grace period that is kept for ending the process, in
 # seconds.
 EXIT_MARGIN_S = 0.7
@@ -112,8 +115,9 @@
             now + timeout_s * ACCEPTING_GRACE_FRACTION
         )
         await listener_stack.aclose()
-        callers.close_idle()
         self._log('caller_listener_closed')
+        await asyncio.sleep(LAST_REQUEST_WAIT_S)
+        callers.close_idle()
         await self.in_flight.wait_until_idle(self.shutdown.interrupts_at)
         peers.close_idle()
         for factory in (callers, peers):
--- a/hemlockgrade/listeners.py
+++ b/hemlockgrade/listeners.py
@@ -45,8 +45,19 @@
         ) from error
 
     async def close():
+        # The listener closes in the next iteration of the event loop, after
+        # this call.
+        reactor.callLater(0, _accept_waiting, listener)
         stopped = listener.stopListening()
         if stopped is not None:
             await stopped.asFuture(asyncio.get_running_loop())
 
     stack.push_async_callback(close)
+
+
+def _accept_waiting(listener: Any) -> None:
+    """Accepts all connections that would be reset when the listener closes."""
+    accepted = -1
+    while listener.sessionno != accepted:
+        accepted = listener.sessionno
+        listener.doRead()
