Answer the requests that wait for a slot when the process ends

A caller whose request still waited for a slot of the local server at the end of a shutdown got the end of its connection and no response: the interruption failed the connections to servers and peers, but nothing ended the wait in the queue, and the process exited under it. The drain now interrupts explicitly: waiting requests are refused with 503, the pools are closed, which ends the running ones with 502, and the process has up to 0.2 s to write these responses before it goes on to its end. Until now the 502 also depended on the few iterations of the event loop between the closing of the pools and the stop of the reactor.

--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -104,6 +104,11 @@
     When the first daemon is stopped while a caller waits 4 seconds to read a response of 3 MB
     Then the caller gets the whole response
 
+  Scenario: A request that is interrupted at the end of a shutdown gets a response
+    Given a mesh of 1 hosts
+    When the first daemon is stopped while 6 requests of 7 seconds run or wait for its server
+    Then the requests that ran get 502 and the others 503
+
   Scenario: A connection that waits when the listener closes is not reset
     Given a mesh of 1 hosts
     When 12 callers connect while the first daemon closes its listener
--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -474,6 +474,60 @@
     assert set(context.statuses) <= {200, 503}, context.statuses
 
 
+@when(
+    'the first daemon is stopped while {count:d} requests of {seconds:d} seconds run or wait for its server'
+)
+def stop_daemon_under_longer_requests(context, count, seconds):
+    mesh = context.mesh
+    mesh.configure(
+        6,
+        mesh_cluster.build_route(
+            'slow', '/slow/', kind='non_idempotent', timeout_ms=9000
+        ),
+    )
+    cluster.wait_until(
+        lambda: mesh.is_serving('h1', '/slow/x'), 'the route is in force'
+    )
+    mesh.set_server('h1', work_ms=seconds * 1000)
+    context.results = []
+
+    def send(number):
+        status, _, _ = mesh_cluster.send_request(
+            mesh.daemon_by_name['h1'].addresses['caller'],
+            'POST',
+            '/slow/x',
+            headers={
+                'Host': mesh_cluster.HOST_NAME,
+                'X-Request-Id': f'slow-{number}',
+                'X-Deadline-Ms': '9000',
+            },
+            timeout_s=10,
+        )
+        context.results.append((status, f'slow-{number}'))
+
+    threads = [
+        threading.Thread(target=send, args=(number,)) for number in range(count)
+    ]
+    for thread in threads:
+        thread.start()
+    time.sleep(0.3)
+    context.exit_code = mesh.daemon_by_name['h1'].stop()
+    for thread in threads:
+        thread.join()
+
+
+@then('the requests that ran get 502 and the others 503')
+def check_interrupted_requests(context):
+    ran = set(context.mesh.executed_request_ids('h1'))
+    expected = [
+        (502 if request_id in ran else 503, request_id)
+        for _, request_id in context.results
+    ]
+    assert context.results == expected, context.results
+    assert {status for status, _ in expected} == {502, 503}
+    assert context.exit_code == 0
+
+
 @when('the servers run requests and send no responses')
 def silence_servers(context):
     for name in context.host_names:
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -223,6 +223,7 @@
             clock=self._clock,
             is_configured=lambda: self.directory.configured,
             on_leaving=self._publisher.schedule_update,
+            on_interrupt=self._interrupt_requests,
         )
 
     async def run(
@@ -410,6 +411,12 @@
             self.registrar.restore_server(stored.server)
             self._server_check.trigger()
 
+    def _interrupt_requests(self):
+        """Ends the requests that wait for a slot or for a response."""
+        self.admission.refuse_waiting()
+        for pool in (self._server_pool, self._peer_pool):
+            pool.close()
+
     def _record_response(self, response: admission_module.ResponseRecord):
         self._evidence.record(response)
         self.metrics.server_seconds.observe({}, response.latency_s)
--- a/hemlockgrade/drain.py
+++ b/hemlockgrade/drain.py
@@ -38,6 +38,9 @@
 # Time at the end of the grace period that is kept for ending the process, in
 # seconds.
 EXIT_MARGIN_S = 0.7
+# Part of that time in which interrupted requests get their responses, in
+# seconds.
+LAST_RESPONSES_S = 0.2
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -53,6 +56,8 @@
         is_configured: Returns whether a configuration, a label or a selector
             was ever applied.
         on_leaving: Called when requests of other daemons begin to be refused.
+        on_interrupt: Called when requests that still run have to end, so that
+            they get their final responses.
     """
 
     admission: admission_module.AdmissionController
@@ -61,6 +66,7 @@
     clock: Callable[[], float]
     is_configured: Callable[[], bool]
     on_leaving: Callable[[], None]
+    on_interrupt: Callable[[], None]
     _stopping: bool = False
     _failed_checks: int = 0
     _removed: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -118,10 +124,7 @@
         self._log('caller_listener_closed')
         await asyncio.sleep(LAST_REQUEST_WAIT_S)
         callers.close_idle()
-        await self.in_flight.wait_until_idle(self.shutdown.interrupts_at)
-        peers.close_idle()
-        for factory in (callers, peers):
-            await factory.wait_until_sent(self.shutdown.interrupts_at)
+        await self._finish_requests(callers, peers)
         self._log('daemon_drained')
 
     async def _wait_for_removal(self, callers: http_server.HttpServerFactory):
@@ -173,6 +176,29 @@
                 )
             )
 
+    async def _finish_requests(
+        self,
+        callers: http_server.HttpServerFactory,
+        peers: http_server.HttpServerFactory,
+    ) -> None:
+        """Waits for the last requests and until their responses are written.
+
+        Requests that take too long are interrupted, but get a response, too.
+
+        Args:
+            callers: Factory of the connections of callers.
+            peers: Factory of the connections of other daemons.
+        """
+        interrupts_at = self.shutdown.interrupts_at
+        ends_at = interrupts_at + LAST_RESPONSES_S
+        if not await self.in_flight.wait_until_idle(interrupts_at):
+            self._log('requests_interrupted')
+            self.on_interrupt()
+            await self.in_flight.wait_until_idle(ends_at)
+        peers.close_idle()
+        for factory in (callers, peers):
+            await factory.wait_until_sent(ends_at)
+
     def _log(self, event: str):
         logger.info(
             'event={} in_flight={} stopping_ms={}',
