Wait for requests that are still being read when a daemon stops

A caller that was sending a body when the daemon stopped had its connection closed at 3.1 s of 6 s; if a slow reader of another response delayed the end, such a request was even accepted, sent to a server and given up with 502 at 3.8 s. The end of the process waited first for the requests in flight and then for unsent data, and looked at neither again. The last step now closes each connection of a caller when it is idle and its data is written, and goes on until none is left or the time of the interruption comes; a request that completes in this time is accepted or refused like any other.

--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -114,6 +114,16 @@
     When 12 callers connect while the first daemon closes its listener
     Then each of these callers gets a response
 
+  Scenario: A request that arrives while a slow reader delays the end is not given up
+    Given a mesh of 2 hosts
+    When the first daemon is stopped while a caller reads late and another one sends a body slowly
+    Then the request with that body gets its response or a refusal before it ran
+
+  Scenario: A request whose body is under way when a daemon stops gets an answer
+    Given a mesh of 1 hosts
+    When the first daemon is stopped while a caller needs 2.5 seconds to send a body
+    Then the request with that body gets its response or a refusal before it ran
+
   Scenario: A non-idempotent request runs once when its response is lost
     Given a mesh of 2 hosts
     When the servers run requests and send no responses
--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -425,12 +425,13 @@
         response = http.client.HTTPResponse(connection, method='GET')
         response.begin()
         context.response = response.status, len(response.read())
+        context.expected_response = 200, megabytes * 1_000_000
     context.exit_code = daemon.popen.wait(10)
 
 
 @then('the caller gets the whole response')
 def check_whole_response(context):
-    assert context.response == (200, 3_000_000), context.response
+    assert context.response == context.expected_response, context.response
     assert context.exit_code == 0
 
 
@@ -442,7 +443,7 @@
     daemon.signal(signal.SIGTERM)
     # Without readiness checks the listener closes 3.0 s after SIGTERM. The
     # pause makes the daemon see the connections and that time at once.
-    time.sleep(stopped_at + 2.85 - time.monotonic())
+    sleep_until(stopped_at + 2.85)
     daemon.signal(signal.SIGSTOP)
     connections = []
     for number in range(count):
@@ -454,7 +455,7 @@
             % (mesh_cluster.HOST_NAME.encode(), number)
         )
         connections.append(connection)
-    time.sleep(stopped_at + 3.3 - time.monotonic())
+    sleep_until(stopped_at + 3.3)
     daemon.signal(signal.SIGCONT)
     context.statuses = [read_status(connection) for connection in connections]
 
@@ -528,6 +529,237 @@
     assert context.exit_code == 0
 
 
+def prepare_slow_route(context, timeout_ms):
+    """Adds the route /slow/ and waits until the first host serves it."""
+    context.mesh.configure(
+        6,
+        SHOP_ROUTE,
+        mesh_cluster.build_route('slow', '/slow/', timeout_ms=timeout_ms),
+    )
+    cluster.wait_until(
+        lambda: context.mesh.is_serving('h1', '/slow/x'),
+        'the route is in force',
+    )
+
+
+def connect_to_first_daemon(context, *, receive_buffer=None):
+    """Opens a connection to the caller address of the first daemon."""
+    connection = socket.socket()
+    context.add_cleanup(connection.close)
+    if receive_buffer is not None:
+        connection.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer
+        )
+    connection.settimeout(15)
+    host, port = (
+        context.mesh.daemon_by_name['h1'].addresses['caller'].split(':')
+    )
+    connection.connect((host, int(port)))
+    return connection
+
+
+def encode_request(
+    request_id, deadline_ms, method='GET', body_length=0, path='/slow/x'
+):
+    """Returns the head of a request."""
+    return (
+        f'{method} {path} HTTP/1.1\r\nHost: {mesh_cluster.HOST_NAME}\r\n'
+        f'X-Request-Id: {request_id}\r\nX-Deadline-Ms: {deadline_ms}\r\n'
+        f'Content-Length: {body_length}\r\n\r\n'
+    ).encode()
+
+
+def sleep_until(moment):
+    """Sleeps until a monotonic time, unless it has passed."""
+    time.sleep(max(0, moment - time.monotonic()))
+
+
+@when(
+    'the first daemon is stopped while a caller reads late and another one sends a body slowly'
+)
+def stop_daemon_under_late_reader_and_upload(context):
+    prepare_slow_route(context, 3000)
+    for name in context.host_names:
+        context.mesh.set_server(name, body_bytes=3_000_000)
+    reader = connect_to_first_daemon(context, receive_buffer=16_384)
+    reader.sendall(encode_request('b0', 1000))
+    cluster.wait_until(
+        lambda: 'request_finished request=b0' in context.mesh.read_log('h1'),
+        'the daemon has the response',
+    )
+    for name in context.host_names:
+        context.mesh.set_server(name, body_bytes=0, work_ms=1300)
+    stop_daemon_under_upload(context, 2.5, reader)
+
+
+@when(
+    'the first daemon is stopped while a caller needs {seconds:g} seconds to send a body'
+)
+def stop_daemon_under_upload_only(context, seconds):
+    prepare_slow_route(context, 3000)
+    stop_daemon_under_upload(context, seconds, None)
+
+
+def stop_daemon_under_upload(context, seconds, late_reader):
+    """Stops the first daemon and sends it a body from 1 s after SIGTERM on.
+
+    Args:
+        context: Context of the scenario.
+        seconds: Time that the caller needs to send the body.
+        late_reader: Connection with an unread response, which is read while
+            a server runs the request; None if there is none.
+    """
+    daemon = context.mesh.daemon_by_name['h1']
+    daemon.signal(signal.SIGTERM)
+    begin_at = time.monotonic() + 1.0
+    sleep_until(begin_at)
+    connection = connect_to_first_daemon(context)
+    context.status = 0
+    try:
+        connection.sendall(encode_request('b1', 1500, 'POST', 100))
+        for number in range(10):
+            sleep_until(begin_at + seconds * (number + 1) / 10)
+            connection.sendall(b'x' * 10)
+    except OSError:
+        daemon.popen.wait(10)
+        return
+
+    def read_late():
+        cluster.wait_until(
+            lambda: any(
+                'b1' in context.mesh.executed_request_ids(name)
+                for name in context.host_names
+            ),
+            'a server runs the request',
+        )
+        while late_reader.recv(1 << 20):
+            pass
+
+    thread = threading.Thread(target=read_late if late_reader else int)
+    thread.start()
+    context.status = read_status(connection)
+    thread.join()
+    daemon.popen.wait(10)
+
+
+@then('the request with that body gets its response or a refusal before it ran')
+def check_upload(context):
+    ran = any(
+        'b1' in context.mesh.executed_request_ids(name)
+        for name in context.host_names
+    )
+    assert context.status == 200 or (context.status == 503 and not ran), (
+        context.status,
+        ran,
+    )
+
+
+@when(
+    'the first daemon is stopped while a connection has {count:d} pipelined requests'
+)
+def stop_daemon_under_pipelined_requests(context, count):
+    prepare_slow_route(context, 3000)
+    context.mesh.set_server('h1', work_ms=500)
+    connection = connect_to_first_daemon(context)
+    connection.sendall(
+        b''.join(encode_request(f'c{n}', 3000) for n in range(count))
+    )
+    time.sleep(0.2)
+    context.mesh.daemon_by_name['h1'].signal(signal.SIGTERM)
+    data = b''
+    while piece := connection.recv(65536):
+        data += piece
+    context.answers = data.count(b'HTTP/1.1 ')
+
+
+@then('all {count:d} of them get an answer')
+def check_all_pipelined_answered(context, count):
+    assert context.answers == count, context.answers
+
+
+@when(
+    'the first daemon has a grace period of {grace_s:d} seconds and is stopped beside a request of {seconds:g} seconds'
+)
+def stop_daemon_with_short_grace(context, grace_s, seconds):
+    mesh = context.mesh
+    prepare_slow_route(context, 3000)
+    mesh.set_server('h1', work_ms=seconds * 1000)
+    daemon = mesh.daemon_by_name['h1']
+    mesh.write_settings('h1', 'a', daemon.addresses, drain_timeout_s=grace_s)
+    daemon.signal(signal.SIGHUP)
+    cluster.wait_until(
+        lambda: 'event=settings_reloaded changed=True' in mesh.read_log('h1'),
+        'the grace period is in force',
+    )
+    connection = connect_to_first_daemon(context)
+    daemon.signal(signal.SIGTERM)
+    connection.sendall(encode_request('d1', 3000))
+    context.status = read_status(connection)
+
+
+@then('that request gets its response')
+@then('that call is served')
+def check_status_is_success(context):
+    assert context.status == 200, context.status
+
+
+@when(
+    'the server calls another service {seconds:g} seconds after SIGTERM for a running request'
+)
+def call_for_running_request(context, seconds):
+    mesh = context.mesh
+    prepare_slow_route(context, 5000)
+    mesh.set_server('h1', work_ms=4500)
+    stopped_at = time.monotonic()
+    mesh.daemon_by_name['h1'].signal(signal.SIGTERM)
+    parent = connect_to_first_daemon(context)
+    parent.sendall(encode_request('e1', 5000))
+    time.sleep(0.3)
+    mesh.set_server('h1', work_ms=5)
+    sleep_until(stopped_at + seconds)
+    context.status = mesh.call(
+        'h1', '/slow/x', **{'X-Request-Id': 'e1.1', 'X-Deadline-Ms': '2000'}
+    )[0]
+
+
+@when(
+    'the first daemon is restarted and gets SIGHUP {seconds:g} seconds after its start'
+)
+def reload_while_starting(context, seconds):
+    context.mesh.daemon_by_name['h1'].kill()
+    context.mesh.start_mesh_daemon('h1', 'a')
+    time.sleep(seconds)
+    context.mesh.daemon_by_name['h1'].signal(signal.SIGHUP)
+
+
+@then('the daemon serves and has not ended')
+def check_daemon_runs(context):
+    daemon = context.mesh.daemon_by_name['h1']
+    cluster.wait_until(
+        lambda: (
+            daemon.popen.poll() is not None or context.mesh.is_serving('h1')
+        ),
+        'the daemon serves or has ended',
+    )
+    assert daemon.popen.poll() is None, daemon.popen.poll()
+
+
+@when(
+    'an object with an unknown name is created and deleted beside a request of {seconds:g} seconds'
+)
+def change_unknown_object(context, seconds):
+    mesh = context.mesh
+    prepare_slow_route(context, 5000)
+    mesh.set_server('h1', work_ms=seconds * 1000)
+    connection = connect_to_first_daemon(context)
+    connection.sendall(encode_request('f1', 5000))
+    body = {'Metadata': {'Name': 'foreign.x'}, 'Spec': {}}
+    assert mesh.call_store('POST', 'mesh', body)
+    time.sleep(0.7)
+    assert mesh.call_store('DELETE', 'mesh/foreign.x')
+    context.status = read_status(connection)
+
+
 @when('the servers run requests and send no responses')
 def silence_servers(context):
     for name in context.host_names:
--- a/hemlockgrade/drain.py
+++ b/hemlockgrade/drain.py
@@ -123,7 +123,6 @@
         await listener_stack.aclose()
         self._log('caller_listener_closed')
         await asyncio.sleep(LAST_REQUEST_WAIT_S)
-        callers.close_idle()
         await self._finish_requests(callers, peers)
         self._log('daemon_drained')
 
@@ -191,13 +190,13 @@
         """
         interrupts_at = self.shutdown.interrupts_at
         ends_at = interrupts_at + LAST_RESPONSES_S
+        await callers.close(interrupts_at)
         if not await self.in_flight.wait_until_idle(interrupts_at):
             self._log('requests_interrupted')
             self.on_interrupt()
             await self.in_flight.wait_until_idle(ends_at)
-        peers.close_idle()
-        for factory in (callers, peers):
-            await factory.wait_until_sent(ends_at)
+            await callers.close(ends_at)
+        await peers.close(ends_at)
 
     def _log(self, event: str):
         logger.info(
--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -24,8 +24,8 @@
 # connection that is closed with unread bytes is reset, and its last response is
 # lost.
 LINGER_S = 1.0
-# Time between two checks whether all responses are written, in seconds.
-SENT_CHECK_INTERVAL_S = 0.02
+# Time between two checks whether all connections are closed, in seconds.
+CLOSE_CHECK_INTERVAL_S = 0.02
 
 
 class _Phase(enum.Enum):
@@ -113,9 +113,9 @@
         return self._task is not None or self._stream is not None
 
     @property
-    def has_unsent_data(self) -> bool:
-        """Returns whether the connection closes once its data is written."""
-        return self._closed and self._phase is not _Phase.LINGERING
+    def finished(self) -> bool:
+        """Returns whether the last response has been written."""
+        return self._phase is _Phase.LINGERING
 
     def connectionMade(self):  # noqa: N802
         """Registers the connection."""
@@ -415,17 +415,25 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
-    async def wait_until_sent(self, deadline: float) -> None:
-        """Waits until closing connections have written their responses.
+    async def close(self, deadline: float) -> bool:
+        """Closes each connection once it is idle and its data is written.
+
+        A request that is still being read keeps its connection open, too.
 
         Args:
             deadline: Time of the event loop at which the wait ends, in seconds.
+
+        Returns:
+            False if requests or responses are still under way at the deadline.
         """
         loop = asyncio.get_running_loop()
-        while loop.time() < deadline and any(
-            connection.has_unsent_data for connection in self.connections
-        ):
-            await asyncio.sleep(SENT_CHECK_INTERVAL_S)
+        while True:
+            self.close_idle()
+            if all(connection.finished for connection in self.connections):
+                return True
+            if loop.time() >= deadline:
+                return False
+            await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
 
 
 def _error_response(
