Answer pipelined requests that a stopping daemon has read

A caller that had sent three requests on one connection got one response and the end of the connection: a stopping daemon closed each connection after its next response and dropped the requests behind it, although it had read them. It now closes the connection after the last request that it has read.

--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -124,6 +124,11 @@
     When the first daemon is stopped while a caller needs 2.5 seconds to send a body
     Then the request with that body gets its response or a refusal before it ran
 
+  Scenario: A stopping daemon answers pipelined requests that it has read
+    Given a mesh of 1 hosts
+    When the first daemon is stopped while a connection has 3 pipelined requests
+    Then all 3 of them get an answer
+
   Scenario: A non-idempotent request runs once when its response is lost
     Given a mesh of 2 hosts
     When the servers run requests and send no responses
--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -249,8 +249,10 @@
             if response.stream is not None:
                 response.stream.abort()
             return
-        is_last = self._input_ended and not self._pending
-        close = is_last or self._factory.draining or not request.keep_alive
+        is_last = (
+            self._input_ended or self._factory.draining
+        ) and not self._pending
+        close = is_last or not request.keep_alive
         self._write_response(response, request, close=close)
 
     def _write_response(
