Use short grace periods up to their last eighth

With a grace period of 2 s a stopping daemon gave up at 1.3 s what still ran: the 0.7 s that it kept for its own end did not shrink with the grace period. It is an eighth of the grace period now, and 0.7 s at most; the users' platform, with 6 s, sees no change.

--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -129,6 +129,11 @@
     When the first daemon is stopped while a connection has 3 pipelined requests
     Then all 3 of them get an answer
 
+  Scenario: A short grace period is used up to its last sixth
+    Given a mesh of 1 hosts
+    When the first daemon has a grace period of 2 seconds and is stopped beside a request of 1.6 seconds
+    Then that request gets its response
+
   Scenario: A non-idempotent request runs once when its response is lost
     Given a mesh of 2 hosts
     When the servers run requests and send no responses
--- a/hemlockgrade/drain.py
+++ b/hemlockgrade/drain.py
@@ -38,6 +38,8 @@
 # Time at the end of the grace period that is kept for ending the process, in
 # seconds.
 EXIT_MARGIN_S = 0.7
+# Longest such time as a fraction of the grace period, for short grace periods.
+MAX_EXIT_MARGIN_GRACE_FRACTION = 0.125
 # Part of that time in which interrupted requests get their responses, in
 # seconds.
 LAST_RESPONSES_S = 0.2
@@ -115,7 +117,11 @@
         self.shutdown.open_until = now + min(
             MAX_REMOVAL_WAIT_S, timeout_s * MAX_REMOVAL_WAIT_GRACE_FRACTION
         )
-        self.shutdown.interrupts_at = now + timeout_s - EXIT_MARGIN_S
+        self.shutdown.interrupts_at = (
+            now
+            + timeout_s
+            - min(EXIT_MARGIN_S, timeout_s * MAX_EXIT_MARGIN_GRACE_FRACTION)
+        )
         await self._wait_for_removal(callers)
         await self._wait_for_last_request(
             now + timeout_s * ACCEPTING_GRACE_FRACTION
