Ignore numbers of a peer that are not finite

A peer's header with inf or nan raised an error that nothing caught; in the task that compares versions it would have ended the process and every request in it. Such a header is malformed now, like one that is no number.

mesh_decisions "A peer's header with a number that is not finite is ignored" failed with inf and nan before (OverflowError, ValueError) and passes.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -288,3 +288,12 @@
       | left | states      |
       | 5.0  | done        |
       | 0.2  | done        |
+
+  Scenario Outline: A peer's header with a number that is not finite is ignored
+    When a peer sends the versions "<number>,1" and the load "1,<number>"
+    Then neither header is used
+
+    Examples:
+      | number |
+      | inf    |
+      | nan    |
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -19,6 +19,7 @@
 from hemlockgrade import logs
 from hemlockgrade import model
 from hemlockgrade import object_store
+from hemlockgrade import peer_protocol
 from hemlockgrade import registrar
 from hemlockgrade import rollout_task
 from hemlockgrade import watcher
@@ -681,3 +682,17 @@
     assert context.store.written_states == states.split(), (
         context.store.written_states
     )
+
+
+@when('a peer sends the versions "{versions}" and the load "{load}"')
+def send_peer_headers(context, versions, load):
+    context.headers = [
+        (peer_protocol.VERSIONS_HEADER, versions.encode()),
+        (peer_protocol.LOAD_HEADER, load.encode()),
+    ]
+
+
+@then('neither header is used')
+def check_peer_headers_ignored(context):
+    assert peer_protocol.decode_versions(context.headers) is None
+    assert peer_protocol.decode_load(context.headers) is None
--- a/hemlockgrade/peer_protocol.py
+++ b/hemlockgrade/peer_protocol.py
@@ -1,6 +1,7 @@
 """Protocol between daemons: headers, paths and outcomes of requests."""
 
 import enum
+import math
 
 import attrs
 
@@ -226,4 +227,6 @@
         values = [float(part) for part in text.split(',')]
     except ValueError:
         return None
-    return values if len(values) == count else None
+    if len(values) != count or not all(map(math.isfinite, values)):
+        return None
+    return values
