Keep running when an unknown object is deleted from the store

An object that another program created in the store under an unknown name and deleted again ended every daemon that watched it: Directory.remove raised KeyError, which ended the task group and with it the process, without a shutdown. Two daemons exited with 1 and the requests that they ran were given up. A deletion of an unknown object is logged and ignored now, and an error while one object is handled no longer ends the watch: it is logged with its trace, and the next object is handled.

--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -134,6 +134,11 @@
     When the first daemon has a grace period of 2 seconds and is stopped beside a request of 1.6 seconds
     Then that request gets its response
 
+  Scenario: An unknown object of the store ends no daemon
+    Given a mesh of 1 hosts
+    When an object with an unknown name is created and deleted beside a request of 2.5 seconds
+    Then that request gets its response
+
   Scenario: A non-idempotent request runs once when its response is lost
     Given a mesh of 2 hosts
     When the servers run requests and send no responses
--- a/hemlockgrade/directory.py
+++ b/hemlockgrade/directory.py
@@ -280,7 +280,14 @@
             revision: Revision of its deletion.
         """
         prefix, _, name = key.partition('.')
-        current: Any = self._objects_by_prefix()[prefix].get(name)
+        by_name = self._objects_by_prefix().get(prefix)
+        if by_name is None:
+            # Another program may write objects of this kind, too.
+            logger.info(
+                'event=object_ignored name={} revision={}', key, revision
+            )
+            return
+        current: Any = by_name.get(name)
         self.table_revision = max(self.table_revision, revision)
         if revision > self.deletion_revision_by_key.get(key, 0):
             self.deletion_revision_by_key.pop(key, None)
@@ -291,7 +298,7 @@
                 ]
         if current is None or current.revision > revision:
             return
-        del self._objects_by_prefix()[prefix][name]
+        del by_name[name]
         logger.info('event=object_removed name={} revision={}', key, revision)
         if prefix in ('label', 'selector'):
             self._rebuild_route_table()
--- a/hemlockgrade/watcher.py
+++ b/hemlockgrade/watcher.py
@@ -83,7 +83,7 @@
         """
         listing = await self.store.list(self.kind)
         for item in listing.items:
-            self.on_item(item)
+            self._handle(self.on_item, item)
         if self.on_listed is not None:
             self.on_listed(listing)
         return listing.revision
@@ -94,16 +94,36 @@
             self._revision = await self.refresh()
         changes = await self.store.watch(self.kind, self._revision, self.wait_s)
         for change in changes.changes:
-            if change.deleted:
-                self.on_deleted(change.item)
-            else:
-                self.on_item(change.item)
+            self._handle(
+                self.on_deleted if change.deleted else self.on_item, change.item
+            )
         self._revision = max(self._revision, changes.revision)
         if changes.changes and self.batch_delay_s:
             await asyncio.sleep(
                 self.batch_delay_s * (0.5 + self.random.random())
             )
 
+    def _handle(
+        self,
+        callback: Callable[[object_store.StoredItem], None],
+        item: object_store.StoredItem,
+    ):
+        """Handles an object; one that cannot be handled does not end the watch.
+
+        Args:
+            callback: Handles the object.
+            item: The object.
+        """
+        try:
+            callback(item)
+        except Exception:
+            logger.exception(
+                'event=object_not_handled kind={} name={} revision={}',
+                self.kind,
+                item.name,
+                item.revision,
+            )
+
     def _set_connected(self, connected: bool, problem: str):
         if connected == self.connected:
             return
