--- a/hemlockgrade/drain.py
+++ b/hemlockgrade/drain.py
@@ -101,9 +101,9 @@
     ) -> None:
         """Drains the daemon, so that the process can end.
 
-        A request is interrupted only if it is still running `EXIT_MARGIN_S`
-        before the end of the grace period. That happens only to requests that
-        arrived before callers could know of the shutdown.
+        A request is interrupted only if it is still running shortly before the
+        end of the grace period. That happens only to requests that arrived
+        before callers could know of the shutdown.
 
         Args:
             callers: Factory of the connections of callers.
@@ -135,9 +135,10 @@
     async def _wait_for_removal(self, callers: http_server.HttpServerFactory):
         """Waits until the platform sends no more callers to this daemon.
 
-        Requests of callers and of other daemons are still admitted during the
-        wait: the local server keeps running, and the mesh loses its capacity
-        for as long as its daemon refuses requests or is stopped.
+        Requests of callers, and those of other daemons that end in time, are
+        still admitted during the wait: the local server keeps running, and the
+        mesh loses its capacity for as long as its daemon refuses requests or is
+        stopped.
 
         Args:
             callers: Factory of the connections of callers.
