Test servers that send bytes without end

The stand-in of a server sends 24 kinds of them, at full speed or slowly, and the request path is checked for the final answer in time, the end of the connection, the slot, the other requests and the growth of the resident memory.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -154,3 +154,44 @@
   Scenario: A target process completes its request and deregisters when it ends
     When a target process gets SIGTERM while it runs a request
     Then it announced itself, completed the request and deregistered
+
+  Scenario Outline: Bytes without end from a server affect only their request
+    # Guards against daemons that read on until the server stops: in their
+    # memory, in the time of the event loop, and past the deadline.
+    When a server sends <bytes> without end, at <pace>
+    Then the caller gets <result> in time
+    And the connection to the server is closed <closed>
+    And the slot is free and the other requests get their own responses
+    And the memory of the daemon stays bounded
+
+    Examples: A deadline ends what is well-formed so far.
+      | bytes                               | pace           | result               | closed          |
+      | status line                         | full speed     | an unknown outcome   | at once         |
+      | header name                         | full speed     | an unknown outcome   | at once         |
+      | header line                         | full speed     | an unknown outcome   | at once         |
+      | header lines                        | full speed     | an unknown outcome   | at once         |
+      | interim responses                   | full speed     | an unknown outcome   | at once         |
+      | responses to another request        | full speed     | an unknown outcome   | at once         |
+      | garbage                             | full speed     | an unknown outcome   | at once         |
+      | responses after the response        | full speed     | the response         | at once         |
+      | body without length                 | full speed     | a truncated response | by the deadline |
+      | body with a length                  | full speed     | a truncated response | by the deadline |
+      | chunks                              | full speed     | a truncated response | by the deadline |
+      | body without signature              | full speed     | an unknown outcome   | at once         |
+      | header line                         | byte by byte   | an unknown outcome   | by the deadline |
+      | interim responses                   | byte by byte   | an unknown outcome   | by the deadline |
+      | garbage                             | byte by byte   | an unknown outcome   | at once         |
+      | body without length                 | byte by byte   | an unknown outcome   | by the deadline |
+      | chunks                              | byte by byte   | an unknown outcome   | by the deadline |
+      | trailer line                        | byte by byte   | an unknown outcome   | by the deadline |
+
+  Scenario Outline: Bytes without end are not read for a caller that does not read
+    When a server sends <bytes> without end to a caller that does not read
+    Then the bytes that the caller does not read stay at the server
+    And the connection to the server is closed by the deadline
+    And the slot is free and the other requests get their own responses
+    And the memory of the daemon stays bounded
+
+    Examples:
+      | bytes               |
+      | body without length |
--- /dev/null
+++ b/features/steps/endless_response_steps.py
@@ -0,0 +1,285 @@
+"""Steps for servers that send bytes without end."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import os
+import pathlib
+import sys
+import time
+import urllib.parse
+
+import attrs
+from behave import then
+from behave import when
+
+from hemlockgrade import http_codec
+from standins import cluster
+from standins import loopback
+
+DEADLINE_S = 1.0
+# Longest time from the deadline of a request to its final answer.
+ANSWER_MARGIN_S = 0.5
+# Longest time from the first malformed byte to the end of the connection, at
+# full speed: less than the time left until the deadline.
+CLOSE_AT_ONCE_S = 0.5
+# A daemon may use 200 MB of memory on the smallest host, whose server has 18
+# slots. Half of the memory is left for the responses of as many requests.
+MAX_GROWTH_BYTES = 100_000_000 // 18
+# Socket buffers on the way from the server to the caller, as in the scenario of
+# a large response whose caller reads late.
+MAX_UNREAD_BYTES = 30_000_000
+OTHER_REQUEST_INTERVAL_S = 0.02
+_PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
+_request_numbers = itertools.count(1)
+
+
+def resident_bytes(pid='self'):
+    """Returns the size of the resident memory of a process."""
+    text = pathlib.Path(f'/proc/{pid}/statm').read_text()
+    return int(text.split()[1]) * _PAGE_BYTES
+
+
+@attrs.define(kw_only=True)
+class Answer:
+    """What a caller gets for a request.
+
+    Attributes:
+        request_id: Identifier of the request.
+        took_s: Time from the request to the end of the answer, in seconds.
+        status: Status of the response; 0 without one.
+        headers: Headers of the response.
+        body: The first 1000 bytes of the body.
+        is_complete: True if the response ended as its headers state.
+    """
+
+    request_id: str
+    took_s: float = 0.0
+    status: int = 0
+    headers: http_codec.Headers = attrs.field(factory=list)
+    body: bytes = b''
+    is_complete: bool = False
+
+
+async def send(address, target, *, deadline_s=DEADLINE_S, delay_s=0.0):
+    """Sends a POST request and reads its response, however long it is.
+
+    Args:
+        address: `host:port` of the daemon.
+        target: Path and query.
+        deadline_s: Time that the caller allows, in seconds.
+        delay_s: Time for which the caller reads nothing, in seconds.
+    """
+    answer = Answer(request_id=f'e{next(_request_numbers):015x}')
+    host, port = address.split(':')
+    started = time.monotonic()
+    reader, writer = await asyncio.open_connection(host, int(port), limit=2**16)
+    writer.write(
+        f'POST {target} HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n'
+        f'x-request-id: {answer.request_id}\r\n'
+        f'x-deadline-ms: {int(deadline_s * 1000)}\r\n\r\n'.encode()
+    )
+    try:
+        if delay_s:
+            reader._transport.pause_reading()
+            await asyncio.sleep(delay_s)
+            reader._transport.resume_reading()
+        await _read_answer(reader, answer)
+    except (asyncio.IncompleteReadError, ConnectionError):
+        answer.is_complete = False
+    finally:
+        writer.close()
+    answer.took_s = time.monotonic() - started
+    return answer
+
+
+async def _read_answer(reader, answer):
+    head = (await reader.readuntil(b'\r\n\r\n')).split(b'\r\n')
+    answer.status = int(head[0].split()[1])
+    answer.headers = [tuple(h.split(b': ', 1)) for h in head[1:] if h]
+    fields = dict(answer.headers)
+    if b'content-length' in fields:
+        await _read_body(reader, answer, int(fields[b'content-length']))
+    elif fields.get(b'transfer-encoding') == b'chunked':
+        while size := int(await reader.readuntil(b'\r\n'), 16):
+            await _read_body(reader, answer, size)
+            await reader.readexactly(2)
+        await reader.readexactly(2)
+    else:
+        while await reader.read(2**16):
+            pass
+    answer.is_complete = True
+
+
+async def _read_body(reader, answer, size):
+    while size:
+        data = await reader.read(min(size, 2**16))
+        if not data:
+            raise asyncio.IncompleteReadError(b'', size)
+        size -= len(data)
+        answer.body += data[: 1000 - len(answer.body)]
+
+
+async def read_json(address, path):
+    """Returns the decoded body of a response of a server."""
+    host, port = address.split(':')
+    streams = await asyncio.open_connection(host, int(port), limit=2**22)
+    caller = loopback.Caller(*streams)
+    caller.send('GET', path)
+    response = await caller.read()
+    caller.close()
+    return json.loads(response.body)
+
+
+@contextlib.asynccontextmanager
+async def run_server(system):
+    """Runs a server process in the place of the target; returns its address."""
+    server = system.hosts[0].registrar.server
+    address = cluster.free_address()
+    options = {
+        'server_id': server.server_id,
+        'service': 'booking',
+        'version': 'v1',
+        'zone': 'a',
+        'slots': system.slots,
+        'address': address,
+        'control': cluster.free_address(),
+    }
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, '-m', 'standins.mesh_server', json.dumps(options)),
+        cwd=cluster.ROOT,
+        stdout=asyncio.subprocess.PIPE,
+    )
+    try:
+        await process.stdout.readline()
+        system.hosts[0].registrar.server = attrs.evolve(server, address=address)
+        system.hosts[0].admission.requires_signature = True
+        yield address
+    finally:
+        process.kill()
+        await process.wait()
+
+
+async def send_others(address, answers):
+    """Sends short requests until it is cancelled."""
+    while True:
+        answers.append(await send(address, '/other', deadline_s=0.5))
+        await asyncio.sleep(OTHER_REQUEST_INTERVAL_S)
+
+
+async def sample_memory(samples):
+    """Samples the resident memory of this process until it is cancelled."""
+    while True:
+        samples.append(resident_bytes())
+        await asyncio.sleep(0.01)
+
+
+@contextlib.asynccontextmanager
+async def running(*coroutines):
+    """Runs coroutines in the background."""
+    tasks = [asyncio.ensure_future(each) for each in coroutines]
+    try:
+        yield
+    finally:
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+async def record_endless_response(context, target, delay_s=0.0):
+    """Sends a request that gets an endless response, beside other requests."""
+    context.others, samples = [], []
+    async with (
+        loopback.LoopbackSystem(timeout_ms=5000) as system,
+        run_server(system) as server_address,
+    ):
+        # The first requests open connections and import modules.
+        for _ in range(3):
+            await send(system.address, '/first')
+        before = resident_bytes()
+        async with running(
+            send_others(system.address, context.others), sample_memory(samples)
+        ):
+            context.answer = await send(system.address, target, delay_s=delay_s)
+            await asyncio.sleep(0.1)
+        context.growth_bytes = max(samples) - before
+        context.load = system.hosts[0].limiter_load()
+        context.later = [await send(system.address, '/later') for _ in range(5)]
+        context.endless = await read_json(server_address, '/.control/endless')
+
+
+@when('a server sends {name} without end, at {pace}')
+def send_endless(context, name, pace):
+    query = {'endless': name, 'pace': pace.split()[0]}
+    target = f'/a?{urllib.parse.urlencode(query)}'
+    loopback.run(record_endless_response(context, target))
+
+
+@when('a server sends {name} without end to a caller that does not read')
+def send_endless_unread(context, name):
+    target = f'/a?{urllib.parse.urlencode({"endless": name})}'
+    loopback.run(
+        record_endless_response(context, target, DEADLINE_S + ANSWER_MARGIN_S)
+    )
+
+
+@then('the caller gets {result} in time')
+def check_answer(context, result):
+    answer = context.answer
+    assert answer.took_s < DEADLINE_S + ANSWER_MARGIN_S, answer.took_s
+    fields = dict(answer.headers)
+    if result == 'a truncated response':
+        assert not answer.is_complete, answer
+        assert answer.status in (0, 200), answer
+        return
+    assert answer.is_complete, answer
+    if result == 'the response':
+        assert (answer.status, answer.body[:5]) == (200, b'hello'), answer
+        stamp = f's.{answer.request_id}'.encode()
+        assert fields[b'x-server-stamp'] == stamp, answer
+        return
+    if result == 'the large response':
+        assert answer.status == 200, answer
+        return
+    expected_statuses, outcome = {
+        'an unknown outcome': ((502, 504), b'unknown'),
+        'a refusal': ((503,), b'not-run'),
+    }[result]
+    assert answer.status in expected_statuses, answer
+    assert fields[b'x-hemlock-outcome'] == outcome, answer
+
+
+@then('the connection to the server is closed {when}')
+def check_connection_closed(context, when):
+    assert context.endless, 'the server sent no endless response'
+    limit_s = {
+        'at once': CLOSE_AT_ONCE_S,
+        'by the deadline': DEADLINE_S + ANSWER_MARGIN_S,
+    }[when]
+    for each in context.endless:
+        assert each['closed'] is not None, 'the connection is still open'
+        open_s = each['closed'] - each['started']
+        assert open_s < limit_s, (open_s, each['sent_bytes'])
+
+
+@then('the slot is free and the other requests get their own responses')
+def check_others(context):
+    # One of the other requests may still run.
+    assert context.load[0] <= 1 and not context.load[1], context.load
+    assert len(context.others) > 2, len(context.others)
+    for answer in (*context.others, *context.later):
+        expected = f'ran {answer.request_id} for '.encode()
+        assert answer.status == 200 and answer.is_complete, answer
+        assert expected in answer.body, answer
+
+
+@then('the memory of the daemon stays bounded')
+def check_memory(context):
+    assert context.growth_bytes < MAX_GROWTH_BYTES, context.growth_bytes
+
+
+@then('the bytes that the caller does not read stay at the server')
+def check_unread(context):
+    sent_bytes = sum(each['sent_bytes'] for each in context.endless)
+    assert sent_bytes < MAX_UNREAD_BYTES, sent_bytes
--- /dev/null
+++ b/standins/endless.py
@@ -0,0 +1,121 @@
+"""Responses that never end, for the stand-in of a server.
+
+A server sends `start` once and then `repeated` until the connection is closed.
+In both, `@id` stands for the identifier of the request.
+"""
+
+import asyncio
+import itertools
+import time
+
+import attrs
+
+# Number of bytes that are written at once at full speed.
+BLOCK_BYTES = 64 * 1024
+# Delay between two pieces below full speed, in seconds.
+PIECE_DELAY_S = 0.005
+
+_HEAD = b'HTTP/1.1 200 X\r\nx-request-id: @id\r\nx-server-stamp: s.@id\r\n'
+_CHUNKED = _HEAD + b'transfer-encoding: chunked\r\n\r\n'
+_WHOLE = _HEAD + b'content-length: 5\r\n\r\nhello'
+_LARGE_CHUNK = b'186a0\r\n%b\r\n' % (b'x' * 100_000)
+_LENGTH = b'content-length: 1000000000000\r\n\r\n'
+
+# Start and repeated bytes, by name.
+BYTES_BY_NAME = {
+    'status line': (b'HTTP/1.1 200 X', b'X'),
+    'header name': (_HEAD, b'x'),
+    'header line': (_HEAD + b'x-fill: ', b'x'),
+    'header lines': (_HEAD, b'x-fill: x\r\n'),
+    'interim responses': (b'', b'HTTP/1.1 100 Continue\r\n\r\n'),
+    'responses to another request': (
+        b'',
+        b'HTTP/1.1 200 X\r\nx-request-id: another\r\n'
+        b'x-server-stamp: s.another\r\ncontent-length: 0\r\n\r\n',
+    ),
+    'empty lines': (b'', b'\r\n'),
+    'garbage': (b'', b'\x00\xff nonsense'),
+    'bytes after the body': (_WHOLE, b'x'),
+    'responses after the response': (_WHOLE, _WHOLE),
+    'bytes after a large body': (_CHUNKED + _LARGE_CHUNK + b'0\r\n\r\n', b'x'),
+    'body without length': (_HEAD + b'\r\n', b'x'),
+    'body with a length': (_HEAD + _LENGTH, b'x'),
+    'chunks': (_CHUNKED, b'400\r\n%b\r\n' % (b'x' * 1024)),
+    'small chunks': (_CHUNKED, b'2\r\nxx\r\n'),
+    'chunk size': (_CHUNKED, b'0'),
+    'chunk extension': (_CHUNKED + b'5;', b'x'),
+    'chunk extension after a large chunk': (
+        _CHUNKED + _LARGE_CHUNK + b'5;',
+        b'x',
+    ),
+    'trailer line': (_CHUNKED + b'5\r\nhello\r\n0\r\nx-fill: ', b'x'),
+    'trailer line after a large chunk': (
+        _CHUNKED + _LARGE_CHUNK + b'0\r\nx-fill: ',
+        b'x',
+    ),
+    'trailer lines': (_CHUNKED + b'5\r\nhello\r\n0\r\n', b'x-fill: x\r\n'),
+    'body of a refusal': (
+        b'HTTP/1.1 503 X\r\nx-request-id: @id\r\nx-not-executed: 1\r\n'
+        + _LENGTH,
+        b'x',
+    ),
+    'body of another server': (
+        b'HTTP/1.1 421 X\r\nx-request-id: @id\r\n' + _LENGTH,
+        b'x',
+    ),
+    'body without signature': (b'HTTP/1.1 200 X\r\n' + _LENGTH, b'x'),
+}
+
+
+@attrs.define(kw_only=True)
+class EndlessResponse:
+    """An endless response on one connection.
+
+    Attributes:
+        name: Key of `BYTES_BY_NAME`.
+        request_id: Identifier of the request.
+        pace: `byte` for a byte at a time, `piece` for the repeated bytes once
+            at a time, or `full` for full speed.
+        started: Monotonic time of the first byte.
+        sent_bytes: Number of bytes written.
+        closed: Monotonic time at which the connection was closed; None before.
+    """
+
+    name: str
+    request_id: str
+    pace: str = 'full'
+    started: float = attrs.field(factory=time.monotonic)
+    sent_bytes: int = 0
+    closed: float | None = None
+
+    async def send(self, transport, drained: asyncio.Event) -> None:
+        """Sends the response until the task is cancelled.
+
+        Args:
+            transport: Connection to write to.
+            drained: Set while the transport accepts more data.
+        """
+        start, repeated = (
+            part.replace(b'@id', self.request_id.encode())
+            for part in BYTES_BY_NAME[self.name]
+        )
+        piece_bytes = 1 if self.pace == 'byte' else len(repeated)
+        pieces = itertools.cycle(
+            repeated[i : i + piece_bytes]
+            for i in range(0, len(repeated), piece_bytes)
+        )
+        if self.pace == 'full':
+            block = repeated * (BLOCK_BYTES // len(repeated) + 1)
+            pieces = itertools.repeat(block)
+        # Start and first piece are written at once, so that they usually arrive
+        # together.
+        data = start + next(pieces)
+        try:
+            while True:
+                await drained.wait()
+                transport.write(data)
+                self.sent_bytes += len(data)
+                data = next(pieces)
+                await asyncio.sleep(0 if self.pace == 'full' else PIECE_DELAY_S)
+        finally:
+            self.closed = time.monotonic()
--- a/standins/mesh_server.py
+++ b/standins/mesh_server.py
@@ -10,15 +10,24 @@
 (writes the response to an earlier request once more before each response) and
 `silent` (writes no response). `GET /.control/runs` returns the identifiers of
 the requests that the server ran.
+
+A request with `?endless=NAME` in its query gets the endless response of that
+name in `standins.endless`, at the pace of `&pace=`. The health check gets the
+one that the option `health_endless` names. `GET /.control/endless` returns
+these responses.
 """
 
 import asyncio
 import json
 import sys
 import time
+import urllib.parse
 import urllib.request
 
+import attrs
+
 from hemlockgrade import http_codec
+from standins import endless
 from standins import http_connection
 
 
@@ -31,6 +40,7 @@
         sequence: Number of the last heartbeat.
         runs: Identifiers of the requests that were run.
         running: Number of requests that run now.
+        endless_responses: Endless responses in the order of their start.
     """
 
     def __init__(self, options):
@@ -45,6 +55,7 @@
         self.sequence = 0
         self.runs = []
         self.running = 0
+        self.endless_responses = []
 
     def send_heartbeat(self):
         """Sends a heartbeat.
@@ -84,12 +95,25 @@
         super().__init__()
         self.server = server
         self.previous_response = b''
+        self.drained = asyncio.Event()
+        self.drained.set()
+
+    def pause_writing(self):
+        """Makes an endless response wait for the reader."""
+        self.drained.clear()
+
+    def resume_writing(self):
+        """Continues an endless response."""
+        self.drained.set()
 
     async def handle(self, request):
         """Handles a control request, a health check or a request to run."""
         if request.path.startswith('/.control/'):
             self.handle_control(request)
             return
+        health_endless = self.server.options.get('health_endless')
+        if request.path == '/health' and health_endless:
+            await self.send_endless(health_endless, 'health')
         if request.path == '/health':
             ready = self.server.options['state'] == 'ready'
             headers = [('x-instance-id', self.server.options['server_id'])]
@@ -102,8 +126,20 @@
         server = self.server
         if request.path == '/.control/set':
             server.options.update(json.loads(request.body))
+        if request.path == '/.control/endless':
+            responses = [attrs.asdict(r) for r in server.endless_responses]
+            self.send(200, json.dumps(responses).encode())
+            return
         self.send(200, json.dumps(server.runs).encode())
 
+    async def send_endless(self, name, request_id, pace='full'):
+        """Sends an endless response until the connection is closed."""
+        response = endless.EndlessResponse(
+            name=name, request_id=request_id, pace=pace
+        )
+        self.server.endless_responses.append(response)
+        await response.send(self.transport, self.drained)
+
     async def run_request(self, request):
         """Runs a request, or refuses a request it cannot run now."""
         server, options = self.server, self.server.options
@@ -117,9 +153,14 @@
         if server.running >= options['slots']:
             self.send(503, b'', [('x-not-executed', '1')])
             return
+        query = dict(urllib.parse.parse_qsl(request.target.partition('?')[2]))
         server.runs.append(request_id)
         server.running += 1
         try:
+            if 'endless' in query:
+                await self.send_endless(
+                    query['endless'], request_id, query.get('pace', 'full')
+                )
             await asyncio.sleep(options['work_ms'] / 1000)
         finally:
             server.running -= 1
