Limit the responses that are dropped before the right one

A server that sends interim responses (1xx) or responses to another request without end kept its connection, its slot and the daemon's processor time until the deadline: the parser dropped each of them without a limit. At full speed the flood ended only if a read happened to begin and end inside a header. Now the 17th dropped response makes the answer malformed; a server repeats one response at most, so 16 leave room. The time between the responses was ruled out as a criterion, because 102 Processing may be repeated slowly and legitimately.

The check of the other requests now waits for five of them instead of 0.1 s, since a busy machine finished only one in that time.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -158,7 +158,7 @@
   Scenario Outline: Bytes without end from a server affect only their request
     # Guards against daemons that read on until the server stops: in their
     # memory, in the time of the event loop, and past the deadline.
-    When a server sends <bytes> without end, at <pace>
+    When a server sends <bytes> without end (<pace>)
     Then the caller gets <result> in time
     And the connection to the server is closed <closed>
     And the slot is free and the other requests get their own responses
@@ -181,6 +181,8 @@
       | header line                         | byte by byte   | an unknown outcome   | by the deadline |
       | interim responses                   | byte by byte   | an unknown outcome   | by the deadline |
       | garbage                             | byte by byte   | an unknown outcome   | at once         |
+      | interim responses                   | piece by piece | an unknown outcome   | at once         |
+      | responses to another request        | piece by piece | an unknown outcome   | at once         |
       | body without length                 | byte by byte   | an unknown outcome   | by the deadline |
       | chunks                              | byte by byte   | an unknown outcome   | by the deadline |
       | trailer line                        | byte by byte   | an unknown outcome   | by the deadline |
--- a/features/steps/endless_response_steps.py
+++ b/features/steps/endless_response_steps.py
@@ -30,7 +30,10 @@
 # Socket buffers on the way from the server to the caller, as in the scenario of
 # a large response whose caller reads late.
 MAX_UNREAD_BYTES = 30_000_000
+# Short requests beside one with an endless response: the time between two of
+# them, in seconds, and their number if it ends sooner.
 OTHER_REQUEST_INTERVAL_S = 0.02
+MIN_OTHER_REQUESTS = 5
 _PAGE_BYTES = os.sysconf('SC_PAGE_SIZE')
 _request_numbers = itertools.count(1)
 
@@ -202,14 +205,15 @@
             send_others(system.address, context.others), sample_memory(samples)
         ):
             context.answer = await send(system.address, target, delay_s=delay_s)
-            await asyncio.sleep(0.1)
+            while len(context.others) < MIN_OTHER_REQUESTS:
+                await asyncio.sleep(OTHER_REQUEST_INTERVAL_S)
         context.growth_bytes = max(samples) - before
         context.load = system.hosts[0].limiter_load()
         context.later = [await send(system.address, '/later') for _ in range(5)]
         context.endless = await read_json(server_address, '/.control/endless')
 
 
-@when('a server sends {name} without end, at {pace}')
+@when('a server sends {name} without end ({pace})')
 def send_endless(context, name, pace):
     query = {'endless': name, 'pace': pace.split()[0]}
     target = f'/a?{urllib.parse.urlencode(query)}'
@@ -267,7 +271,6 @@
 def check_others(context):
     # One of the other requests may still run.
     assert context.load[0] <= 1 and not context.load[1], context.load
-    assert len(context.others) > 2, len(context.others)
     for answer in (*context.others, *context.later):
         expected = f'ran {answer.request_id} for '.encode()
         assert answer.status == 200 and answer.is_complete, answer
--- a/hemlockgrade/http_codec.py
+++ b/hemlockgrade/http_codec.py
@@ -15,6 +15,9 @@
 MAX_BODY_BYTES = 1024 * 1024
 # Response bodies larger than this are passed on while they arrive.
 MAX_BUFFERED_BYTES = 64 * 1024
+# Largest number of responses that are dropped before the one to a request:
+# interim ones (1xx), and repeated ones to earlier requests.
+MAX_SKIPPED_RESPONSES = 16
 
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 LAST_CHUNK = b'0\r\n\r\n'
@@ -552,6 +555,7 @@
         self._max_buffered_bytes = max_buffered_bytes
         self._accepts: Callable[[Headers], bool] | None = None
         self.skipped_response = False
+        self._skipped_responses = 0
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._status = 0
@@ -581,6 +585,7 @@
         self._head_request = method == 'HEAD'
         self._expects_response = True
         self._is_delivered = False
+        self._skipped_responses = 0
 
     def feed(self, data: bytes) -> Response | None:
         """Parses more bytes.
@@ -612,7 +617,10 @@
             or not self._body_ends_with_connection()
         ):
             return None
-        self.on_message_complete()
+        try:
+            self.on_message_complete()
+        except exceptions.MalformedRequestError:
+            return None
         return self._take_response()
 
     def connection_lost(self) -> None:
@@ -659,6 +667,7 @@
         """Completes a response; an interim response (1xx) is dropped."""
         if self._status < 200:
             self.in_message = False
+            self._count_skipped_response()
             return
         if not self._is_delivered:
             self._complete_response()
@@ -670,6 +679,7 @@
         self.in_message = False
         if self.stream is None and not self._is_accepted():
             self.skipped_response = True
+            self._count_skipped_response()
             return
         self._expects_response = False
         self._is_delivered = True
@@ -679,6 +689,14 @@
             return
         self._response = self._build_response(None)
 
+    def _count_skipped_response(self):
+        self._skipped_responses += 1
+        if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+            raise exceptions.MalformedRequestError(
+                f'more than {MAX_SKIPPED_RESPONSES} answers before the right '
+                'one'
+            )
+
     def _build_response(self, stream: BodyStream | None) -> Response:
         return Response(
             status=self._status,
