Limit the bytes of trailers, chunk extensions and empty lines

Callers that sent such bytes got 408 after the time to read a request instead of 431 (2 of 2 rows).

Cause: the limit of the header size counted the raw bytes only of reads that began and ended inside the header of a message. The parser buffers trailers, too, and reports neither chunk extensions nor leading empty lines. Now the raw bytes since the last reported part of a message other than a header are counted and limited by the same size. A read that reports such a part starts the count anew, so pipelined requests whose heads are split across reads are no longer counted as one long header.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -87,6 +87,8 @@
       | a header without end          | 431    |
       | a large body                  | 413    |
       | a large chunked body          | 413    |
+      | a trailer without end         | 431    |
+      | a chunk extension without end | 431    |
       | an incomplete header          | 408    |
       | an incomplete body            | 408    |
 
@@ -172,11 +174,18 @@
       | header lines                        | full speed     | an unknown outcome   | at once         |
       | interim responses                   | full speed     | an unknown outcome   | at once         |
       | responses to another request        | full speed     | an unknown outcome   | at once         |
+      | empty lines                         | full speed     | an unknown outcome   | at once         |
       | garbage                             | full speed     | an unknown outcome   | at once         |
       | responses after the response        | full speed     | the response         | at once         |
       | body without length                 | full speed     | a truncated response | by the deadline |
       | body with a length                  | full speed     | a truncated response | by the deadline |
       | chunks                              | full speed     | a truncated response | by the deadline |
+      | chunk size                          | full speed     | an unknown outcome   | at once         |
+      | chunk extension                     | full speed     | an unknown outcome   | at once         |
+      | chunk extension after a large chunk | full speed     | a truncated response | at once         |
+      | trailer line                        | full speed     | an unknown outcome   | at once         |
+      | trailer line after a large chunk    | full speed     | a truncated response | at once         |
+      | trailer lines                       | full speed     | an unknown outcome   | at once         |
       | body without signature              | full speed     | an unknown outcome   | at once         |
       | header line                         | byte by byte   | an unknown outcome   | by the deadline |
       | interim responses                   | byte by byte   | an unknown outcome   | by the deadline |
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -369,6 +369,10 @@
     'a large chunked body': POST
     + CHUNKED
     + b'10000\r\n%b\r\n' % (b'a' * 65536) * 17,
+    'a trailer without end': POST + CHUNKED + b'0\r\na: %b' % (b'a' * 300_000),
+    'a chunk extension without end': POST
+    + CHUNKED
+    + b'1;%b' % (b'a' * 300_000),
     'an incomplete header': b'GET / HTTP/1.1\r\nhost',
     'an incomplete body': POST + b'content-length: 9\r\n\r\nab',
 }
--- a/hemlockgrade/http_codec.py
+++ b/hemlockgrade/http_codec.py
@@ -346,16 +346,19 @@
         self.max_header_bytes = MAX_HEADER_BYTES
         self._headers: Headers = []
         self._header_bytes = 0
-        self._raw_header_bytes = 0
+        # Raw bytes since the parser last reported a part of a message other
+        # than a header.
+        self._unreported_bytes = 0
+        self._has_reported = False
         self._in_header = False
         self._framing_headers: dict[bytes, bytes] = {}
         self.in_message = False
 
     def on_message_begin(self):
         """Resets the state for a new message."""
+        self._has_reported = True
         self._headers = []
         self._header_bytes = 0
-        self._raw_header_bytes = 0
         self._in_header = True
         self._framing_headers = {}
         self.in_message = True
@@ -372,6 +375,7 @@
         self._headers.append((lower, value))
 
     def _end_header(self):
+        self._has_reported = True
         self._in_header = False
         connection_value = self._framing_headers.get(b'connection')
         if connection_value is None or connection_value in (
@@ -392,7 +396,7 @@
             )
 
     def _feed_parser(self, data: bytes):
-        began_in_header = self._in_header
+        self._has_reported = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -404,12 +408,15 @@
             if isinstance(cause, exceptions.MalformedRequestError):
                 raise cause from None
             raise exceptions.MalformedRequestError(str(error)) from error
-        if began_in_header and self._in_header:
-            # The parser reports a header only when it is complete. The raw
-            # bytes are counted to limit a header that never ends.
-            self._raw_header_bytes += len(data)
-            if self._raw_header_bytes > self.max_header_bytes:
-                self._count_header_bytes(self.max_header_bytes + 1)
+        # The parser buffers a header or trailer until it is complete, and does
+        # not report chunk extensions and empty lines. The raw bytes are counted
+        # to limit one that never ends.
+        if self._has_reported:
+            self._unreported_bytes = 0
+            return
+        self._unreported_bytes += len(data)
+        if self._unreported_bytes > self.max_header_bytes:
+            self._count_header_bytes(self.max_header_bytes + 1)
 
     def _content_length(self) -> int | None:
         text = self._framing_headers.get(b'content-length')
@@ -495,6 +502,7 @@
 
     def on_body(self, body: bytes):
         """Stores a piece of the body."""
+        self._has_reported = True
         self.expects_continue = False
         self._body_bytes += len(body)
         if self._body_bytes > self.max_body_bytes:
@@ -503,6 +511,7 @@
 
     def on_message_complete(self):
         """Completes a request."""
+        self._has_reported = True
         self.in_message = False
         self.expects_continue = False
         self._parsed.append(
@@ -646,6 +655,7 @@
 
     def on_body(self, body: bytes):
         """Stores a piece of the body, or passes it on."""
+        self._has_reported = True
         if self._is_delivered:
             self.unexpected_bytes = True
             return
@@ -665,6 +675,7 @@
 
     def on_message_complete(self):
         """Completes a response; an interim response (1xx) is dropped."""
+        self._has_reported = True
         if self._status < 200:
             self.in_message = False
             self._count_skipped_response()
