Deliver a complete response although malformed bytes follow it

Cause: the parser reads on after the end of the response, and the error that it reports for the next bytes replaced the response. A duplicate response in the same read, which parses, was delivered before; that row passed. Now an error after the end of the expected response only marks the connection as unusable.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -176,7 +176,9 @@
       | responses to another request        | full speed     | an unknown outcome   | at once         |
       | empty lines                         | full speed     | an unknown outcome   | at once         |
       | garbage                             | full speed     | an unknown outcome   | at once         |
+      | bytes after the body                | full speed     | the response         | at once         |
       | responses after the response        | full speed     | the response         | at once         |
+      | bytes after a large body            | full speed     | the large response   | at once         |
       | body without length                 | full speed     | a truncated response | by the deadline |
       | body with a length                  | full speed     | a truncated response | by the deadline |
       | chunks                              | full speed     | a truncated response | by the deadline |
@@ -192,6 +194,7 @@
       | garbage                             | byte by byte   | an unknown outcome   | at once         |
       | interim responses                   | piece by piece | an unknown outcome   | at once         |
       | responses to another request        | piece by piece | an unknown outcome   | at once         |
+      | bytes after the body                | byte by byte   | the response         | at once         |
       | body without length                 | byte by byte   | an unknown outcome   | by the deadline |
       | chunks                              | byte by byte   | an unknown outcome   | by the deadline |
       | trailer line                        | byte by byte   | an unknown outcome   | by the deadline |
--- a/hemlockgrade/http_codec.py
+++ b/hemlockgrade/http_codec.py
@@ -605,12 +605,18 @@
 
         Raises:
             exceptions.MalformedRequestError: The bytes are not HTTP/1.1 or
-                exceed a limit.
+                exceed a limit, and the response is not complete.
         """
         if not self._expects_response:
             self.unexpected_bytes = True
             return None
-        self._feed_parser(data)
+        try:
+            self._feed_parser(data)
+        except exceptions.MalformedRequestError:
+            if self._expects_response:
+                raise
+            # The response was complete; only the bytes after it are malformed.
+            self.unexpected_bytes = True
         return self._take_response()
 
     def finish(self) -> Response | None:
