Close the connection of a refusal whose body does not end

If a server refused a request (X-Not-Executed, or status 421) with a body without end, the caller got its refusal in time, but the daemon kept the connection until the deadline of the request: 2 of 2 rows still open when the answer had arrived. The server's side of the connection stayed in use.

Cause: only unsigned answers were aborted. A refusal is built anew for the caller, so nothing read or ended the stream of the body. It is aborted now. The slot was ruled out: it was free before, too.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -189,6 +189,8 @@
       | trailer line                        | full speed     | an unknown outcome   | at once         |
       | trailer line after a large chunk    | full speed     | a truncated response | at once         |
       | trailer lines                       | full speed     | an unknown outcome   | at once         |
+      | body of a refusal                   | full speed     | a refusal            | at once         |
+      | body of another server              | full speed     | a refusal            | at once         |
       | body without signature              | full speed     | an unknown outcome   | at once         |
       | header line                         | byte by byte   | an unknown outcome   | by the deadline |
       | interim responses                   | byte by byte   | an unknown outcome   | by the deadline |
--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -332,10 +332,12 @@
             that says why the request was refused or has an unknown outcome.
         """
         if http_codec.header(response.headers, platform_codec.NOT_RUN_HEADER):
+            _abort_stream(response)
             return peer_protocol.refusal_response(peer_protocol.Refusal.SHED)
         if response.status == 421:
             # Misdirected Request (RFC 9110, section 15.5.20): the server is not
             # the one named in `EXPECTED_SERVER_HEADER`.
+            _abort_stream(response)
             return peer_protocol.refusal_response(
                 peer_protocol.Refusal.OTHER_SERVER
             )
@@ -343,8 +345,7 @@
             response.headers, platform_codec.SERVER_SIGNATURE_HEADER
         )
         if self.requires_signature and (not signature or _is_encoded(response)):
-            if response.stream is not None:
-                response.stream.abort()
+            _abort_stream(response)
             self._report_result(admitted, False)
             return peer_protocol.unknown_outcome_response(
                 f'unsigned answer {response.status}'
@@ -383,6 +384,12 @@
         return self._limiter
 
 
+def _abort_stream(response: http_codec.Response):
+    """Closes the connection of a response whose body is not passed on."""
+    if response.stream is not None:
+        response.stream.abort()
+
+
 def _is_encoded(response: http_codec.Response) -> bool:
     """Returns whether the body of a response has a content encoding.
 
