Buffer forwarded responses up to 64 KiB and fetch the daemon's own whole

Two effects of one limit. Second, the daemon's own calls took the start of an endless response for all of it: a health check without end confirmed its server, and the store client returned an object that white space without end followed (2 of 6 rows). The store client did not close such a connection before its timeout.

Cause: the pools of a daemon buffered up to 4 MiB of every response, since a page of the store needs 1 MB, so forwarded bodies were buffered as much before they were passed on; and those callers of send that use only the body did not check whether more follows. send now returns a stream beyond 64 KiB, as the tests of the request path assumed, and fetch returns whole responses of at most the size that the pool allows, and closes the connection of a larger one. The transports' buffers were ruled out: callers read all the while.

With two endless responses a host all succeed.

--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -104,6 +104,28 @@
     When the servers send duplicate responses to earlier requests
     Then 40 requests over reused connections get their own responses or 502
 
+  Scenario Outline: Endless responses through two daemons affect no other request
+    Given a mesh of 2 hosts
+    When 2 requests at each host get endless <bytes>
+    Then each of them ends in time, and none looks complete
+    And the connection to the server is closed <closed>
+    And the other requests get their own responses
+
+    Examples:
+      | bytes               | closed          |
+      | body without length | by the deadline |
+      | small chunks        | by the deadline |
+      | trailer line        | at once         |
+
+  Scenario: Endless responses in all slots leave memory for other requests
+    # Guards against buffers that exceed the memory of the smallest host, 200 MB.
+    Given a mesh of 2 hosts
+    When 18 requests at each host get endless body without length
+    Then each of them ends in time, and none looks complete
+    And the connection to the server is closed by the deadline
+    And the other requests end in time, and none gets another response
+    And no daemon uses more than 200 MB of memory
+
   Scenario: A bad version is rolled back
     Given a mesh of 2 hosts
     When a host starts whose server runs a failing version
--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -202,6 +202,20 @@
       | chunks                              | byte by byte   | an unknown outcome   | by the deadline |
       | trailer line                        | byte by byte   | an unknown outcome   | by the deadline |
 
+  Scenario Outline: A response without end is not taken for a complete one
+    When <client> gets <bytes> without end
+    Then it reports a failure in time
+    And the connection to the server is closed <closed>
+
+    Examples: The deadlines are 0.5 s, 1.5 s and 1 s.
+      | client           | bytes                  | closed          |
+      | the health check | body of a health check | by the deadline |
+      | the store client | object of the store    | by the deadline |
+      | the state sync   | state of a peer        | by the deadline |
+      | the health check | header lines           | at once         |
+      | the store client | garbage                | at once         |
+      | the state sync   | trailer line           | at once         |
+
   Scenario Outline: Bytes without end are not read for a caller that does not read
     When a server sends <bytes> without end to a caller that does not read
     Then the bytes that the caller does not read stay at the server
--- a/features/steps/endless_response_steps.py
+++ b/features/steps/endless_response_steps.py
@@ -14,9 +14,14 @@
 from behave import then
 from behave import when
 
+from hemlockgrade import exceptions
 from hemlockgrade import http_codec
+from hemlockgrade import server_check
+from hemlockgrade import state_sync
+from hemlockgrade.platform import store
 from standins import cluster
 from standins import loopback
+from standins import mesh_cluster
 
 DEADLINE_S = 1.0
 # Longest time from the deadline of a request to its final answer.
@@ -26,7 +31,9 @@
 CLOSE_AT_ONCE_S = 0.5
 # A daemon may use 200 MB of memory on the smallest host, whose server has 18
 # slots. Half of the memory is left for the responses of as many requests.
-MAX_GROWTH_BYTES = 100_000_000 // 18
+MAX_RESIDENT_BYTES = 200_000_000
+SLOTS = 18
+MAX_GROWTH_BYTES = MAX_RESIDENT_BYTES // 2 // SLOTS
 # Socket buffers on the way from the server to the caller, as in the scenario of
 # a large response whose caller reads late.
 MAX_UNREAD_BYTES = 30_000_000
@@ -67,7 +74,9 @@
     is_complete: bool = False
 
 
-async def send(address, target, *, deadline_s=DEADLINE_S, delay_s=0.0):
+async def send(
+    address, target, *, deadline_s=DEADLINE_S, delay_s=0.0, host_name='x'
+):
     """Sends a POST request and reads its response, however long it is.
 
     Args:
@@ -75,13 +84,14 @@
         target: Path and query.
         deadline_s: Time that the caller allows, in seconds.
         delay_s: Time for which the caller reads nothing, in seconds.
+        host_name: Host name that selects the route.
     """
     answer = Answer(request_id=f'e{next(_request_numbers):015x}')
     host, port = address.split(':')
     started = time.monotonic()
     reader, writer = await asyncio.open_connection(host, int(port), limit=2**16)
     writer.write(
-        f'POST {target} HTTP/1.1\r\nhost: x\r\ncontent-length: 0\r\n'
+        f'POST {target} HTTP/1.1\r\nhost: {host_name}\r\ncontent-length: 0\r\n'
         f'x-request-id: {answer.request_id}\r\n'
         f'x-deadline-ms: {int(deadline_s * 1000)}\r\n\r\n'.encode()
     )
@@ -126,12 +136,12 @@
         answer.body += data[: 1000 - len(answer.body)]
 
 
-async def read_json(address, path):
+async def read_json(address, path, body=b''):
     """Returns the decoded body of a response of a server."""
     host, port = address.split(':')
     streams = await asyncio.open_connection(host, int(port), limit=2**22)
     caller = loopback.Caller(*streams)
-    caller.send('GET', path)
+    caller.send('POST' if body else 'GET', path, body)
     response = await caller.read()
     caller.close()
     return json.loads(response.body)
@@ -166,11 +176,16 @@
         await process.wait()
 
 
-async def send_others(address, answers):
+async def send_others(address, answers, host_name='x'):
     """Sends short requests until it is cancelled."""
     while True:
         answers.append(
-            await send(address, '/other', deadline_s=OTHER_DEADLINE_S)
+            await send(
+                address,
+                '/shop/other',
+                deadline_s=OTHER_DEADLINE_S,
+                host_name=host_name,
+            )
         )
         await asyncio.sleep(OTHER_REQUEST_INTERVAL_S)
 
@@ -272,9 +287,14 @@
 
 
 @then('the slot is free and the other requests get their own responses')
-def check_others(context):
+def check_slot_and_others(context):
     # One of the other requests may still run.
     assert context.load[0] <= 1 and not context.load[1], context.load
+    check_others(context)
+
+
+@then('the other requests get their own responses')
+def check_others(context):
     for answer in (*context.others, *context.later):
         expected = f'ran {answer.request_id} for '.encode()
         assert answer.status == 200 and answer.is_complete, answer
@@ -291,3 +311,136 @@
 def check_unread(context):
     sent_bytes = sum(each['sent_bytes'] for each in context.endless)
     assert sent_bytes < MAX_UNREAD_BYTES, sent_bytes
+
+
+@when('{client} gets {name} without end')
+def call_endless_server(context, client, name):
+    loopback.run(record_call(context, client, name))
+
+
+async def record_call(context, client, name):
+    """Records the result of a call to a server that sends bytes without end.
+
+    Sets `context.result` to the result, or to the failure that was reported.
+    """
+    async with (
+        loopback.LoopbackSystem() as system,
+        run_server(system) as server_address,
+    ):
+        options = json.dumps({'endless': name}).encode()
+        await read_json(server_address, '/.control/set', options)
+        host = system.hosts[0]
+        pool = host.pool
+        started = time.monotonic()
+        try:
+            if client == 'the health check':
+                check = server_check.ServerCheck(
+                    registrar=host.registrar,
+                    directory=system.directory,
+                    pool=pool,
+                    clock=time.monotonic,
+                )
+                server = host.registrar.server
+                context.result = await check._is_confirmed_by_check(
+                    server, '/health'
+                )
+            elif client == 'the store client':
+                client = store.MetadataStore(server_address, pool)
+                context.result = await client.get('definitions', 'a')
+            else:
+                sync = state_sync.StateSync(
+                    directory=system.directory, pool=pool, address='', zone='a'
+                )
+                context.result = await sync.fetch_state(server_address)
+        except exceptions.HemlockError as error:
+            context.result = error
+        context.took_s = time.monotonic() - started
+        # The server notices the end of the connection a moment later.
+        await asyncio.sleep(0.05)
+        context.endless = await read_json(server_address, '/.control/endless')
+
+
+@then('it reports a failure in time')
+def check_failure(context):
+    is_failure = context.result is False or isinstance(
+        context.result, exceptions.HemlockError
+    )
+    assert is_failure, context.result
+    longest_s = store.CALL_TIMEOUT_S + ANSWER_MARGIN_S
+    assert context.took_s < longest_s, context.took_s
+
+
+@when('{count:d} requests at each host get endless {name}')
+def send_many_endless(context, count, name):
+    mesh = context.mesh
+    # Two slots of each server are left for the other requests.
+    for host_name in context.host_names:
+        mesh.set_server(host_name, slots=SLOTS + 2)
+    # The next heartbeats, 0.3 s apart, tell the daemons.
+    time.sleep(1)
+    loopback.run(record_many_endless(context, count, name))
+
+
+async def record_many_endless(context, count, name):
+    """Sends the requests at all daemons at once, beside other requests."""
+    daemons = [context.mesh.daemon_by_name[n] for n in context.host_names]
+    addresses = [daemon.addresses['caller'] for daemon in daemons]
+    context.others, context.peak_bytes = [], 0
+    query = {'endless': name, 'pace': 'block'}
+    target = f'/order/x?{urllib.parse.urlencode(query)}'
+
+    async def sample_daemons():
+        while True:
+            sizes = [resident_bytes(daemon.popen.pid) for daemon in daemons]
+            context.peak_bytes = max(context.peak_bytes, *sizes)
+            await asyncio.sleep(0.01)
+
+    async with running(
+        *(
+            send_others(address, context.others, mesh_cluster.HOST_NAME)
+            for address in addresses
+        ),
+        sample_daemons(),
+    ):
+        context.answers = await asyncio.gather(
+            *(
+                send(address, target, host_name=mesh_cluster.HOST_NAME)
+                for address in addresses
+                for _ in range(count)
+            )
+        )
+    context.later = [
+        await send(address, '/shop/x', host_name=mesh_cluster.HOST_NAME)
+        for address in addresses
+        for _ in range(5)
+    ]
+    context.endless = [
+        each
+        for daemon in daemons
+        for each in await read_json(
+            daemon.addresses['server'], '/.control/endless'
+        )
+    ]
+
+
+@then('each of them ends in time, and none looks complete')
+def check_many_answers(context):
+    for answer in context.answers:
+        assert answer.took_s < DEADLINE_S + ANSWER_MARGIN_S, answer
+        is_success = answer.is_complete and answer.status == 200
+        assert not is_success, answer
+
+
+@then('the other requests end in time, and none gets another response')
+def check_others_end(context):
+    for answer in (*context.others, *context.later):
+        limit_s = OTHER_DEADLINE_S + ANSWER_MARGIN_S
+        assert answer.took_s < limit_s, answer
+        expected = f'ran {answer.request_id} for '.encode()
+        assert answer.status != 200 or expected in answer.body, answer
+        assert answer.is_complete, answer
+
+
+@then('no daemon uses more than 200 MB of memory')
+def check_daemon_memory(context):
+    assert context.peak_bytes < MAX_RESIDENT_BYTES, context.peak_bytes
--- a/hemlockgrade/http_codec.py
+++ b/hemlockgrade/http_codec.py
@@ -556,12 +556,10 @@
         stream: The body that is being passed on; None if there is none.
     """
 
-    def __init__(
-        self, source: BodySource, max_buffered_bytes: int = MAX_BUFFERED_BYTES
-    ):
+    def __init__(self, source: BodySource):
         super().__init__()
         self._source = source
-        self._max_buffered_bytes = max_buffered_bytes
+        self._max_buffered_bytes = MAX_BUFFERED_BYTES
         self._accepts: Callable[[Headers], bool] | None = None
         self.skipped_response = False
         self._skipped_responses = 0
@@ -577,7 +575,10 @@
         self._parser = httptools.HttpResponseParser(self)
 
     def expect(
-        self, method: str, accepts: Callable[[Headers], bool] | None = None
+        self,
+        method: str,
+        accepts: Callable[[Headers], bool] | None = None,
+        max_buffered_bytes: int = MAX_BUFFERED_BYTES,
     ) -> None:
         """Prepares the parser for the response to a request.
 
@@ -585,8 +586,10 @@
             method: Method of the request.
             accepts: Returns, for the headers of a response, whether the
                 response belongs to the request; other responses are dropped.
+            max_buffered_bytes: Largest body that is buffered whole, in bytes.
         """
         self._accepts = accepts
+        self._max_buffered_bytes = max_buffered_bytes
         if self._head_request:
             # The parser cannot be told that the response to HEAD has no body,
             # so it still waits for one. The next response needs a new parser.
--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -129,7 +129,7 @@
             request.body = orjson.dumps(body)
         deadline = asyncio.get_running_loop().time() + timeout_s
         try:
-            response = await self.pool.send(self.address, request, deadline)
+            response = await self.pool.fetch(self.address, request, deadline)
         except exceptions.RequestNotRunError as error:
             raise _unavailable(method, path, str(error)) from error
         except (
--- a/hemlockgrade/rollout_task.py
+++ b/hemlockgrade/rollout_task.py
@@ -504,7 +504,7 @@
         )
         deadline = self.clock() + STATISTICS_TIMEOUT_S
         try:
-            response = await self.pool.send(member.address, request, deadline)
+            response = await self.pool.fetch(member.address, request, deadline)
             data = orjson.loads(response.body)
             return evidence.decode(data), data['busy'], data['table']
         except (
--- a/hemlockgrade/sender.py
+++ b/hemlockgrade/sender.py
@@ -123,7 +123,7 @@
         )
         deadline = min(call.deadline, self.clock() + FENCE_TIMEOUT_S)
         try:
-            response = await self.pool.send(
+            response = await self.pool.fetch(
                 peer.member.address, request, deadline
             )
             result = peer_protocol.decode_fence_response(response)
--- a/hemlockgrade/server_check.py
+++ b/hemlockgrade/server_check.py
@@ -78,12 +78,10 @@
         request = http_codec.Request(method='GET', target=path)
         deadline = self.clock() + CHECK_TIMEOUT_S
         try:
-            response = await self.pool.send(server.address, request, deadline)
+            response = await self.pool.fetch(server.address, request, deadline)
         except exceptions.HemlockError as error:
             self._log_not_confirmed(server, str(error))
             return False
-        if response.stream is not None:
-            response.stream.abort()
         server_id = http_codec.header(
             response.headers, platform_codec.RESPONDING_SERVER_HEADER
         )
--- a/hemlockgrade/state_sync.py
+++ b/hemlockgrade/state_sync.py
@@ -94,7 +94,7 @@
             target=peer_protocol.VERSIONS_PATH,
             headers=self.version_headers(),
         )
-        response = await self.pool.send(address, request, deadline)
+        response = await self.pool.fetch(address, request, deadline)
         versions = peer_protocol.decode_versions(response.headers)
         if versions is not None:
             self.handle_versions(address, versions)
@@ -175,10 +175,8 @@
         request = http_codec.Request(
             method='GET', target=peer_protocol.STATE_PATH
         )
-        response = await self.pool.send(address, request, deadline)
-        if response.status != 200 or response.stream is not None:
-            if response.stream is not None:
-                response.stream.abort()
+        response = await self.pool.fetch(address, request, deadline)
+        if response.status != 200:
             raise exceptions.MalformedRequestError(
                 f'{address} responded with status {response.status} to a '
                 'request for its state'
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -39,7 +39,7 @@
         self._pool = pool
         self.address = address
         self._loop = asyncio.get_running_loop()
-        self._parser = http_codec.ResponseParser(self, pool.max_buffered_bytes)
+        self._parser = http_codec.ResponseParser(self)
         self._response_future: asyncio.Future | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._response_keeps_alive = True
@@ -59,13 +59,19 @@
             self.opened.set_result(None)
 
     def send_request(
-        self, request: http_codec.Request, deadline: float, request_id: str
+        self,
+        request: http_codec.Request,
+        deadline: float,
+        request_id: str,
+        max_buffered_bytes: int,
     ) -> asyncio.Future:
         self._request_id = request_id
         data = http_codec.encode_request(request, self.address)
         self._response_future = self._loop.create_future()
         self._timer = self._loop.call_at(deadline, self._deadline_passed)
-        self._parser.expect(request.method, self._accepts_response)
+        self._parser.expect(
+            request.method, self._accepts_response, max_buffered_bytes
+        )
         self._writer.write(data)
         return self._response_future
 
@@ -231,8 +237,8 @@
         connect_timeout_s: Longest wait for a new connection, in seconds.
         request_id_header: Header of a response that holds the identifier of
             the request.
-        max_buffered_bytes: Largest response body that is buffered whole; a
-            larger body is returned as a stream.
+        max_buffered_bytes: Largest response body that `fetch` accepts, in
+            bytes.
     """
 
     reactor: Any
@@ -255,6 +261,7 @@
         max_idle_s: float = MAX_IDLE_S,
         before_write: Callable[[], None] | None = None,
         request_id: str = '',
+        max_buffered_bytes: int = http_codec.MAX_BUFFERED_BYTES,
     ) -> http_codec.Response:
         """Sends a request and waits for the response.
 
@@ -273,6 +280,8 @@
             request_id: Identifier of the request. A response with another
                 identifier in `request_id_header` is dropped, and the
                 connection is closed after the right response.
+            max_buffered_bytes: Largest response body that is buffered whole, in
+                bytes; a larger one is returned as a stream.
 
         Returns:
             The response to the request.
@@ -289,11 +298,49 @@
         try:
             if before_write is not None:
                 before_write()
-            return await connection.send_request(request, deadline, request_id)
+            return await connection.send_request(
+                request, deadline, request_id, max_buffered_bytes
+            )
         except BaseException:
             connection.abort()
             raise
 
+    async def fetch(
+        self, address: str, request: http_codec.Request, deadline: float
+    ) -> http_codec.Response:
+        """Sends a request and waits for the whole response.
+
+        Args:
+            address: `host:port` of the server.
+            request: The request.
+            deadline: Monotonic time in seconds.
+
+        Returns:
+            The response to the request; it has no stream.
+
+        Raises:
+            exceptions.ConnectFailedError: Nothing was sent.
+            exceptions.ConnectionClosedError: The connection was closed before
+                the response was complete, or the response was malformed or
+                larger than `max_buffered_bytes`.
+            exceptions.DeadlineExceededError: The deadline passed.
+        """
+        response = await self.send(
+            address,
+            request,
+            deadline,
+            max_buffered_bytes=self.max_buffered_bytes,
+        )
+        if response.stream is not None:
+            response.stream.abort()
+            raise exceptions.ConnectionClosedError(
+                f'answer from {address} has more than '
+                f'{self.max_buffered_bytes} bytes',
+                remedy='check that the address belongs to the right process',
+                response_started=True,
+            )
+        return response
+
     def _take_idle(self, address: str, max_idle_s: float) -> _Connection | None:
         idle = self._idle_by_address.get(address)
         idle_after = asyncio.get_running_loop().time() - max_idle_s
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -10,10 +10,12 @@
 
 import attrs
 
-# Number of bytes that are written at once at full speed.
+# Number of bytes that are written at once at the paces `block` and `full`.
 BLOCK_BYTES = 64 * 1024
-# Delay between two pieces below full speed, in seconds.
-PIECE_DELAY_S = 0.005
+# Delay between two pieces by pace, in seconds. At the pace `block`, as many
+# responses as a server has slots (18) take 118 MB/s, which is nearly the whole
+# link of a host (1 Gbit/s).
+DELAY_S_BY_PACE = {'byte': 0.005, 'piece': 0.005, 'block': 0.01, 'full': 0.0}
 
 _HEAD = b'HTTP/1.1 200 X\r\nx-request-id: @id\r\nx-server-stamp: s.@id\r\n'
 _CHUNKED = _HEAD + b'transfer-encoding: chunked\r\n\r\n'
@@ -63,6 +65,20 @@
         b'HTTP/1.1 421 X\r\nx-request-id: @id\r\n' + _LENGTH,
         b'x',
     ),
+    'body of a health check': (
+        b'HTTP/1.1 200 X\r\nx-instance-id: @id\r\n' + _LENGTH,
+        b'x',
+    ),
+    # The whole JSON value is followed by white space without end.
+    'object of the store': (
+        b'HTTP/1.1 200 X\r\n\r\n{"Metadata": {"Name": "a", "Rev": 1}}',
+        b' ',
+    ),
+    'state of a peer': (
+        b'HTTP/1.1 200 X\r\n\r\n'
+        b'{"configuration": null, "objects": [], "removed": {}}',
+        b' ',
+    ),
     'body without signature': (b'HTTP/1.1 200 X\r\n' + _LENGTH, b'x'),
 }
 
@@ -74,8 +90,8 @@
     Attributes:
         name: Key of `BYTES_BY_NAME`.
         request_id: Identifier of the request.
-        pace: `byte` for a byte at a time, `piece` for the repeated bytes once
-            at a time, or `full` for full speed.
+        pace: Key of `DELAY_S_BY_PACE`. A piece is a byte, the repeated bytes
+            once (`piece`), or about `BLOCK_BYTES`.
         started: Monotonic time of the first byte.
         sent_bytes: Number of bytes written.
         closed: Monotonic time at which the connection was closed; None before.
@@ -99,14 +115,13 @@
             part.replace(b'@id', self.request_id.encode())
             for part in BYTES_BY_NAME[self.name]
         )
+        if self.pace in ('block', 'full'):
+            repeated *= BLOCK_BYTES // len(repeated) + 1
         piece_bytes = 1 if self.pace == 'byte' else len(repeated)
         pieces = itertools.cycle(
             repeated[i : i + piece_bytes]
             for i in range(0, len(repeated), piece_bytes)
         )
-        if self.pace == 'full':
-            block = repeated * (BLOCK_BYTES // len(repeated) + 1)
-            pieces = itertools.repeat(block)
         # Start and first piece are written at once, so that they usually arrive
         # together.
         data = start + next(pieces)
@@ -116,6 +131,6 @@
                 transport.write(data)
                 self.sent_bytes += len(data)
                 data = next(pieces)
-                await asyncio.sleep(0 if self.pace == 'full' else PIECE_DELAY_S)
+                await asyncio.sleep(DELAY_S_BY_PACE[self.pace])
         finally:
             self.closed = time.monotonic()
--- a/standins/mesh_server.py
+++ b/standins/mesh_server.py
@@ -12,9 +12,9 @@
 the requests that the server ran.
 
 A request with `?endless=NAME` in its query gets the endless response of that
-name in `standins.endless`, at the pace of `&pace=`. The health check gets the
-one that the option `health_endless` names. `GET /.control/endless` returns
-these responses.
+name in `standins.endless`, at the pace of `&pace=`. If the option `endless` is
+such a name, every request gets this response. `GET /.control/endless` returns
+the endless responses.
 """
 
 import asyncio
@@ -111,9 +111,9 @@
         if request.path.startswith('/.control/'):
             self.handle_control(request)
             return
-        health_endless = self.server.options.get('health_endless')
-        if request.path == '/health' and health_endless:
-            await self.send_endless(health_endless, 'health')
+        options = self.server.options
+        if options.get('endless'):
+            await self.send_endless(options['endless'], options['server_id'])
         if request.path == '/health':
             ready = self.server.options['state'] == 'ready'
             headers = [('x-instance-id', self.server.options['server_id'])]
