Do not reuse a connection on which unread bytes wait

If a server sent bytes on an idle connection and the daemon sent the next request before it had read them, they were taken for the response to it: garbage failed a request that cannot be sent again (malformed answer), and signed responses without an identifier were returned as the response to another request. A server echoes the identifier, so the second case needs a faulty one.

Cause: a pooled connection counted as clean unless the event loop had read something on it.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -202,6 +202,18 @@
       | chunks                              | byte by byte   | an unknown outcome   | by the deadline |
       | trailer line                        | byte by byte   | an unknown outcome   | by the deadline |
 
+  Scenario Outline: Bytes on an idle connection belong to no request
+    When a server sends <bytes> on an idle connection and a request is sent <when>
+    Then each request gets its own response
+    And the connection to the server is closed at once
+
+    Examples:
+      | bytes                               | when                 |
+      | garbage                             | after they were read |
+      | garbage                             | before they are read |
+      | signed responses without identifier | after they were read |
+      | signed responses without identifier | before they are read |
+
   Scenario Outline: A response without end is not taken for a complete one
     When <client> gets <bytes> without end
     Then it reports a failure in time
--- a/features/steps/endless_response_steps.py
+++ b/features/steps/endless_response_steps.py
@@ -20,6 +20,7 @@
 from hemlockgrade import state_sync
 from hemlockgrade.platform import store
 from standins import cluster
+from standins import endless
 from standins import loopback
 from standins import mesh_cluster
 
@@ -313,6 +314,59 @@
     assert sent_bytes < MAX_UNREAD_BYTES, sent_bytes
 
 
+@when(
+    'a server sends {name} on an idle connection and a request is sent {when}'
+)
+def send_on_idle_connection(context, name, when):
+    is_read = when == 'after they were read'
+    loopback.run(record_idle_connection(context, name, is_read=is_read))
+
+
+async def record_idle_connection(context, name, *, is_read):
+    """Sends a request before or after the bytes on its connection are read."""
+    query = urllib.parse.urlencode({'then': name})
+    context.responses = []
+    async with (
+        loopback.LoopbackSystem() as system,
+        run_server(system) as server_address,
+    ):
+        host = system.hosts[0]
+        for target in (f'/first?{query}', '/second'):
+            request_id = f'e{next(_request_numbers):015x}'
+            server_id = host.registrar.server.server_id
+            request = http_codec.Request(
+                method='POST',
+                target=target,
+                headers=[
+                    (b'x-request-id', request_id.encode()),
+                    (b'x-target-instance', server_id.encode()),
+                ],
+            )
+            response = await host.pool.send(
+                server_address,
+                request,
+                time.monotonic() + DEADLINE_S,
+                request_id=request_id,
+            )
+            context.responses.append((request_id, response))
+            wait_s = 5 * endless.FOLLOW_DELAY_S
+            if is_read:
+                await asyncio.sleep(wait_s)
+            else:
+                # The event loop does not run, so nothing is read.
+                time.sleep(wait_s)
+        await asyncio.sleep(wait_s)
+        context.endless = await read_json(server_address, '/.control/endless')
+
+
+@then('each request gets its own response')
+def check_own_responses(context):
+    for request_id, response in context.responses:
+        stamp = http_codec.header(response.headers, b'x-server-stamp')
+        assert stamp == f's.{request_id}', response
+        assert f'ran {request_id} '.encode() in response.body, response
+
+
 @when('{client} gets {name} without end')
 def call_endless_server(context, client, name):
     loopback.run(record_call(context, client, name))
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -215,6 +215,22 @@
     handle.setsockopt(tcp, socket.TCP_USER_TIMEOUT, TCP_USER_TIMEOUT_MS)
 
 
+def _has_unread_input(handle: Any) -> bool:
+    """Returns whether bytes or the end of the connection wait to be read.
+
+    On an idle connection they belong to no request.
+    """
+    if not isinstance(handle, socket.socket):
+        return False
+    try:
+        handle.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 class _ConnectFactory(protocol.ClientFactory):
     noisy = False
 
@@ -346,7 +362,11 @@
         idle_after = asyncio.get_running_loop().time() - max_idle_s
         while idle:
             connection = idle.pop()
-            if connection.usable and connection.idle_since > idle_after:
+            if (
+                connection.usable
+                and connection.idle_since > idle_after
+                and not _has_unread_input(connection.transport.getHandle())
+            ):
                 return connection
             connection.abort()
         return None
--- a/standins/endless.py
+++ b/standins/endless.py
@@ -12,6 +12,8 @@
 
 # Number of bytes that are written at once at the paces `block` and `full`.
 BLOCK_BYTES = 64 * 1024
+# Time from a response to the endless bytes that follow it, in seconds.
+FOLLOW_DELAY_S = 0.02
 # Delay between two pieces by pace, in seconds. At the pace `block`, as many
 # responses as a server has slots (18) take 118 MB/s, which is nearly the whole
 # link of a host (1 Gbit/s).
@@ -40,6 +42,10 @@
     'bytes after the body': (_WHOLE, b'x'),
     'responses after the response': (_WHOLE, _WHOLE),
     'bytes after a large body': (_CHUNKED + _LARGE_CHUNK + b'0\r\n\r\n', b'x'),
+    'signed responses without identifier': (
+        b'',
+        b'HTTP/1.1 200 X\r\nx-server-stamp: s\r\ncontent-length: 0\r\n\r\n',
+    ),
     'body without length': (_HEAD + b'\r\n', b'x'),
     'body with a length': (_HEAD + _LENGTH, b'x'),
     'chunks': (_CHUNKED, b'400\r\n%b\r\n' % (b'x' * 1024)),
--- a/standins/mesh_server.py
+++ b/standins/mesh_server.py
@@ -12,9 +12,10 @@
 the requests that the server ran.
 
 A request with `?endless=NAME` in its query gets the endless response of that
-name in `standins.endless`, at the pace of `&pace=`. If the option `endless` is
-such a name, every request gets this response. `GET /.control/endless` returns
-the endless responses.
+name in `standins.endless`, at the pace of `&pace=`. With `?then=NAME` it
+follows the normal response. If the option `endless` is such a name, every
+request gets this response. `GET /.control/endless` returns the endless
+responses.
 """
 
 import asyncio
@@ -179,6 +180,9 @@
                 ('x-server-stamp', f's.{request_id}'),
             ],
         )
+        if 'then' in query:
+            await asyncio.sleep(endless.FOLLOW_DELAY_S)
+            await self.send_endless(query['then'], request_id)
 
 
 async def main(options):
