--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -106,7 +106,7 @@
 
   Scenario Outline: Endless responses through two daemons affect no other request
     Given a mesh of 2 hosts
-    When 2 requests at each host get endless <bytes>
+    When 2 requests of 1 s at each host get <bytes> without end
     Then each of them ends in time, and none looks complete
     And the connection to the server is closed <closed>
     And the other requests get their own responses
@@ -120,7 +120,7 @@
   Scenario: Endless responses in all slots leave memory for other requests
     # Guards against buffers that exceed the memory of the smallest host, 200 MB.
     Given a mesh of 2 hosts
-    When 18 requests at each host get endless body without length
+    When 18 requests of 2 s at each host get body without length without end
     Then each of them ends in time, and none looks complete
     And the connection to the server is closed by the deadline
     And the other requests end in time, and none gets another response
