--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -87,6 +87,8 @@
       | a header without end          | 431    |
       | a large body                  | 413    |
       | a large chunked body          | 413    |
+      | a trailer without end         | 431    |
+      | a chunk extension without end | 431    |
       | an incomplete header          | 408    |
       | an incomplete body            | 408    |
 
@@ -154,3 +156,86 @@
   Scenario: A target process completes its request and deregisters when it ends
     When a target process gets SIGTERM while it runs a request
     Then it announced itself, completed the request and deregistered
+
+  Scenario Outline: Bytes without end from a server affect only their request
+    # Guards against daemons that read on until the server stops: in their
+    # memory, in the time of the event loop, and past the deadline.
+    When a server sends <bytes> without end (<pace>)
+    Then the caller gets <result> in time
+    And the connection to the server is closed <closed>
+    And the slot is free and the other requests get their own responses
+    And the memory of the daemon stays bounded
+
+    Examples: A deadline ends what is well-formed so far.
+      | bytes                               | pace           | result               | closed          |
+      | status line                         | full speed     | an unknown outcome   | at once         |
+      | header name                         | full speed     | an unknown outcome   | at once         |
+      | header line                         | full speed     | an unknown outcome   | at once         |
+      | header lines                        | full speed     | an unknown outcome   | at once         |
+      | interim responses                   | full speed     | an unknown outcome   | at once         |
+      | responses to another request        | full speed     | an unknown outcome   | at once         |
+      | empty lines                         | full speed     | an unknown outcome   | at once         |
+      | garbage                             | full speed     | an unknown outcome   | at once         |
+      | bytes after the body                | full speed     | the response         | at once         |
+      | responses after the response        | full speed     | the response         | at once         |
+      | bytes after a large body            | full speed     | the large response   | at once         |
+      | body without length                 | full speed     | a truncated response | by the deadline |
+      | body with a length                  | full speed     | a truncated response | by the deadline |
+      | chunks                              | full speed     | a truncated response | by the deadline |
+      | small chunks                        | full speed     | a truncated response | by the deadline |
+      | chunk size                          | full speed     | an unknown outcome   | at once         |
+      | chunk extension                     | full speed     | an unknown outcome   | at once         |
+      | chunk extension after a large chunk | full speed     | a truncated response | at once         |
+      | trailer line                        | full speed     | an unknown outcome   | at once         |
+      | trailer line after a large chunk    | full speed     | a truncated response | at once         |
+      | trailer lines                       | full speed     | an unknown outcome   | at once         |
+      | body of a refusal                   | full speed     | a refusal            | at once         |
+      | body of another server              | full speed     | a refusal            | at once         |
+      | body without signature              | full speed     | an unknown outcome   | at once         |
+      | header line                         | byte by byte   | an unknown outcome   | by the deadline |
+      | interim responses                   | byte by byte   | an unknown outcome   | by the deadline |
+      | garbage                             | byte by byte   | an unknown outcome   | at once         |
+      | interim responses                   | piece by piece | an unknown outcome   | at once         |
+      | responses to another request        | piece by piece | an unknown outcome   | at once         |
+      | bytes after the body                | byte by byte   | the response         | at once         |
+      | body without length                 | byte by byte   | an unknown outcome   | by the deadline |
+      | chunks                              | byte by byte   | an unknown outcome   | by the deadline |
+      | trailer line                        | byte by byte   | an unknown outcome   | by the deadline |
+
+  Scenario Outline: Bytes on an idle connection belong to no request
+    When a server sends <bytes> on an idle connection and a request is sent <when>
+    Then each request gets its own response
+    And the connection to the server is closed at once
+
+    Examples:
+      | bytes                               | when                 |
+      | garbage                             | after they were read |
+      | garbage                             | before they are read |
+      | signed responses without identifier | after they were read |
+      | signed responses without identifier | before they are read |
+
+  Scenario Outline: A response without end is not taken for a complete one
+    When <client> gets <bytes> without end
+    Then it reports a failure in time
+    And the connection to the server is closed <closed>
+
+    Examples: The deadlines are 0.5 s, 1.5 s and 1 s.
+      | client           | bytes                  | closed          |
+      | the health check | body of a health check | by the deadline |
+      | the store client | object of the store    | by the deadline |
+      | the state sync   | state of a peer        | by the deadline |
+      | the health check | header lines           | at once         |
+      | the store client | garbage                | at once         |
+      | the state sync   | trailer line           | at once         |
+
+  Scenario Outline: Bytes without end are not read for a caller that does not read
+    When a server sends <bytes> without end to a caller that does not read
+    Then the bytes that the caller does not read stay at the server
+    And the connection to the server is closed by the deadline
+    And the slot is free and the other requests get their own responses
+    And the memory of the daemon stays bounded
+
+    Examples:
+      | bytes               |
+      | body without length |
+      | small chunks        |
--- a/hemlockgrade/http_codec.py
+++ b/hemlockgrade/http_codec.py
@@ -15,6 +15,9 @@
 MAX_BODY_BYTES = 1024 * 1024
 # Response bodies larger than this are passed on while they arrive.
 MAX_BUFFERED_BYTES = 64 * 1024
+# Largest number of responses that are dropped before the one to a request:
+# interim ones (1xx), and repeated ones to earlier requests.
+MAX_SKIPPED_RESPONSES = 16
 
 CONTINUE_RESPONSE = b'HTTP/1.1 100 Continue\r\n\r\n'
 LAST_CHUNK = b'0\r\n\r\n'
@@ -343,16 +346,19 @@
         self.max_header_bytes = MAX_HEADER_BYTES
         self._headers: Headers = []
         self._header_bytes = 0
-        self._raw_header_bytes = 0
+        # Raw bytes since the parser last reported a part of a message other
+        # than a header.
+        self._unreported_bytes = 0
+        self._has_reported = False
         self._in_header = False
         self._framing_headers: dict[bytes, bytes] = {}
         self.in_message = False
 
     def on_message_begin(self):
         """Resets the state for a new message."""
+        self._has_reported = True
         self._headers = []
         self._header_bytes = 0
-        self._raw_header_bytes = 0
         self._in_header = True
         self._framing_headers = {}
         self.in_message = True
@@ -369,6 +375,7 @@
         self._headers.append((lower, value))
 
     def _end_header(self):
+        self._has_reported = True
         self._in_header = False
         connection_value = self._framing_headers.get(b'connection')
         if connection_value is None or connection_value in (
@@ -389,7 +396,7 @@
             )
 
     def _feed_parser(self, data: bytes):
-        began_in_header = self._in_header
+        self._has_reported = False
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -401,12 +408,15 @@
             if isinstance(cause, exceptions.MalformedRequestError):
                 raise cause from None
             raise exceptions.MalformedRequestError(str(error)) from error
-        if began_in_header and self._in_header:
-            # The parser reports a header only when it is complete. The raw
-            # bytes are counted to limit a header that never ends.
-            self._raw_header_bytes += len(data)
-            if self._raw_header_bytes > self.max_header_bytes:
-                self._count_header_bytes(self.max_header_bytes + 1)
+        # The parser buffers a header or trailer until it is complete, and does
+        # not report chunk extensions and empty lines. The raw bytes are counted
+        # to limit one that never ends.
+        if self._has_reported:
+            self._unreported_bytes = 0
+            return
+        self._unreported_bytes += len(data)
+        if self._unreported_bytes > self.max_header_bytes:
+            self._count_header_bytes(self.max_header_bytes + 1)
 
     def _content_length(self) -> int | None:
         text = self._framing_headers.get(b'content-length')
@@ -492,6 +502,7 @@
 
     def on_body(self, body: bytes):
         """Stores a piece of the body."""
+        self._has_reported = True
         self.expects_continue = False
         self._body_bytes += len(body)
         if self._body_bytes > self.max_body_bytes:
@@ -500,6 +511,7 @@
 
     def on_message_complete(self):
         """Completes a request."""
+        self._has_reported = True
         self.in_message = False
         self.expects_continue = False
         self._parsed.append(
@@ -544,16 +556,15 @@
         stream: The body that is being passed on; None if there is none.
     """
 
-    def __init__(
-        self, source: BodySource, max_buffered_bytes: int = MAX_BUFFERED_BYTES
-    ):
+    def __init__(self, source: BodySource):
         super().__init__()
         self._source = source
-        self._max_buffered_bytes = max_buffered_bytes
+        self._max_buffered_bytes = MAX_BUFFERED_BYTES
         self._accepts: Callable[[Headers], bool] | None = None
         self.skipped_response = False
-        self._body: list[bytes] = []
-        self._body_bytes = 0
+        self._skipped_responses = 0
+        # The part of the body that has not been passed on.
+        self._body = bytearray()
         self._status = 0
         self._head_request = False
         self._is_delivered = False
@@ -564,7 +575,10 @@
         self._parser = httptools.HttpResponseParser(self)
 
     def expect(
-        self, method: str, accepts: Callable[[Headers], bool] | None = None
+        self,
+        method: str,
+        accepts: Callable[[Headers], bool] | None = None,
+        max_buffered_bytes: int = MAX_BUFFERED_BYTES,
     ) -> None:
         """Prepares the parser for the response to a request.
 
@@ -572,8 +586,10 @@
             method: Method of the request.
             accepts: Returns, for the headers of a response, whether the
                 response belongs to the request; other responses are dropped.
+            max_buffered_bytes: Largest body that is buffered whole, in bytes.
         """
         self._accepts = accepts
+        self._max_buffered_bytes = max_buffered_bytes
         if self._head_request:
             # The parser cannot be told that the response to HEAD has no body,
             # so it still waits for one. The next response needs a new parser.
@@ -581,6 +597,7 @@
         self._head_request = method == 'HEAD'
         self._expects_response = True
         self._is_delivered = False
+        self._skipped_responses = 0
 
     def feed(self, data: bytes) -> Response | None:
         """Parses more bytes.
@@ -591,12 +608,19 @@
 
         Raises:
             exceptions.MalformedRequestError: The bytes are not HTTP/1.1 or
-                exceed a limit.
+                exceed a limit, and the response is not complete.
         """
         if not self._expects_response:
             self.unexpected_bytes = True
             return None
-        self._feed_parser(data)
+        try:
+            self._feed_parser(data)
+        except exceptions.MalformedRequestError:
+            if self._expects_response:
+                raise
+            # The response was complete; only the bytes after it are malformed.
+            self.unexpected_bytes = True
+        self._pass_on_body()
         return self._take_response()
 
     def finish(self) -> Response | None:
@@ -612,7 +636,10 @@
             or not self._body_ends_with_connection()
         ):
             return None
-        self.on_message_complete()
+        try:
+            self.on_message_complete()
+        except exceptions.MalformedRequestError:
+            return None
         return self._take_response()
 
     def connection_lost(self) -> None:
@@ -626,8 +653,7 @@
         if not self._expects_response:
             self.unexpected_bytes = True
         super().on_message_begin()
-        self._body = []
-        self._body_bytes = 0
+        self._body = bytearray()
 
     def on_headers_complete(self):
         """Completes a response to HEAD, which has no body."""
@@ -638,15 +664,12 @@
 
     def on_body(self, body: bytes):
         """Stores a piece of the body, or passes it on."""
+        self._has_reported = True
         if self._is_delivered:
             self.unexpected_bytes = True
             return
-        if self.stream is not None:
-            self.stream.push(body)
-            return
-        self._body.append(body)
-        self._body_bytes += len(body)
-        if self._body_bytes > self._max_buffered_bytes:
+        self._body += body
+        if self.stream is None and len(self._body) > self._max_buffered_bytes:
             if not self._is_accepted():
                 raise exceptions.MalformedRequestError(
                     'a large answer names another request'
@@ -657,8 +680,10 @@
 
     def on_message_complete(self):
         """Completes a response; an interim response (1xx) is dropped."""
+        self._has_reported = True
         if self._status < 200:
             self.in_message = False
+            self._count_skipped_response()
             return
         if not self._is_delivered:
             self._complete_response()
@@ -670,20 +695,41 @@
         self.in_message = False
         if self.stream is None and not self._is_accepted():
             self.skipped_response = True
+            self._count_skipped_response()
             return
         self._expects_response = False
         self._is_delivered = True
         if self.stream is not None:
+            self._pass_on_body()
             stream, self.stream = self.stream, None
             stream.end(complete=True)
             return
         self._response = self._build_response(None)
 
+    def _pass_on_body(self):
+        """Passes on the body that arrived in one read.
+
+        Passing on each chunk would write to the sink thousands of times for a
+        read of small chunks.
+        """
+        if self.stream is not None and self._body:
+            body, self._body = bytes(self._body), bytearray()
+            self.stream.push(body)
+
+    def _count_skipped_response(self):
+        self._skipped_responses += 1
+        if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+            raise exceptions.MalformedRequestError(
+                f'more than {MAX_SKIPPED_RESPONSES} answers before the right '
+                'one'
+            )
+
     def _build_response(self, stream: BodyStream | None) -> Response:
+        body, self._body = bytes(self._body), bytearray()
         return Response(
             status=self._status,
             headers=self._headers,
-            body=b''.join(self._body),
+            body=body,
             keep_alive=self._parser.should_keep_alive(),
             content_length=self._content_length(),
             stream=stream,
