Reproduce a request closed by the cancellation of the one before

The daemon of the server had not run for 1.4 s. When it did, it read two responses and put their connections back into the pool, read that the callers of both had left, and sent the request over one of these connections; then the cleanup of a cancelled request, which had not yet returned its response, closed the connection.

ConnectionPool.send aborts its connection on every exception, also after the response has been delivered and the connection is in use again. It is known red until the fix.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -123,6 +123,11 @@
     When a caller resets its connection while its request runs
     Then the target sees the cancellation and the slot is free
 
+  @known_red
+  Scenario: A cancelled request does not close the connection of the next one
+    When a request is cancelled after its response, its connection is reused
+    Then the next request on the connection gets its response
+
   Scenario: A caller that closes only its sending side gets its response
     When a caller sends a request and half-closes its connection
     Then the caller got status 200 and a body of 200 bytes
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -15,7 +15,9 @@
 import hypothesis
 from hypothesis import strategies
 
+from hemlockgrade import http_codec
 from hemlockgrade import peers
+from hemlockgrade import upstream
 from standins import loopback
 from standins import target_server
 
@@ -616,6 +618,63 @@
     context.failure_fraction = system.balancer.peer('target-0').failure_fraction
 
 
+@when('a request is cancelled after its response, its connection is reused')
+def cancel_answered_request(context):
+    context.bodies = loopback.run(cancel_after_response())
+
+
+async def cancel_after_response():
+    """Cancels a request whose response was received but not yet returned.
+
+    In one iteration of the event loop the response arrives, the next request
+    takes the connection, and the caller of the first request disconnects.
+    """
+    from twisted.internet import reactor
+
+    accepted = []
+
+    async def accept(reader, writer):
+        accepted.append(writer)
+        for body in (b'first', b'next'):
+            await reader.readuntil(b'\r\n\r\n')
+            await asyncio.sleep(0.1)
+            if body == b'next':
+                writer.write(answer(body))
+
+    def answer(body):
+        return b'HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n%s' % (
+            len(body),
+            body,
+        )
+
+    loop = asyncio.get_running_loop()
+    server = await asyncio.start_server(accept, '127.0.0.1', 0)
+    address = f'127.0.0.1:{server.sockets[0].getsockname()[1]}'
+    pool = upstream.ConnectionPool(reactor)
+
+    def send():
+        request = http_codec.Request(method='POST', target='/')
+        return loop.create_task(pool.send(address, request, loop.time() + 3))
+
+    first = send()
+    await wait_until(lambda: accepted)
+    await asyncio.sleep(0.2)
+    (connection,) = pool._open
+    loop.call_soon(connection.dataReceived, answer(b'first'))
+    following = send()
+    loop.call_soon(first.cancel)
+    results = await asyncio.gather(first, following, return_exceptions=True)
+    pool.close()
+    accepted[0].close()
+    server.close()
+    return [getattr(result, 'body', result) for result in results]
+
+
+@then('the next request on the connection gets its response')
+def check_next_response(context):
+    assert context.bodies[1] == b'next', context.bodies
+
+
 @when('a target process gets SIGTERM while it runs a request')
 def terminate_target_process(context):
     loopback.run(terminate_during_request(context))
