Do not close the next request's connection after a late cancellation

A caller got 502 for a request 20 ms after its server had begun to work on it. The daemon of that server had not run for 1.4 s; in one iteration of the event loop it then read the response to an earlier request, put its connection back into the pool, sent the next request over it, and ran the cancellation of the earlier request, whose caller had left. ConnectionPool.send aborted its connection on every exception, also after the response had been delivered. Now it aborts the connection only while the response is pending, and otherwise only ends the stream of a response that nobody takes.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -123,7 +123,6 @@
     When a caller resets its connection while its request runs
     Then the target sees the cancellation and the slot is free
 
-  @known_red
   Scenario: A cancelled request does not close the connection of the next one
     When a request is cancelled after its response, its connection is reused
     Then the next request on the connection gets its response
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -231,6 +231,28 @@
     return True
 
 
+def _discard(connection: _Connection, response_future: asyncio.Future):
+    """Ends a request whose sender takes no response.
+
+    Once a response without a stream has been received, the connection may
+    already carry the next request.
+
+    Args:
+        connection: Connection of the request.
+        response_future: Response of the request.
+    """
+    if (
+        not response_future.done()
+        or response_future.cancelled()
+        or response_future.exception() is not None
+    ):
+        connection.abort()
+        return
+    stream = response_future.result().stream
+    if stream is not None:
+        stream.abort()
+
+
 class _ConnectFactory(protocol.ClientFactory):
     noisy = False
 
@@ -314,12 +336,17 @@
         try:
             if before_write is not None:
                 before_write()
-            return await connection.send_request(
+            response_future = connection.send_request(
                 request, deadline, request_id, max_buffered_bytes
             )
         except BaseException:
             connection.abort()
             raise
+        try:
+            return await response_future
+        except BaseException:
+            _discard(connection, response_future)
+            raise
 
     async def fetch(
         self, address: str, request: http_codec.Request, deadline: float
