Cancel a request when its caller closes the connection

Callers saw: requests ran on after their callers had left.

Cause: a client that closes its socket sends the same packet as one that half-closes it. The listener for callers took it for a half-close, so the request kept its place in the queue, was retried and ran to the end; only a reset cancelled it.

Why it works: a half-close while a request runs or waits now aborts the connection, which cancels the request down to its server.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -117,11 +117,24 @@
     When the proxy drains while 5 requests run
     Then 5 requests got complete responses and 0 got not-run refusals
 
-  Scenario: A request is cancelled when its caller disconnects
-    When a caller resets its connection while its request runs
+  Scenario Outline: A request is cancelled when its caller disconnects
+    # A caller that closes its socket sends the same packet as one that
+    # half-closes it; without the cancellation its request would run to the end.
+    When a caller <ends> its connection while its request runs
     Then the target sees the cancellation and the slot is free
 
-  Scenario: A caller that closes only its sending side gets its response
+    Examples:
+      | ends   |
+      | resets |
+      | closes |
+
+  Scenario: A request is not sent to another target after its caller has left
+    # Guards against requests that reach a target long after their callers have
+    # left, because the first target failed.
+    When a caller closes its connection before the first target fails
+    Then the targets ran 1 request in total
+
+  Scenario: A client that may half-close its connection gets its response
     When a caller sends a request and half-closes its connection
     Then the caller got status 200 and a body of 200 bytes
 
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -496,15 +496,16 @@
     context.responses = [await task]
 
 
-@when_system_runs('a caller resets its connection while its request runs')
-async def reset_caller_connection(context, system):
+@when_system_runs('a caller {ends} its connection while its request runs')
+async def end_caller_connection(context, system, ends):
     caller = await system.connect()
     caller.send('POST', '/gone?ms=4000')
     await wait_until(lambda: system.targets[0].running)
-    raw_socket = caller.writer.get_extra_info('socket')
-    # With a linger time of 0 s, closing the socket sends a reset.
-    linger = struct.pack('ii', 1, 0)
-    raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    if ends == 'resets':
+        raw_socket = caller.writer.get_extra_info('socket')
+        # With a linger time of 0 s, closing the socket sends a reset.
+        linger = struct.pack('ii', 1, 0)
+        raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
     caller.writer.transport.abort()
     await wait_until(lambda: not system.targets[0].running)
     context.cancelled = system.targets[0].counts['cancelled']
@@ -518,7 +519,30 @@
     assert context.loads == (0, 0)
 
 
-@when_system_runs('a caller sends a request and half-closes its connection')
+@when_system_runs(
+    'a caller closes its connection before the first target fails', targets=2
+)
+async def close_before_failure(context, system):
+    for target in system.targets:
+        target.faults = [target_server.Fault(kind='error')]
+    caller = await system.connect()
+    caller.send('GET', '/left?ms=200')
+    await wait_until(lambda: any(t.running for t in system.targets))
+    caller.close()
+    await asyncio.sleep(0.5)
+
+
+@then('the targets ran {count:d} request in total')
+def check_total_runs(context, count):
+    assert sum(context.run_count_by_path.values()) == count, (
+        context.run_count_by_path
+    )
+
+
+@when_system_runs(
+    'a caller sends a request and half-closes its connection',
+    allow_half_close=True,
+)
 async def half_close_connection(context, system):
     caller = await system.connect()
     caller.send('POST', '/half?ms=50')
--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -134,15 +134,14 @@
         """Handles a half-close.
 
         Depending on `allow_half_close` it means that no more requests follow,
-        or that the process of the client has ended.
+        or that the client has closed the connection.
         """
-        if not self._factory.allow_half_close:
-            self._closed = True
-            self.transport.abortConnection()
-            return
         self._input_ended = True
         if self._closed or not (self.busy or self._pending):
             self._close_without_lingering()
+        elif not self._factory.allow_half_close:
+            self._closed = True
+            self.transport.abortConnection()
 
     def writeConnectionLost(self):  # noqa: N802
         """Waits for the client to close, after the last response was sent."""
@@ -368,9 +367,9 @@
         handler: Handles a request and returns the response.
         limits: Limits of each connection.
         allow_half_close: True if a client that has closed its sending side may
-            still read responses. Daemons never half-close a connection, so
-            between daemons a half-close means that the process of the peer
-            has ended and that its requests are to be cancelled.
+            still read responses. If False, a half-close means that the client
+            has closed the connection, and its requests are cancelled. A client
+            that closes its socket looks the same until a response is written.
         connections: The open connections.
         draining: True once each connection is closed after its next response.
     """
@@ -382,7 +381,7 @@
         handler: Handler,
         limits: ConnectionLimits | None = None,
         *,
-        allow_half_close: bool = True,
+        allow_half_close: bool = False,
     ):
         self.handler = handler
         self.allow_half_close = allow_half_close
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -166,6 +166,7 @@
         targets: Number of targets.
         slots: Slots of each target.
         timeout_ms: Timeout of the route.
+        listener_options: Options of the listener of the proxy.
 
     Attributes:
         targets: The targets.
@@ -177,13 +178,20 @@
         directory: State of the proxy.
     """
 
-    def __init__(self, targets: int = 1, slots: int = 18, timeout_ms=5000):
+    def __init__(
+        self,
+        targets: int = 1,
+        slots: int = 18,
+        timeout_ms: int = 5000,
+        **listener_options,
+    ):
         self.targets = [
             target_server.TargetServer(target_id=f'target-{i}', slots=slots)
             for i in range(targets)
         ]
         self.slots = slots
         self.timeout_s = timeout_ms / 1000
+        self._listener_options = listener_options
         self.hosts: list[ServerHost] = []
         self.relays: list[CuttingRelay] = []
         self.recorded_successes: list[bool] = []
@@ -222,7 +230,9 @@
             retry_slack=1e6,
             on_finished=lambda *_: None,
         )
-        self.factory, self.address = self._listen(self.proxy.handle)
+        self.factory, self.address = self._listen(
+            self.proxy.handle, **self._listener_options
+        )
         return self
 
     async def __aexit__(self, *_):
@@ -336,11 +346,9 @@
             'test',
         )
 
-    def _listen(self, handler, allow_half_close=True):
+    def _listen(self, handler, **options):
         limits = http_server.ConnectionLimits(request_read_s=0.3)
-        factory = http_server.HttpServerFactory(
-            handler, limits, allow_half_close=allow_half_close
-        )
+        factory = http_server.HttpServerFactory(handler, limits, **options)
         port = self._reactor.listenTCP(0, factory, 1024, '127.0.0.1')
         self._ports.append(port)
         return factory, f'127.0.0.1:{port.getHost().port}'
