Send no request whose close has arrived with it

Cause: the task of a request, or of a granted slot, runs before the events of the next iteration are processed, and with an idle connection it writes at once. A half-close by a peer was cancelled one iteration later still.

A half-close cancels the request at once.

Not covered: a close that is read in the iteration in which a new connection opens.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -134,6 +134,18 @@
     When a caller closes its connection before the first target fails
     Then the targets ran 1 request in total
 
+  Scenario: A request whose connection was closed before it was read is not sent
+    # Guards against requests that reach a target long after their callers have
+    # left, because a busy daemon starts them before it processes the close.
+    When a daemon reads requests together with the closes of their connections
+    Then the target ran none of the requests of closed connections
+
+  Scenario: A waiting request whose connection was closed gets no free slot
+    # Guards against the same late requests, from the queue of a busy daemon.
+    When a slot becomes free together with the close of a waiting request
+    Then the target ran none of the requests of closed connections
+    And the slot is free
+
   Scenario: A client that may half-close its connection gets its response
     When a caller sends a request and half-closes its connection
     Then the caller got status 200 and a body of 200 bytes
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -513,6 +513,85 @@
     context.loads = system.hosts[0].limiter_load()
 
 
+def peer_request(path):
+    """Returns a request of a peer to the target; a proxy accepts it as well."""
+    return (
+        f'GET {path} HTTP/1.1\r\nhost: x\r\nx-deadline-ms: 2000\r\n'
+        'x-hemlock-server: target-0\r\nx-hemlock-attempt: peer.boot-1\r\n'
+        'x-hemlock-idempotent: 1\r\n\r\n'
+    ).encode()
+
+
+def reset_socket(raw_socket):
+    """Closes a socket with a reset, by a linger time of 0 s."""
+    linger = struct.pack('ii', 1, 0)
+    raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    raw_socket.close()
+
+
+def connect_raw(address):
+    """Opens a connection whose closing does not need the event loop."""
+    host, port = address.split(':')
+    return socket.create_connection((host, int(port)), timeout=1)
+
+
+async def open_idle_connections(system):
+    """Lets the pools keep connections, so that the next sends need no wait."""
+    warm_up = [start_request(system, 'GET', '/warm-up?ms=50') for _ in range(4)]
+    await asyncio.gather(*warm_up)
+
+
+@when_system_runs(
+    'a daemon reads requests together with the closes of their connections'
+)
+async def close_before_reading(context, system):
+    for path, address, close in (
+        ('/caller-reset', system.address, reset_socket),
+        ('/caller-closed', system.address, socket.socket.close),
+        ('/peer-reset', system.hosts[0].address, reset_socket),
+        ('/peer-closed', system.hosts[0].address, socket.socket.close),
+    ):
+        await open_idle_connections(system)
+        raw_socket = connect_raw(address)
+        # The daemon accepts the connection before the request arrives.
+        await asyncio.sleep(0.02)
+        # Without an await between, the daemon sees both at once.
+        raw_socket.sendall(peer_request(path))
+        close(raw_socket)
+        await asyncio.sleep(0.1)
+
+
+@when_system_runs(
+    'a slot becomes free together with the close of a waiting request', slots=4
+)
+async def close_while_waiting(context, system):
+    await open_idle_connections(system)
+    limiter = system.hosts[0].admission._limiter
+    for _ in range(system.slots):
+        await limiter.acquire(time.monotonic() + 1)
+    raw_socket = connect_raw(system.hosts[0].address)
+    raw_socket.sendall(peer_request('/waiting'))
+    await wait_until(lambda: limiter.queued)
+    reset_socket(raw_socket)
+    limiter.release(None)
+    await asyncio.sleep(0.1)
+    for _ in range(system.slots - 1):
+        limiter.release(None)
+    context.loads = system.hosts[0].limiter_load()
+
+
+@then('the target ran none of the requests of closed connections')
+def check_closed_not_run(context):
+    assert set(context.run_count_by_path) == {'/warm-up'}, (
+        context.run_count_by_path
+    )
+
+
+@then('the slot is free')
+def check_slot_free(context):
+    assert context.loads == (0, 0)
+
+
 @then('the target sees the cancellation and the slot is free')
 def check_cancellation(context):
     assert context.cancelled == 1
--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -141,6 +141,7 @@
             self._close_without_lingering()
         elif not self._factory.allow_half_close:
             self._closed = True
+            self._cancel_request()
             self.transport.abortConnection()
 
     def writeConnectionLost(self):  # noqa: N802
@@ -154,11 +155,7 @@
         self._factory.connections.discard(self)
         if self._timer is not None:
             self._timer.cancel()
-        self._pending.clear()
-        if self._task is not None:
-            self._task.cancel()
-        if self._stream is not None:
-            self._stream.abort()
+        self._cancel_request()
 
     def pauseProducing(self):  # noqa: N802
         """Stops writing, because the client does not read the responses."""
@@ -207,6 +204,13 @@
         if not self.busy and not self._pending and not self._parser.in_message:
             self._close_without_lingering()
 
+    def _cancel_request(self):
+        self._pending.clear()
+        if self._task is not None:
+            self._task.cancel()
+        if self._stream is not None:
+            self._stream.abort()
+
     def _start_next(self):
         if not (self.busy or self._write_paused or self._closed):
             if self._pending:
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -143,12 +143,14 @@
         admission: Admission of requests to the target.
         pool: Connections to the target.
         api: Handles the requests of the proxy.
+        address: Address at which the requests arrive, without the relay.
     """
 
     registrar: registrar.Registrar
     admission: admission.AdmissionController
     pool: upstream.ConnectionPool
     api: peer_api.PeerApi
+    address: str
 
     def limiter_load(self) -> tuple[int, int]:
         """Returns the number of slots in use and of queued requests."""
@@ -326,12 +328,16 @@
             evidence=evidence.ServerEvidence('boot'),
             in_flight=in_flight.InFlightCounter(time.monotonic),
         )
+        _, address = self._listen(api.handle, allow_half_close=False)
         self.hosts.append(
             ServerHost(
-                target_registrar, server_admission, server_admission.pool, api
+                target_registrar,
+                server_admission,
+                server_admission.pool,
+                api,
+                address,
             )
         )
-        _, address = self._listen(api.handle, allow_half_close=False)
         relay = CuttingRelay(address)
         self.relays.append(relay)
         self.directory.apply_member(
