Let a request over a closed pool fail at once

Cause: the end of a process closes the pools, which fails the requests in flight. Each then tries the next peer, and ConnectionPool.send waited for one iteration of the event loop before it found that the pool is closed.

Ruled out: the cancellation by a half-close; in its trial no connection was cut, but no daemon ended with a request in flight either.

Why it works: a closed pool fails without a wait, as before. The response still rests on the order of the last iterations of the event loop.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -146,6 +146,12 @@
     Then the target ran none of the requests of closed connections
     And the slot is free
 
+  Scenario: A request over a closed pool fails without a wait
+    # Guards against connections of callers that are closed without a response,
+    # because the process ends while a failed request waits to be sent again.
+    When a request is sent over a pool that was closed
+    Then it fails before the next iteration of the event loop
+
   Scenario: A client that may half-close its connection gets its response
     When a caller sends a request and half-closes its connection
     Then the caller got status 200 and a body of 200 bytes
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -15,6 +15,8 @@
 import hypothesis
 from hypothesis import strategies
 
+from hemlockgrade import exceptions
+from hemlockgrade import http_codec
 from hemlockgrade import peers
 from standins import loopback
 from standins import target_server
@@ -580,6 +582,28 @@
     context.loads = system.hosts[0].limiter_load()
 
 
+@when_system_runs('a request is sent over a pool that was closed')
+async def send_over_closed_pool(context, system):
+    system.pool.close()
+    request = http_codec.Request(method='GET', target='/closed')
+    sending = system.pool.send(
+        system.hosts[0].address, request, time.monotonic() + 1
+    )
+    context.failed_at_once = False
+    try:
+        # Runs the coroutine until it waits for the event loop.
+        sending.send(None)
+    except exceptions.ConnectFailedError:
+        context.failed_at_once = True
+    finally:
+        sending.close()
+
+
+@then('it fails before the next iteration of the event loop')
+def check_failed_at_once(context):
+    assert context.failed_at_once
+
+
 @then('the target ran none of the requests of closed connections')
 def check_closed_not_run(context):
     assert set(context.run_count_by_path) == {'/warm-up'}, (
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -285,8 +285,11 @@
         """
         # After a pause of the process, the close by the sender of the request
         # may not have been processed yet. The next iteration of the event loop
-        # processes it, which cancels this call before anything is written.
-        await asyncio.sleep(0)
+        # processes it, which cancels this call before anything is written. A
+        # closed pool fails at once, because the process may end before that
+        # iteration.
+        if not self._closed:
+            await asyncio.sleep(0)
         connection = self._take_idle(address, max_idle_s)
         if connection is None:
             connection = await self._connect(address, deadline)
