--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -119,15 +119,46 @@
     When the proxy drains while 5 requests run
     Then 5 requests got complete responses and 0 got not-run refusals
 
-  Scenario: A request is cancelled when its caller disconnects
-    When a caller resets its connection while its request runs
+  Scenario Outline: A request is cancelled when its caller disconnects
+    # A caller that closes its socket sends the same packet as one that
+    # half-closes it; without the cancellation its request would run to the end.
+    When a caller <ends> its connection while its request runs
     Then the target sees the cancellation and the slot is free
 
+    Examples:
+      | ends   |
+      | resets |
+      | closes |
+
   Scenario: A cancelled request does not close the connection of the next one
     When a request is cancelled after its response, its connection is reused
     Then the next request on the connection gets its response
 
-  Scenario: A caller that closes only its sending side gets its response
+  Scenario: A request is not sent to another target after its caller has left
+    # Guards against requests that reach a target long after their callers have
+    # left, because the first target failed.
+    When a caller closes its connection before the first target fails
+    Then the targets ran 1 request in total
+
+  Scenario: A request whose connection was closed before it was read is not sent
+    # Guards against requests that reach a target long after their callers have
+    # left, because a busy daemon starts them before it processes the close.
+    When a daemon reads requests together with the closes of their connections
+    Then the target ran none of the requests of closed connections
+
+  Scenario: A waiting request whose connection was closed gets no free slot
+    # Guards against the same late requests, from the queue of a busy daemon.
+    When a slot becomes free together with the close of a waiting request
+    Then the target ran none of the requests of closed connections
+    And the slot is free
+
+  Scenario: A request over a closed pool fails without a wait
+    # Guards against connections of callers that are closed without a response,
+    # because the process ends while a failed request waits to be sent again.
+    When a request is sent over a pool that was closed
+    Then it fails before the next iteration of the event loop
+
+  Scenario: A client that may half-close its connection gets its response
     When a caller sends a request and half-closes its connection
     Then the caller got status 200 and a body of 200 bytes
 
--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -141,15 +141,15 @@
         """Handles a half-close.
 
         Depending on `allow_half_close` it means that no more requests follow,
-        or that the process of the client has ended.
+        or that the client has closed the connection.
         """
-        if not self._factory.allow_half_close:
-            self._closed = True
-            self.transport.abortConnection()
-            return
         self._input_ended = True
         if self._closed or not (self.busy or self._pending):
             self._close_without_lingering()
+        elif not self._factory.allow_half_close:
+            self._closed = True
+            self._cancel_request()
+            self.transport.abortConnection()
 
     def writeConnectionLost(self):  # noqa: N802
         """Waits for the client to close, after the last response was sent."""
@@ -162,11 +162,7 @@
         self._factory.connections.discard(self)
         if self._timer is not None:
             self._timer.cancel()
-        self._pending.clear()
-        if self._task is not None:
-            self._task.cancel()
-        if self._stream is not None:
-            self._stream.abort()
+        self._cancel_request()
 
     def pauseProducing(self):  # noqa: N802
         """Stops writing, because the client does not read the responses."""
@@ -215,6 +211,13 @@
         if not self.busy and not self._pending and not self._parser.in_message:
             self._close_without_lingering()
 
+    def _cancel_request(self):
+        self._pending.clear()
+        if self._task is not None:
+            self._task.cancel()
+        if self._stream is not None:
+            self._stream.abort()
+
     def _start_next(self):
         if not (self.busy or self._write_paused or self._closed):
             if self._pending:
@@ -377,9 +380,9 @@
         handler: Handles a request and returns the response.
         limits: Limits of each connection.
         allow_half_close: True if a client that has closed its sending side may
-            still read responses. Daemons never half-close a connection, so
-            between daemons a half-close means that the process of the peer
-            has ended and that its requests are to be cancelled.
+            still read responses. If False, a half-close means that the client
+            has closed the connection, and its requests are cancelled. A client
+            that closes its socket looks the same until a response is written.
         connections: The open connections.
         draining: True once each connection is closed after its next response.
     """
@@ -391,7 +394,7 @@
         handler: Handler,
         limits: ConnectionLimits | None = None,
         *,
-        allow_half_close: bool = True,
+        allow_half_close: bool = False,
     ):
         self.handler = handler
         self.allow_half_close = allow_half_close
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -143,12 +143,14 @@
         admission: Admission of requests to the target.
         pool: Connections to the target.
         api: Handles the requests of the proxy.
+        address: Address at which the requests arrive, without the relay.
     """
 
     registrar: registrar.Registrar
     admission: admission.AdmissionController
     pool: upstream.ConnectionPool
     api: peer_api.PeerApi
+    address: str
 
     def limiter_load(self) -> tuple[int, int]:
         """Returns the number of slots in use and of queued requests."""
@@ -166,6 +168,7 @@
         targets: Number of targets.
         slots: Slots of each target.
         timeout_ms: Timeout of the route.
+        listener_options: Options of the listener of the proxy.
 
     Attributes:
         targets: The targets.
@@ -177,13 +180,20 @@
         directory: State of the proxy.
     """
 
-    def __init__(self, targets: int = 1, slots: int = 18, timeout_ms=5000):
+    def __init__(
+        self,
+        targets: int = 1,
+        slots: int = 18,
+        timeout_ms: int = 5000,
+        **listener_options,
+    ):
         self.targets = [
             target_server.TargetServer(target_id=f'target-{i}', slots=slots)
             for i in range(targets)
         ]
         self.slots = slots
         self.timeout_s = timeout_ms / 1000
+        self._listener_options = listener_options
         self.hosts: list[ServerHost] = []
         self.relays: list[CuttingRelay] = []
         self.recorded_successes: list[bool] = []
@@ -222,7 +232,9 @@
             retry_slack=1e6,
             on_finished=lambda *_: None,
         )
-        self.factory, self.address = self._listen(self.proxy.handle)
+        self.factory, self.address = self._listen(
+            self.proxy.handle, **self._listener_options
+        )
         return self
 
     async def __aexit__(self, *_):
@@ -317,12 +329,16 @@
             evidence=evidence.ServerEvidence('boot'),
             in_flight=in_flight.InFlightCounter(time.monotonic),
         )
+        _, address = self._listen(api.handle, allow_half_close=False)
         self.hosts.append(
             ServerHost(
-                target_registrar, server_admission, server_admission.pool, api
+                target_registrar,
+                server_admission,
+                server_admission.pool,
+                api,
+                address,
             )
         )
-        _, address = self._listen(api.handle, allow_half_close=False)
         relay = CuttingRelay(address)
         self.relays.append(relay)
         self.directory.apply_member(
@@ -337,11 +353,9 @@
             'test',
         )
 
-    def _listen(self, handler, allow_half_close=True):
+    def _listen(self, handler, **options):
         limits = http_server.ConnectionLimits(request_read_s=0.3)
-        factory = http_server.HttpServerFactory(
-            handler, limits, allow_half_close=allow_half_close
-        )
+        factory = http_server.HttpServerFactory(handler, limits, **options)
         port = self._reactor.listenTCP(0, factory, 1024, '127.0.0.1')
         self._ports.append(port)
         return factory, f'127.0.0.1:{port.getHost().port}'
