Remember the leave of a server that a restarted daemon does not know yet

A daemon that has just started acknowledged the leave of its server and forgot it, because it knew no server yet. The state that it then read from the store said that the server is ready, the server's check passed, since it goes on serving for a while, and requests were sent to it. The daemon now remembers the identifier and the time, and takes the server as gone when it learns of it, unless it started after that.

--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -65,6 +65,15 @@
     And the first daemon is killed and restarted
     Then 40 requests at each host succeed and none reaches the first server
 
+  Scenario: A server that leaves before its restarted daemon knows it gets no requests
+    Given a mesh of 2 hosts
+    When the first server sends heartbeats every 20 seconds
+    And the store sends no responses
+    And the first daemon is killed and restarted
+    And the first server leaves without draining
+    And the store responds again
+    Then 40 requests at each host succeed and none reaches the first server
+
   Scenario: A stopping daemon serves peers until callers stop sending to it
     Given a mesh of 2 hosts
     When the server of the first host drains
--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -179,6 +179,31 @@
     context.mesh.set_store_faults(silent=True)
 
 
+@when('the store responds again')
+def restore_store(context):
+    context.mesh.set_store_faults()
+    cluster.wait_until(
+        lambda: (
+            'event=entry_written'
+            in context.mesh.read_log('h1')[context.log_size :]
+        ),
+        'the first daemon has written its member',
+    )
+
+
+@when('the first server leaves without draining')
+def deregister_first_server(context):
+    control = context.mesh.daemon_by_name['h1'].addresses['control']
+    context.log_size = len(context.mesh.read_log('h1'))
+    cluster.wait_until(
+        lambda: (
+            mesh_cluster.send_request(control, 'DELETE', '/-/instances/i-h1')[0]
+            == 200
+        ),
+        'the leave is acknowledged',
+    )
+
+
 @when('the store loses its history')
 def drop_store_history(context):
     context.mesh.set_store_faults(forget=True)
--- a/hemlockgrade/registrar.py
+++ b/hemlockgrade/registrar.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import enum
+import time
 
 import attrs
 from loguru import logger
@@ -46,6 +47,7 @@
         on_change: Called when the server has been confirmed, and when its state
             has changed in other fields than those that change with each
             heartbeat.
+        time_ms: Returns the time of day in milliseconds of Unix time.
     """
 
     service: str
@@ -53,6 +55,9 @@
     server: model.Server | None = None
     confirmed: bool = False
     on_change: list[Callable[[], None]] = attrs.field(factory=list)
+    time_ms: Callable[[], int] = lambda: int(time.time() * 1000)
+    _unknown_left_id: str = ''
+    _unknown_left_ms: int = 0
 
     @property
     def local_service(self) -> str:
@@ -80,7 +85,7 @@
             server: State that an earlier daemon process on this host stored.
         """
         if self.server is None or _age_order(server) > _age_order(self.server):
-            self.server = server
+            self.server = self._marked_if_left(server)
 
     def confirm(self, server: model.Server) -> None:
         """Allows requests to a server from the store that passed a check.
@@ -102,6 +107,7 @@
             return HeartbeatResult.OTHER_SERVER
         if self.service and new.service != self.service:
             return HeartbeatResult.OTHER_SERVER
+        new = self._marked_if_left(new)
         old = self.server
         if old is not None and not _is_newer(old, new):
             return HeartbeatResult.OUTDATED
@@ -119,18 +125,37 @@
     def deregister(self, server_id: str) -> bool:
         """Marks the local server as gone.
 
+        A process that has just started may not know the server yet. It then
+        marks the server when the state from the store or a late heartbeat
+        arrives.
+
         Args:
             server_id: Identifier of the server that deregisters.
 
         Returns:
-            False if the identifier is not that of the local server.
+            False if the identifier is not that of the known local server.
         """
         old = self.server
         if old is None or old.server_id != server_id:
+            self._unknown_left_id = server_id
+            self._unknown_left_ms = self.time_ms()
+            logger.info('event=unknown_server_left server={}', server_id)
             return False
         self._set_server(attrs.evolve(old, state=model.ServerState.GONE), False)
         return True
 
+    def _marked_if_left(self, server: model.Server) -> model.Server:
+        """Returns a server as gone if it left while it was not known.
+
+        A server that started after that is a new incarnation.
+        """
+        if (
+            server.server_id != self._unknown_left_id
+            or server.born_ms > self._unknown_left_ms
+        ):
+            return server
+        return attrs.evolve(server, state=model.ServerState.GONE)
+
     def _set_server(self, new: model.Server, newly_confirmed: bool):
         """Sets the state, and logs it and calls `on_change` if it changed.
 
