--- a/standins/mesh_cluster.py
+++ b/standins/mesh_cluster.py
@@ -136,8 +136,17 @@
         path = self.directory / f'{name}.json'
         path.write_text(json.dumps(settings))
 
-    def start_server(self, name: str, zone: str, version: str = 'v1') -> None:
-        """Starts a new incarnation of the server on the host of a daemon."""
+    def start_server(
+        self, name: str, zone: str, version: str = 'v1', **changes
+    ) -> None:
+        """Starts a new incarnation of the server on the host of a daemon.
+
+        Args:
+            name: Name of the daemon.
+            zone: Failure domain of the daemon.
+            version: Version of the service.
+            changes: Options that differ from the defaults of the tests.
+        """
         addresses = self.daemon_by_name[name].addresses
         options = {
             'server_id': f'i-{name}',
@@ -147,6 +156,7 @@
             'slots': 4,
             'address': addresses['server'],
             'control': addresses['control'],
+            **changes,
         }
         self.server_by_name[name] = self._start(
             f'server-{name}',
--- a/standins/mesh_server.py
+++ b/standins/mesh_server.py
@@ -3,7 +3,11 @@
 Run as `python -m standins.mesh_server JSON`. The JSON object has the keys
 `server_id`, `service`, `version`, `zone`, `slots`, `address`, `control` (the
 address of the daemon that receives the heartbeats) and optionally `work_ms`
-(the time that each request takes). Responses are signed.
+(the time that each request takes), `announced_address` (the address in the
+heartbeats, if it is not `address`) and `log_runs` (prints the start and the end
+of each run). The header `X-Work-Ms` of a request replaces `work_ms`. Responses
+are signed. A request that would take longer than its `X-Deadline-Ms` gets 504
+at that time.
 
 `POST /.control/set` changes these keys, and the following ones, while the
 server runs: `state`, `fail` (responds with status 500), `heartbeat_s`, `extra`
@@ -21,6 +25,7 @@
 
 import asyncio
 import json
+import math
 import sys
 import time
 import urllib.parse
@@ -69,7 +74,7 @@
         options = self.options
         body = {
             'Service': options['service'],
-            'Address': options['address'],
+            'Address': options.get('announced_address', options['address']),
             'Zone': options['zone'],
             'Version': options['version'],
             'Slots': options['slots'],
@@ -142,6 +147,17 @@
         self.server.endless_responses.append(response)
         await response.send(self.transport, self.drained)
 
+    def log_run(self, request_id, result):
+        """Prints the start or the result of a run, if the options say so."""
+        if self.server.options.get('log_runs'):
+            entry = {
+                'run': request_id,
+                'server': self.server.options['server_id'],
+                'at': time.monotonic(),
+                'result': result,
+            }
+            print(json.dumps(entry), flush=True)
+
     async def run_request(self, request):
         """Runs a request, or refuses a request it cannot run now."""
         server, options = self.server, self.server.options
@@ -156,16 +172,28 @@
             self.send(503, b'', [('x-not-executed', '1')])
             return
         query = dict(urllib.parse.parse_qsl(request.target.partition('?')[2]))
+        work_ms = float(
+            http_codec.header(request.headers, b'x-work-ms')
+            or options['work_ms']
+        )
+        left_ms = float(
+            http_codec.header(request.headers, b'x-deadline-ms') or math.inf
+        )
+        status = 500 if options['fail'] else 504 if left_ms < work_ms else 200
         server.runs.append(request_id)
         server.running += 1
+        self.log_run(request_id, 'started')
+        result = 'dropped'
         try:
             if 'endless' in query:
                 await self.send_endless(
                     query['endless'], request_id, query.get('pace', 'full')
                 )
-            await asyncio.sleep(options['work_ms'] / 1000)
+            await asyncio.sleep(min(work_ms, left_ms) / 1000)
+            result = status
         finally:
             server.running -= 1
+            self.log_run(request_id, result)
         if options.get('silent'):
             return
         if options.get('extra') and self.previous_response:
@@ -173,7 +201,6 @@
         caller_service = http_codec.header(request.headers, b'x-caller-service')
         body = f'{options["server_id"]} ran {request_id} for {caller_service}'
         body = body.ljust(options.get('body_bytes', 0))
-        status = 500 if options['fail'] else 200
         self.previous_response = self.send(
             status,
             body.encode(),
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -9,6 +9,8 @@
     refuse_ports: Ports on which all calls are refused with status 503.
     lose_answers: Number of writes that take effect without a response.
     forget: True to drop the history of changes once.
+    replace: Texts that are replaced in the bodies of writes, for example the
+        address of a daemon by the address of a relay.
 
 `GET /.control/calls` returns the number of calls by method.
 """
@@ -221,7 +223,10 @@
         if request.method == 'DELETE':
             revision = int(query['Rev']) if 'Rev' in query else None
             return store.delete(kind, path[1], revision)
-        data = json.loads(request.body)
+        body = request.body.decode()
+        for old, new in store.faults.get('replace', {}).items():
+            body = body.replace(old, new)
+        data = json.loads(body)
         revision = data['Metadata'].get('Rev')
         if request.method == 'POST':
             name = data['Metadata']['Name']
