--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -431,6 +431,7 @@
         )
     now = admission.clock()
     deadline = now + left_s - RESPONSE_MARGIN_S
+    # The peer sends a refused request to another server at once.
     if not admission.shutdown.completes(deadline):
         return peer_protocol.refusal_response(peer_protocol.Refusal.STOPPING)
     priority = http_codec.header(headers, peer_protocol.PRIORITY_HEADER) or '0'
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -305,9 +305,7 @@
         self.directory.on_configuration.append(
             lambda: self._apply_caller_limits(caller_factory)
         )
-        peer_factory = http_server.HttpServerFactory(
-            self._peer_api.handle, allow_half_close=False
-        )
+        peer_factory = http_server.HttpServerFactory(self._peer_api.handle)
         factory_by_setting: dict[str, Any] = {
             'admission_address': peer_factory,
             'local_address': http_server.HttpServerFactory(
--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -114,7 +114,7 @@
 
     @property
     def finished(self) -> bool:
-        """Returns whether the last response has been written."""
+        """Returns whether the connection only waits for the client's close."""
         return self._phase is _Phase.LINGERING
 
     def connectionMade(self):  # noqa: N802
@@ -420,25 +420,21 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
-    async def close(self, deadline: float) -> bool:
+    async def close(self, deadline: float) -> None:
         """Closes each connection once it is idle and its data is written.
 
         A request that is still being read keeps its connection open, too.
 
         Args:
             deadline: Time of the event loop at which the wait ends, in seconds.
-
-        Returns:
-            False if requests or responses are still under way at the deadline.
         """
         loop = asyncio.get_running_loop()
-        while True:
-            self.close_idle()
-            if all(connection.finished for connection in self.connections):
-                return True
-            if loop.time() >= deadline:
-                return False
+        self.close_idle()
+        while loop.time() < deadline and not all(
+            connection.finished for connection in self.connections
+        ):
             await asyncio.sleep(CLOSE_CHECK_INTERVAL_S)
+            self.close_idle()
 
 
 def _error_response(
--- a/hemlockgrade/shutdown.py
+++ b/hemlockgrade/shutdown.py
@@ -39,9 +39,6 @@
     def completes(self, deadline: float) -> bool:
         """Returns whether a request certainly ends before it is interrupted.
 
-        Peers that are refused send a request to another server at once, so
-        nothing else is accepted of them after the stop signal.
-
         Args:
             deadline: Monotonic time at which the request ends at the latest,
                 in seconds.
