Check the guards of a shutdown by their removal

Six mutations: what callers and peers may still send, the connections that wait when the listener closes, the interruption, and the cancellation of a request whose response has come. The removal of AdmissionController.refuse_waiting was not noticed: the failed pool ends the running requests, whose slots go to the waiting ones, which fail at the closed pool and are refused. So it is gone.

--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -251,11 +251,6 @@
         admitted.service_s = self.clock() - admitted.started
         return self._classify_response(admitted, response)
 
-    def refuse_waiting(self) -> None:
-        """Refuses the requests that wait for a slot of the local server."""
-        if self._limiter is not None:
-            self._limiter.drain()
-
     def _refusal_reason(self, server_id: str) -> peer_protocol.Refusal:
         known = self.registrar.server
         if (
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -410,8 +410,7 @@
             self._server_check.trigger()
 
     def _interrupt_requests(self):
-        """Ends the requests that wait for a slot or for a response."""
-        self.admission.refuse_waiting()
+        """Fails the requests that run, and then those that wait for a slot."""
         for pool in (self._server_pool, self._peer_pool):
             pool.close()
 
--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -93,8 +93,8 @@
     Mutation(
         guard='a connection is closed after a failed request',
         module='upstream.py',
-        old='            connection.abort()\n            raise',
-        new='            raise',
+        old='_discard(connection, response_future)\n            raise',
+        new='raise',
         feature='request_path',
     ),
     Mutation(
@@ -150,6 +150,42 @@
         new='        while False:',
         feature='mesh_processes',
     ),
+    Mutation(
+        guard='a stopping daemon refuses what may outlast it',
+        module='shutdown.py',
+        old='return now < self.open_until or self.completes(deadline)',
+        new='return True',
+        feature='mesh_processes',
+    ),
+    Mutation(
+        guard='a stopping daemon refuses what may outlast it, of peers',
+        module='admission.py',
+        old='if not admission.shutdown.completes(deadline):',
+        new='if False:',
+        feature='mesh_processes',
+    ),
+    Mutation(
+        guard='a stopping daemon accepts what waits when its listener closes',
+        module='listeners.py',
+        old='reactor.callLater(0, _accept_waiting, listener)',
+        new='pass',
+        feature='mesh_processes',
+    ),
+    Mutation(
+        guard='a stopping daemon answers the requests that it interrupts',
+        module='drain.py',
+        old='self.on_interrupt()',
+        new='pass',
+        feature='mesh_processes',
+    ),
+    Mutation(
+        guard='a late cancellation does not close the next request',
+        module='upstream.py',
+        old='    stream = response_future.result().stream\n',
+        new='    connection.abort()\n'
+        '    stream = response_future.result().stream\n',
+        feature='request_path',
+    ),
     Mutation(
         guard='an object is read back after a write whose response was lost',
         module='definition_store.py',
