Show which requests are sent by the run of a retry

The log could not tell whether a call was sent by the first run of its parent or by a repeated one, so the first hypothesis could not be told from the others. An attempt that follows one which may have reached a server now says so to the daemon of the next server (x-hemlock-repeat). That daemon keeps it with the running request, so request_finished has sent_by_repeat, and hemlock_repeats_total counts attempts by cause.

The parent of a call is found by the longest prefix of its identifier instead of the first one, and it is kept until its deadline when its attempt ends without a response, because the server may still run it. No request is routed or retried in another way.

--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -13,6 +13,7 @@
 from hemlockgrade import model
 from hemlockgrade import peer_protocol
 from hemlockgrade import registrar as registrar_module
+from hemlockgrade import running_requests
 from hemlockgrade import shutdown as shutdown_module
 from hemlockgrade import upstream
 from hemlockgrade.platform import codec as platform_codec
@@ -90,6 +91,7 @@
         leaving: True once new requests of other daemons are refused.
         on_response: Called with the result of each request that may have run
             at the local server.
+        running: Requests that the local server runs.
     """
 
     registrar: registrar_module.Registrar
@@ -101,9 +103,11 @@
     requires_signature: bool = True
     leaving: bool = False
     on_response: Callable[[ResponseRecord], None] | None = None
+    running: running_requests.RunningRequests = attrs.field(
+        factory=running_requests.RunningRequests
+    )
     _limiter: limits.Limiter | None = None
     _limiter_key: tuple[str, int, int] | None = None
-    _priority_by_request_id: dict[str, int] = attrs.field(factory=dict)
 
     @property
     def load(self) -> tuple[int, float]:
@@ -119,17 +123,6 @@
         requests = self._limiter.in_use + self._limiter.queued
         return requests, self._limiter.service_s
 
-    def running_priority(self, request_id: str) -> int | None:
-        """Returns the priority of a request that the local server is running.
-
-        Args:
-            request_id: Identifier of the request.
-
-        Returns:
-            None if no request with this identifier is running.
-        """
-        return self._priority_by_request_id.get(request_id)
-
     async def run(
         self,
         request: http_codec.Request,
@@ -141,6 +134,7 @@
         idempotent: bool,
         route: str,
         on_time_until: float = math.inf,
+        is_repeat: bool = False,
     ) -> http_codec.Response:
         """Sends a request to the local server as soon as a slot is free.
 
@@ -155,6 +149,8 @@
             route: Name of the route, for the response statistics.
             on_time_until: Monotonic time until which the response is within
                 the target latency of the route.
+            is_repeat: True if an earlier attempt of the request, or of a
+                request for which it was sent, may have reached a server.
 
         Returns:
             The response of the server, or a response built by
@@ -191,17 +187,22 @@
             idempotent=idempotent,
             started=self.clock(),
         )
-        request_id = http_codec.header(
-            request.headers, platform_codec.REQUEST_ID_HEADER
+        request_id = (
+            http_codec.header(request.headers, platform_codec.REQUEST_ID_HEADER)
+            or ''
+        )
+        running = running_requests.RunningRequest(
+            priority=priority, is_repeat=is_repeat, ends_by=deadline
         )
-        self._priority_by_request_id[request_id or ''] = priority
+        self.running.add(request_id, running)
         response: http_codec.Response | None = None
         try:
-            response = await self._run_admitted(
-                request, admitted, request_id or ''
-            )
+            response = await self._run_admitted(request, admitted, request_id)
         finally:
-            self._priority_by_request_id.pop(request_id or '', None)
+            if response is None or peer_protocol.is_unknown_outcome(response):
+                self.running.abandon(running, self.clock())
+            else:
+                self.running.remove(request_id, running)
             if response is None or response.stream is None:
                 limiter.release(admitted.service_s)
             else:
@@ -442,4 +443,6 @@
         idempotent=idempotent is not None,
         route=http_codec.header(headers, peer_protocol.ROUTE_HEADER) or '',
         on_time_until=math.inf if on_time_s is None else now + on_time_s,
+        is_repeat=http_codec.header(headers, peer_protocol.REPEAT_HEADER)
+        is not None,
     )
--- a/hemlockgrade/call.py
+++ b/hemlockgrade/call.py
@@ -6,6 +6,7 @@
 from hemlockgrade import model
 from hemlockgrade import peer_protocol
 from hemlockgrade import retries
+from hemlockgrade import running_requests
 
 
 @attrs.frozen(kw_only=True)
@@ -47,8 +48,8 @@
         request_id: Identifier that the caller gave to the request, or that the
             proxy created because the caller gave none.
         route: Route of the request.
-        parent_priority: Priority of the parent request, which the local server
-            is running and for which it sent this one; None if there is none.
+        parent: The request that the local server is running and for which it
+            sent this one; None if there is none.
         service: Service that is to run the request.
         started: Monotonic time at which the request arrived.
         deadline: Monotonic time at which the timeout of the caller or that of
@@ -68,7 +69,7 @@
     request: http_codec.Request
     request_id: str
     route: model.Route
-    parent_priority: int | None
+    parent: running_requests.RunningRequest | None
     service: str
     started: float
     deadline: float
@@ -87,10 +88,24 @@
 
         A nested request has the priority of its parent.
         """
-        if self.parent_priority is not None:
-            return self.parent_priority
+        if self.parent is not None:
+            return self.parent.priority
         return self.route.priority
 
+    @property
+    def sent_by_repeat(self) -> bool:
+        """Returns whether the parent of the request is itself a repeat."""
+        return self.parent is not None and self.parent.is_repeat
+
+    @property
+    def is_repeat(self) -> bool:
+        """Returns whether the next attempt counts as a retry of its service.
+
+        That is the case for all attempts of a request that is sent by a
+        repeat, because the first run of its parent sends it, too.
+        """
+        return self.sent_by_repeat or self.sent_attempts > 0
+
     @property
     def on_time_until(self) -> float:
         """Returns the end of the target latency of the route.
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -183,6 +183,7 @@
             retry_ratio=settings.retry_ratio,
             retry_slack=settings.retry_slack,
             on_finished=self._record_request,
+            on_repeat=self.metrics.repeats.inc,
         )
 
     def _build_control(self):
--- a/hemlockgrade/metrics.py
+++ b/hemlockgrade/metrics.py
@@ -24,6 +24,11 @@
             'Time from a request to its whole answer.',
             buckets=list(LATENCY_BUCKET_BOUNDS_S),
         )
+        self.repeats = self._add(
+            aioprometheus.Counter,
+            'hemlock_repeats_total',
+            'Attempts at servers that count as retries, by service and cause.',
+        )
         self.server_seconds = self._add(
             aioprometheus.Histogram,
             'hemlock_server_seconds',
--- a/hemlockgrade/peer_protocol.py
+++ b/hemlockgrade/peer_protocol.py
@@ -18,6 +18,9 @@
 ON_TIME_HEADER = b'x-hemlock-on-time-ms'
 # Present if the request is idempotent, so that it may run more than once.
 IDEMPOTENT_HEADER = b'x-hemlock-idempotent'
+# Present if an earlier attempt of the request, or of a request for which it was
+# sent, may have reached a server.
+REPEAT_HEADER = b'x-hemlock-repeat'
 # Name of the route, for the response statistics of each version.
 ROUTE_HEADER = b'x-hemlock-route'
 # Identifier of the attempt, which is unique among all daemons, and boot
@@ -188,6 +191,11 @@
     )
 
 
+def is_unknown_outcome(response: http_codec.Response) -> bool:
+    """Returns whether a response says that the outcome is unknown."""
+    return http_codec.header(response.headers, UNKNOWN_HEADER) is not None
+
+
 def decode_time_left_s(headers: http_codec.Headers) -> float | None:
     """Decodes how long the sender still waits for the response.
 
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -64,6 +64,8 @@
             this fraction, over all daemons.
         on_finished: Called when a request has ended, with its metric labels
             and its duration in seconds.
+        on_repeat: Called when an attempt that counts as a retry has reached a
+            server, with its metric labels.
     """
 
     local_service: Callable[[], str]
@@ -76,6 +78,7 @@
     retry_ratio: float
     retry_slack: float
     on_finished: Callable[[dict[str, str], float], None]
+    on_repeat: Callable[[dict[str, str]], None] = lambda labels: None
     _budget_by_service: dict[str, retries.RetryBudget] = attrs.field(
         factory=dict
     )
@@ -164,9 +167,7 @@
             request=request.with_headers(headers),
             request_id=request_id,
             route=entry.route,
-            parent_priority=self.admission.running_priority(
-                _parent_id(request_id)
-            ),
+            parent=self.admission.running.find_parent(request_id),
             service=entry.next_service(),
             started=started,
             deadline=started + min(left_s, entry.route.timeout_s),
@@ -184,8 +185,12 @@
                 return self._give_up(call)
             call.tried_members.append(peer.member.name)
             call.version = peer.member.required_server.version
+            is_repeat, sent_before = call.is_repeat, call.sent_attempts
             result = await self.sender.send(call, peer)
             call.record_result(result)
+            if is_repeat and call.sent_attempts > sent_before:
+                cause = 'retry' if sent_before else 'repeated-parent'
+                self.on_repeat({'service': call.service, 'cause': cause})
             if result.response is not None and not self._is_retryable(
                 call, result.response
             ):
@@ -264,12 +269,14 @@
         self._report_finished(call, status)
         now = self.clock()
         logger.info(
-            'event=request_finished request={} route={} nested={} service={} '
-            'status={} outcome={!r} tried={} sent={} refused={} took_ms={:.0f} '
-            'left_ms={:.0f} stopping_ms={} configuration={} table={}',
+            'event=request_finished request={} route={} nested={} '
+            'sent_by_repeat={} service={} status={} outcome={!r} tried={} '
+            'sent={} refused={} took_ms={:.0f} left_ms={:.0f} stopping_ms={} '
+            'configuration={} table={}',
             call.request_id,
             call.route.name,
-            call.parent_priority is not None,
+            call.parent is not None,
+            call.sent_by_repeat,
             call.service,
             status,
             outcome,
@@ -325,16 +332,6 @@
         self.on_finished(labels, self.clock() - call.started)
 
 
-def _parent_id(request_id: str) -> str:
-    """Returns the part of a request identifier before its first dot.
-
-    A server that sends a request while it runs another one uses the identifier
-    `<parent id>.<own id>`. The identifier of a request without a parent is
-    returned whole if it has no dot.
-    """
-    return request_id.partition('.')[0]
-
-
 def _retry_after_s(left_s: float) -> float:
     """Returns after what time a caller may send a refused request again.
 
--- a/hemlockgrade/sender.py
+++ b/hemlockgrade/sender.py
@@ -157,6 +157,7 @@
                 idempotent=call.idempotent,
                 route=call.route.name,
                 on_time_until=call.on_time_until,
+                is_repeat=call.is_repeat,
             )
             peer.record_load(*self.admission.load)
             return response
@@ -179,6 +180,8 @@
         ]
         if call.idempotent:
             headers.append((peer_protocol.IDEMPOTENT_HEADER, b'1'))
+        if call.is_repeat:
+            headers.append((peer_protocol.REPEAT_HEADER, b'1'))
         return await self.pool.send(
             peer.member.address,
             call.request.with_headers(headers),
