Show that calls of repeated runs exceed the retry budget

Four booking servers refuse 30% of their requests and send three calls a run; four permit servers refuse 20%.

--- a/standins/mesh_cluster.py
+++ b/standins/mesh_cluster.py
@@ -75,13 +75,35 @@
         else:
             assert self.call_store('PUT', 'config/main', body)
 
-    def start_host(self, name: str, zone: str, version: str = 'v1') -> None:
-        """Starts the daemon and the server of a host."""
-        self.start_mesh_daemon(name, zone)
-        self.start_server(name, zone, version)
+    def start_host(
+        self,
+        name: str,
+        zone: str,
+        version: str = 'v1',
+        service: str = 'booking',
+        **changes,
+    ) -> None:
+        """Starts the daemon and the server of a host.
 
-    def start_mesh_daemon(self, name: str, zone: str) -> None:
-        """Starts the daemon of a host; a restart keeps its addresses."""
+        Args:
+            name: Name of the daemon.
+            zone: Failure domain of the daemon.
+            version: Version of the service.
+            service: Service that the server runs.
+            changes: Settings of the daemon that differ from the defaults of the
+                tests.
+        """
+        self.start_mesh_daemon(name, zone, service=service, **changes)
+        self.start_server(name, zone, version, service=service)
+
+    def start_mesh_daemon(self, name: str, zone: str, **changes) -> None:
+        """Starts the daemon of a host; a restart keeps its addresses.
+
+        Args:
+            name: Name of the daemon.
+            zone: Failure domain of the daemon.
+            changes: Settings that differ from the defaults of the tests.
+        """
         previous_process = self.daemon_by_name.get(name)
         addresses = (
             previous_process.addresses
@@ -98,7 +120,7 @@
                 )
             }
         )
-        self.write_settings(name, zone, addresses)
+        self.write_settings(name, zone, addresses, **changes)
         self.daemon_by_name[name] = self._start(
             name,
             ['-m', 'hemlockgrade'],
@@ -156,6 +178,7 @@
             'slots': 4,
             'address': addresses['server'],
             'control': addresses['control'],
+            'proxy': addresses['caller'],
             **changes,
         }
         self.server_by_name[name] = self._start(
@@ -173,8 +196,22 @@
 
     def executed_request_ids(self, name: str) -> list[str]:
         """Returns the identifiers of the requests that a server ran."""
+        return self._control(name, 'runs')
+
+    def arrivals(self, name: str) -> list[list]:
+        """Returns identifier and monotonic time of each request at a server.
+
+        Refused requests are included.
+        """
+        return self._control(name, 'arrivals')
+
+    def calls(self, name: str) -> list[str]:
+        """Returns the identifiers of the requests that a server has sent."""
+        return self._control(name, 'calls')
+
+    def _control(self, name: str, what: str):
         address = self.daemon_by_name[name].addresses['server']
-        return json.loads(send_request(address, 'GET', '/.control/runs')[1])
+        return json.loads(send_request(address, 'GET', f'/.control/{what}')[1])
 
     def is_ready(self, name: str) -> bool:
         """Returns whether the readiness check of a daemon succeeds."""
--- a/standins/mesh_server.py
+++ b/standins/mesh_server.py
@@ -12,9 +12,13 @@
 `POST /.control/set` changes these keys, and the following ones, while the
 server runs: `state`, `fail` (responds with status 500), `heartbeat_s`, `extra`
 (writes the response to an earlier request once more before each response),
-`silent` (writes no response) and `body_bytes` (smallest size of a body).
-`GET /.control/runs` returns the identifiers of the requests that the server
-ran.
+`silent` (writes no response), `body_bytes` (smallest size of a body),
+`refused_share` (fraction of the requests that are refused) and `calls` (paths
+of the requests that each run sends to the proxy of its host; a run whose
+request fails responds with status 500). `GET /.control/runs` returns the
+identifiers of the requests that the server ran, `/.control/calls` those of the
+requests that it sent, and `/.control/arrivals` identifier and monotonic time of
+each request, refused ones included.
 
 A request with `?endless=NAME` in its query gets the endless response of that
 name in `standins.endless`, at the pace of `&pace=`. With `?then=NAME` it
@@ -36,6 +40,7 @@
 from hemlockgrade import http_codec
 from standins import endless
 from standins import http_connection
+from standins import mesh_cluster
 
 
 class Server:
@@ -46,6 +51,10 @@
         born: Start of this incarnation, in milliseconds of Unix time.
         sequence: Number of the last heartbeat.
         runs: Identifiers of the requests that were run.
+        calls: Identifiers of the requests that the runs have sent.
+        arrivals: Identifier and monotonic time of each request.
+        refusals_due: Sum of `refused_share` over the requests, less the number
+            of refused requests.
         running: Number of requests that run now.
         endless_responses: Endless responses in the order of their start.
     """
@@ -61,9 +70,42 @@
         self.born = int(time.time() * 1000)
         self.sequence = 0
         self.runs = []
+        self.calls = []
+        self.arrivals = []
+        self.refusals_due = 0.0
         self.running = 0
         self.endless_responses = []
 
+    def takes_refusal(self):
+        """Returns whether the next request is one that is refused."""
+        self.refusals_due += self.options.get('refused_share', 0.0)
+        is_due = self.refusals_due >= 1.0
+        self.refusals_due -= is_due
+        return is_due
+
+    async def call(self, request_id, path, left_ms):
+        """Sends a request for a run and returns whether it succeeded.
+
+        Args:
+            request_id: Identifier of the request that the run belongs to.
+            path: Path of the request to send.
+            left_ms: Time left for the run, in milliseconds.
+        """
+        call_id = f'{request_id}.{self.options["server_id"]}-{len(self.calls)}'
+        self.calls.append(call_id)
+        status, _, _ = await asyncio.to_thread(
+            mesh_cluster.send_request,
+            self.options['proxy'],
+            'GET',
+            path,
+            headers={
+                'Host': mesh_cluster.HOST_NAME,
+                'X-Request-Id': call_id,
+                'X-Deadline-Ms': f'{left_ms:.0f}',
+            },
+        )
+        return status == 200
+
     def send_heartbeat(self):
         """Sends a heartbeat.
 
@@ -137,7 +179,12 @@
             responses = [attrs.asdict(r) for r in server.endless_responses]
             self.send(200, json.dumps(responses).encode())
             return
-        self.send(200, json.dumps(server.runs).encode())
+        recorded = {
+            '/.control/calls': server.calls,
+            '/.control/arrivals': server.arrivals,
+        }
+        result = recorded.get(request.path, server.runs)
+        self.send(200, json.dumps(result).encode())
 
     async def send_endless(self, name, request_id, pace='full'):
         """Sends an endless response until the connection is closed."""
@@ -162,13 +209,14 @@
         """Runs a request, or refuses a request it cannot run now."""
         server, options = self.server, self.server.options
         request_id = http_codec.header(request.headers, b'x-request-id')
+        server.arrivals.append((request_id, time.monotonic()))
         expected_server_id = http_codec.header(
             request.headers, b'x-target-instance'
         )
         if expected_server_id != options['server_id']:
             self.send(421, b'', [('x-not-executed', '1')])
             return
-        if server.running >= options['slots']:
+        if server.running >= options['slots'] or server.takes_refusal():
             self.send(503, b'', [('x-not-executed', '1')])
             return
         query = dict(urllib.parse.parse_qsl(request.target.partition('?')[2]))
@@ -190,6 +238,9 @@
                     query['endless'], request_id, query.get('pace', 'full')
                 )
             await asyncio.sleep(min(work_ms, left_ms) / 1000)
+            for path in options.get('calls', ()):
+                if not await server.call(request_id, path, left_ms):
+                    status = 500
             result = status
         finally:
             server.running -= 1
