Take calls of repeated runs from the retry budget of their service

A call that is sent by the run of a retried request counts as a retry of the called service: the first run has sent the same call. The proxy took it for a first attempt, so it used nothing of the budget, and own retries filled the budget beside it.

Such a call now takes a retry from the budget and is refused at once if none is left. It may use the fifth of the slack that retries leave, because its refusal costs a run.

--- a/features/nested_requests.feature
+++ b/features/nested_requests.feature
@@ -1,6 +1,5 @@
 Feature: Requests that servers send while they run a request
 
-  @known_red
   Scenario: Calls of repeated runs exceed the retry budget of the service that is called
     # Guards against calls of repeated runs that nobody counts as retries.
     Given 4 booking servers whose runs send 3 calls each to 4 permit servers
--- a/hemlockgrade/call.py
+++ b/hemlockgrade/call.py
@@ -115,6 +115,14 @@
         """
         return self.started + self.route.target_latency_s
 
+    def refuse(self, refusal: peer_protocol.Refusal) -> None:
+        """Records that this daemon refuses the request without an attempt."""
+        self.last_result = AttemptResult(
+            reason=refusal.value,
+            failure=retries.Failure.NOT_RUN,
+            refusal=refusal,
+        )
+
     def record_result(self, result: AttemptResult) -> None:
         """Records the result of an attempt.
 
--- a/hemlockgrade/peer_protocol.py
+++ b/hemlockgrade/peer_protocol.py
@@ -65,6 +65,8 @@
         SHED: The server refused the request.
         FENCED: The attempt was fenced before it was admitted.
         UNREACHABLE: The sender cannot connect to the daemon.
+        RETRY_BUDGET: The request is sent by a repeat, and the retry budget of
+            its service is used up.
     """
 
     FULL = 'full'
@@ -77,6 +79,7 @@
     SHED = 'shed'
     FENCED = 'fenced'
     UNREACHABLE = 'unreachable'
+    RETRY_BUDGET = 'retry-budget'
 
     @property
     def server_unavailable(self) -> bool:
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -24,8 +24,8 @@
 
 # Timeout of a request whose caller states none, in seconds.
 DEFAULT_TIMEOUT_S = 30.0
-# The retry budget uses this fraction of the limits `retry_ratio` and
-# `retry_slack`, so that retries stay below what the operators allow.
+# Retries use this fraction of the limits `retry_ratio` and `retry_slack`. The
+# rest of the slack is for requests that are sent by a repeat.
 RETRY_LIMIT_USED_FRACTION = 0.8
 # Header by which a caller states its timeout, in milliseconds.
 CALLER_TIMEOUT_HEADER = b'x-request-timeout-ms'
@@ -125,11 +125,7 @@
         self, call: call_module.Call
     ) -> http_codec.Response:
         refusal = peer_protocol.Refusal.STOPPING
-        call.last_result = call_module.AttemptResult(
-            reason=refusal.value,
-            failure=retries.Failure.NOT_RUN,
-            refusal=refusal,
-        )
+        call.refuse(refusal)
         self._log_finished(call, 503, refusal.value)
         serves_again_at = self.shutdown.interrupts_at + RESTART_S
         return _refusal_response(serves_again_at - call.started)
@@ -179,6 +175,9 @@
     ) -> http_codec.Response:
         budget = self._retry_budget(call.service)
         budget.count_request()
+        if call.sent_by_repeat and not budget.take_for_nested():
+            call.refuse(peer_protocol.Refusal.RETRY_BUDGET)
+            return self._give_up(call)
         while True:
             peer = self._choose_peer(call)
             if peer is None or call.deadline <= self.clock():
@@ -260,9 +259,9 @@
         budget.retries_per_request = (
             self.retry_ratio * RETRY_LIMIT_USED_FRACTION
         )
-        budget.max_saved_retries = (
-            self.retry_slack * RETRY_LIMIT_USED_FRACTION / daemons
-        )
+        slack = self.retry_slack / daemons
+        budget.max_saved_retries = slack * RETRY_LIMIT_USED_FRACTION
+        budget.max_overdraft = slack * (1 - RETRY_LIMIT_USED_FRACTION)
         return budget
 
     def _log_finished(self, call: call_module.Call, status: int, outcome: str):
--- a/hemlockgrade/retries.py
+++ b/hemlockgrade/retries.py
@@ -82,11 +82,14 @@
     Attributes:
         retries_per_request: Retries that each first attempt adds.
         max_saved_retries: Largest number of retries that can be saved.
+        max_overdraft: Number of retries that `take_for_nested` may take beyond
+            the saved ones.
     """
 
     _tokens: float | None = None
     retries_per_request: float = DEFAULT_RETRIES_PER_REQUEST
     max_saved_retries: float = DEFAULT_MAX_SAVED_RETRIES
+    max_overdraft: float = 0.0
 
     def count_request(self) -> None:
         """Counts a first attempt, which adds to the saved retries."""
@@ -101,9 +104,24 @@
         Returns:
             False if no retry is saved.
         """
-        if self._saved_retries() < 1.0:
+        return self._take(1.0)
+
+    def take_for_nested(self) -> bool:
+        """Takes the first attempt of a request that is sent by a repeat.
+
+        Such a request may use what retries leave, because its refusal fails
+        the run that sends it.
+
+        Returns:
+            False if no retry is left.
+        """
+        return self._take(1.0 - self.max_overdraft)
+
+    def _take(self, required_retries: float) -> bool:
+        saved_retries = self._saved_retries()
+        if saved_retries < required_retries:
             return False
-        self._tokens = self._saved_retries() - 1.0
+        self._tokens = saved_retries - 1.0
         return True
 
     def _saved_retries(self) -> float:
