Do not run a request again after a call of its run was refused

A run whose call was refused for lack of capacity fails with 500.

The daemon beside the server knows that a call of the run was refused. It says so with the failure (x-hemlock-nested-refused), and the request is not sent again; its caller gets the failure at once and may return by itself. The same holds for a call whose own calls were refused. A run that failed for another reason is repeated as before.

--- a/features/nested_requests.feature
+++ b/features/nested_requests.feature
@@ -6,3 +6,10 @@
     And they refuse 30% of the requests, and permit servers 20%
     When callers send 60 requests a second for 7 seconds
     Then the permit servers get no more repeats than their retry budget allows
+
+  Scenario: A request is run again although its run failed because a call was refused
+    # Guards against runs that send the same calls to the same overloaded service.
+    Given 3 booking servers whose runs send 1 calls each to 2 permit servers
+    And they refuse 0% of the requests, and permit servers 100%
+    When callers send 20 requests a second for 2 seconds
+    Then no request ran twice
--- a/features/steps/nested_requests_steps.py
+++ b/features/steps/nested_requests_steps.py
@@ -128,3 +128,14 @@
     """Returns whether the run that sent a call was not the first attempt."""
     parent_id, _, own_id = call_id.rpartition('.')
     return own_id.rpartition('-')[0] != first_server_by_request[parent_id]
+
+
+@then('no request ran twice')
+def check_run_once(context):
+    runs = [
+        request_id
+        for name in context.callers
+        for request_id in context.mesh.executed_request_ids(name)
+    ]
+    assert runs
+    assert len(runs) == len(set(runs)), (len(runs), len(set(runs)))
--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -211,6 +211,11 @@
                 response.stream.when_done(
                     lambda _: limiter.release(admitted.service_s)
                 )
+        if (
+            running.lacked_capacity
+            and response.status >= MIN_SERVER_ERROR_STATUS
+        ):
+            response.headers.append((peer_protocol.NESTED_REFUSED_HEADER, b'1'))
         return response
 
     async def _run_admitted(
--- a/hemlockgrade/call.py
+++ b/hemlockgrade/call.py
@@ -18,12 +18,22 @@
         failure: How the attempt failed; None if it succeeded.
         response: Response of the server; None if there is none.
         refusal: Why the request was refused; None if it was not refused.
+        nested_refused: True if the server failed, and a request that its run
+            sent was refused for lack of capacity.
     """
 
     reason: str
     failure: retries.Failure | None = None
     response: http_codec.Response | None = None
     refusal: peer_protocol.Refusal | None = None
+    nested_refused: bool = False
+
+    @property
+    def lacks_capacity(self) -> bool:
+        """Returns whether this service or one that it calls is overloaded."""
+        return self.nested_refused or (
+            self.refusal is not None and self.refusal.lacks_capacity
+        )
 
     @property
     def connection_failed(self) -> bool:
--- a/hemlockgrade/peer_protocol.py
+++ b/hemlockgrade/peer_protocol.py
@@ -37,6 +37,9 @@
 REFUSED_HEADER = b'x-hemlock-refused'
 # In a response: why the outcome of the request is unknown.
 UNKNOWN_HEADER = b'x-hemlock-unknown'
+# In a server error: present if a request that the run sent was refused because
+# the service that it was sent to has too little capacity.
+NESTED_REFUSED_HEADER = b'x-hemlock-nested-refused'
 # In a response: number of requests that run at the server or wait for a slot,
 # and its mean service time in seconds, as `<requests>,<seconds>`.
 LOAD_HEADER = b'x-hemlock-load'
@@ -81,6 +84,19 @@
     UNREACHABLE = 'unreachable'
     RETRY_BUDGET = 'retry-budget'
 
+    @property
+    def lacks_capacity(self) -> bool:
+        """Returns whether the service has too little capacity.
+
+        Another attempt would meet the same lack.
+        """
+        return self in (
+            Refusal.FULL,
+            Refusal.LATE,
+            Refusal.SHED,
+            Refusal.RETRY_BUDGET,
+        )
+
     @property
     def server_unavailable(self) -> bool:
         """Returns whether the server of the daemon accepts no requests."""
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -113,6 +113,12 @@
         except asyncio.CancelledError:
             self._log_finished(call, 0, 'caller-gone')
             raise
+        if (
+            call.parent is not None
+            and call.last_result is not None
+            and call.last_result.lacks_capacity
+        ):
+            call.parent.lacked_capacity = True
         outcome = (
             call.last_result.reason
             if call.last_result is not None
@@ -191,7 +197,7 @@
                 cause = 'retry' if sent_before else 'repeated-parent'
                 self.on_repeat({'service': call.service, 'cause': cause})
             if result.response is not None and not self._is_retryable(
-                call, result.response
+                call, result.response, result.nested_refused
             ):
                 return result.response
             assert result.failure is not None
@@ -218,12 +224,16 @@
         return peer
 
     def _is_retryable(
-        self, call: call_module.Call, response: http_codec.Response
+        self,
+        call: call_module.Call,
+        response: http_codec.Response,
+        nested_refused: bool,
     ) -> bool:
         """Returns whether a response is a server error that may be retried.
 
         Keeps each server error as the response of the call in case no attempt
-        succeeds.
+        succeeds. If a nested request was refused for lack of capacity, another
+        run would send it again, at the expense of both services.
         """
         if response.status < admission_module.MIN_SERVER_ERROR_STATUS:
             return False
@@ -231,6 +241,7 @@
         return (
             call.idempotent
             and response.stream is None
+            and not nested_refused
             and not self.balancer.fails_everywhere(call.service)
         )
 
--- a/hemlockgrade/running_requests.py
+++ b/hemlockgrade/running_requests.py
@@ -19,12 +19,15 @@
             in seconds.
         abandoned: True if the attempt ended without a response, so that the
             server may still run the request.
+        lacked_capacity: True if a nested request was refused because the
+            service that it was sent to has too little capacity.
     """
 
     priority: int
     is_repeat: bool
     ends_by: float
     abandoned: bool = False
+    lacked_capacity: bool = False
 
 
 @attrs.define(eq=False)
--- a/hemlockgrade/sender.py
+++ b/hemlockgrade/sender.py
@@ -226,13 +226,21 @@
             )
         failed = response.status >= admission_module.MIN_SERVER_ERROR_STATUS
         peer.record_response(failed=failed, now=self.clock())
+        nested_refused = failed and (
+            http_codec.header(
+                response.headers, peer_protocol.NESTED_REFUSED_HEADER
+            )
+            is not None
+        )
         response.headers = http_codec.without_internal_headers(response.headers)
         if call.route.selector:
             response.headers.append((VERSION_HEADER, call.version.encode()))
         return call_module.AttemptResult(
-            reason=f'status {response.status}',
+            reason=f'status {response.status}'
+            + (' after a refused call' if nested_refused else ''),
             failure=retries.Failure.FAILED if failed else None,
             response=response,
+            nested_refused=nested_refused,
         )
 
 
