Count attempts that a server answers with 421 as retries

A request that reaches another server than the chosen one, because the address was given to a new server, gets 421 and has not run. The proxy took that for a refusal of the daemon, which reaches no server: it sent the request again without using the retry budget, up to five times.

Such an attempt now counts as sent, as one that the server sheds does. It is reported as 'misdirected' to tell it from 'other-server', the refusal of a daemon.

"Attempts that servers answer with 421 are outside the limits on retries": 3 arrivals where the route allows 3 attempts, 5 before.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -182,6 +182,12 @@
     And each of the requests ran once
     And the responses were recorded as successful successful successful successful
 
+  Scenario: Attempts that servers answer with 421 are outside the limits on retries
+    # Guards against retries that reach servers without using the retry budget or
+    # the attempts of the route.
+    When 5 targets answer a request with 421
+    Then the targets got the request 3 times
+
   @known_red
   Scenario: Response statistics and the failure fraction follow the outcomes
     When a target responds, fails, closes the connection and times out
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -727,6 +727,17 @@
     ]
 
 
+@when_system_runs('5 targets answer a request with 421', targets=5)
+async def send_to_other_servers(context, system):
+    response = await system.send_request('POST', '/a?status=421')
+    assert response.status == 503, response
+
+
+@then('the targets got the request {count:d} times')
+def check_arrivals(context, count):
+    assert context.run_count_by_path == {'/a': count}, context.run_count_by_path
+
+
 @when_system_runs(
     'a target responds, fails, closes the connection and times out',
     timeout_ms=100,
--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -348,7 +348,7 @@
             # the one named in `EXPECTED_SERVER_HEADER`.
             _abort_stream(response)
             return peer_protocol.refusal_response(
-                peer_protocol.Refusal.OTHER_SERVER
+                peer_protocol.Refusal.MISDIRECTED
             )
         signature = http_codec.header(
             response.headers, platform_codec.SERVER_SIGNATURE_HEADER
--- a/hemlockgrade/call.py
+++ b/hemlockgrade/call.py
@@ -143,7 +143,7 @@
         if result.refusal is None:
             self.sent_attempts += 1
             self.may_have_run = True
-        elif result.refusal is peer_protocol.Refusal.SHED:
+        elif result.refusal.reached_server:
             self.sent_attempts += 1
         else:
             self.refusals += 1
--- a/hemlockgrade/peer_protocol.py
+++ b/hemlockgrade/peer_protocol.py
@@ -66,6 +66,8 @@
             is not confirmed, or the request lacks a header of the peer
             protocol.
         SHED: The server refused the request.
+        MISDIRECTED: The request reached another server than the one that was
+            chosen, which refused it.
         FENCED: The attempt was fenced before it was admitted.
         UNREACHABLE: The sender cannot connect to the daemon.
         RETRY_BUDGET: The request is sent by a repeat, and the retry budget of
@@ -80,6 +82,7 @@
     SERVER_DOWN = 'server-down'
     OTHER_SERVER = 'other-server'
     SHED = 'shed'
+    MISDIRECTED = 'misdirected'
     FENCED = 'fenced'
     UNREACHABLE = 'unreachable'
     RETRY_BUDGET = 'retry-budget'
@@ -105,8 +108,14 @@
             Refusal.DRAINING,
             Refusal.SERVER_DOWN,
             Refusal.OTHER_SERVER,
+            Refusal.MISDIRECTED,
         )
 
+    @property
+    def reached_server(self) -> bool:
+        """Returns whether a server, not a daemon, refused the request."""
+        return self in (Refusal.SHED, Refusal.MISDIRECTED)
+
 
 @attrs.frozen(kw_only=True)
 class Versions:
--- a/hemlockgrade/retries.py
+++ b/hemlockgrade/retries.py
@@ -24,7 +24,7 @@
     Attributes:
         NOT_RUN: A daemon refused the request, fenced the attempt or could not
             be reached.
-        SHED: The server refused the request.
+        SHED: A server refused the request.
         FAILED: The server responded with a server error.
         NO_ANSWER: The daemon sent no complete, well-formed response.
         UNKNOWN: The daemon reported that the outcome is unknown.
--- a/hemlockgrade/sender.py
+++ b/hemlockgrade/sender.py
@@ -247,9 +247,10 @@
 def _refused_result(
     refusal: peer_protocol.Refusal, reason: str = ''
 ) -> call_module.AttemptResult:
-    shed = refusal is peer_protocol.Refusal.SHED
     return call_module.AttemptResult(
         reason=reason or refusal.value,
-        failure=retries.Failure.SHED if shed else retries.Failure.NOT_RUN,
+        failure=retries.Failure.SHED
+        if refusal.reached_server
+        else retries.Failure.NOT_RUN,
         refusal=refusal,
     )
