--- a/features/steps/nested_requests_steps.py
+++ b/features/steps/nested_requests_steps.py
@@ -68,16 +68,23 @@
 @when('callers send {rate:d} requests a second for {seconds:d} seconds')
 def send_requests(context, rate, seconds):
     mesh = context.mesh
+    names = context.callers if 'callers' in context else context.host_names
     started = time.monotonic()
 
     def send(number):
         time.sleep(max(0, started + number / rate - time.monotonic()))
-        name = context.callers[number % len(context.callers)]
-        return mesh.call(name, '/shop/x', **{'X-Deadline-Ms': '1000'})[0]
+        name = names[number % len(names)]
+        sent_at = time.monotonic()
+        status, _, headers, _ = mesh.call(
+            name, '/shop/x', **{'X-Deadline-Ms': '1000'}
+        )
+        return status, time.monotonic() - sent_at, headers
 
     with concurrent.futures.ThreadPoolExecutor(32) as pool:
-        statuses = list(pool.map(send, range(rate * seconds)))
-    context.count_by_status = collections.Counter(statuses)
+        context.results = list(pool.map(send, range(rate * seconds)))
+    context.count_by_status = collections.Counter(
+        status for status, _, _ in context.results
+    )
     # The whole run is shorter than the window of the retry budget.
     context.run_s = time.monotonic() - started
 
--- a/standins/mesh_server.py
+++ b/standins/mesh_server.py
@@ -10,10 +10,12 @@
 at that time.
 
 `POST /.control/set` changes these keys, and the following ones, while the
-server runs: `state`, `fail` (responds with status 500), `heartbeat_s`, `extra`
-(writes the response to an earlier request once more before each response),
+server runs (null removes a key): `state`, `fail` (responds with status 500),
+`heartbeat_s`, `extra` (writes the response to an earlier request once more
+before each response),
 `silent` (writes no response), `body_bytes` (smallest size of a body),
-`refused_share` (fraction of the requests that are refused) and `calls` (paths
+`refused_share` (fraction of the requests that are refused), `limit` and
+`leaving` (named in the headers of each response) and `calls` (paths
 of the requests that each run sends to the proxy of its host; a run whose
 request fails responds with status 500). `GET /.control/runs` returns the
 identifiers of the requests that the server ran, `/.control/calls` those of the
@@ -170,11 +172,23 @@
             return
         await self.run_request(request)
 
+    def send(self, status, body, headers=()):
+        """Writes a response with the notices of the server."""
+        headers = list(headers)
+        if 'limit' in self.server.options:
+            headers.append(('server-limit', self.server.options['limit']))
+        if self.server.options.get('leaving'):
+            headers.append(('server-leaving', '1'))
+        return super().send(status, body, headers)
+
     def handle_control(self, request):
         """Changes options if asked to; returns the requests that were run."""
         server = self.server
         if request.path == '/.control/set':
             server.options.update(json.loads(request.body))
+            for name, value in list(server.options.items()):
+                if value is None:
+                    del server.options[name]
         if request.path == '/.control/endless':
             responses = [attrs.asdict(r) for r in server.endless_responses]
             self.send(200, json.dumps(responses).encode())
