Keep the requests to a server within the limit that it names

A server in need names the requests a second that it takes from all hosts together (Server-Limit). No part of the system knew the header, so four servers went on getting what they had got before: 701 requests in 4 s where 512 are allowed.

All requests to a server pass the daemon beside it, so this daemon keeps the limit, exactly and without a message: a token bucket at the named rate, of which less urgent requests leave a part to more urgent ones. What is beyond the limit is refused before it reaches the server and goes to another one at once; it uses nothing of the retry budget and does not exclude other servers. Each response tells the sender the limit. The balancer takes a limited server for one with as many slots as its rate fills (Little's law), and after a refusal leaves it alone for the time in which each daemon may send it one request. If no server takes a request, it is refused at once and may return when the first limit allows it.

A daemon that was restarted has no response of its server yet. Until it has, it uses the limit that its peers send along, or that of a health check. A limit that cannot be read leaves the previous one in force; at a limit of 0 one request in two seconds goes on, because only a response shows the end of a limit.

"A server gets more requests than the limit that it names": passes; 361, 361 and 362 requests in 4 s before, where 65, 20 and 5 are allowed.

--- a/features/server_notices.feature
+++ b/features/server_notices.feature
@@ -1,6 +1,5 @@
 Feature: Servers name a limit, or that they leave, in their responses
 
-  @known_red
   Scenario Outline: A server gets more requests than the limit that it names
     # Guards against daemons that do not know the limit of a server in need.
     Given a mesh of 3 hosts
@@ -14,3 +13,49 @@
       | 10    | 10   | 97      |
       | 2.5   | 2.5  | 97      |
       | 0     | 0    | 97      |
+
+  Scenario: A server that no longer names a limit gets no more requests than it
+    Given a mesh of 3 hosts
+    When the first server names the limit 0
+    And callers send 30 requests a second for 2 seconds
+    And the first server names no limit
+    And callers send 30 requests a second for 6 seconds
+    Then the first server got at least 60 requests since then
+
+  Scenario: Requests beyond the limits of all servers wait for their deadline
+    # Guards against requests that are held although no server takes them.
+    Given a mesh of 3 hosts
+    When all servers name the limit 8
+    And callers send 60 requests a second for 7 seconds
+    Then the first server got at most 1.5 times 8 a second and 5 requests in 4 seconds
+    And at least 30% of the requests succeeded
+    And the others were refused within 0.25 seconds and may return later
+
+  Scenario: A daemon that was restarted exceeds the limit of its server
+    Given a mesh of 2 hosts
+    When a slow first server of 18 slots names the limit 1
+    And callers send 40 requests a second for 4 seconds
+    And the first daemon is killed and restarted
+    And the restarted daemon has heard from its server
+    And callers of the second host send 80 requests at once
+    Then the first server got at most 1.5 times 1 a second and 5 requests in 4 seconds
+
+  Scenario Outline: A limit that a server names is decoded
+    When a server names the limit <text> in a response
+    Then its limit is <rate>
+
+    Examples:
+      | text   | rate    |
+      | 10     | 10      |
+      | 2.5    | 2.5     |
+      | 0      | 0       |
+      | inf    | inf     |
+      | none   | unknown |
+      | -1     | unknown |
+      | nan    | unknown |
+      | 10/s   | unknown |
+
+  Scenario: Less urgent requests use up the limit of a server
+    When 200 requests a second of priorities 0 and 2 arrive for a limit of 20 a second
+    Then the server gets 4 times as many requests of priority 0 as of priority 2
+    And it gets at most 20 a second and a burst
--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -217,6 +217,7 @@
 @when('the {which} daemon is killed and restarted')
 def restart_daemon(context, which):
     context.restarted = {'first': 'h1', 'second': 'h2'}[which]
+    context.log_size = len(context.mesh.read_log(context.restarted))
     context.mesh.daemon_by_name[context.restarted].kill()
     context.mesh.start_mesh_daemon(context.restarted, 'a')
     cluster.wait_until(
--- a/features/steps/server_notices_steps.py
+++ b/features/steps/server_notices_steps.py
@@ -1,10 +1,16 @@
 """Steps for what servers say of themselves in their responses."""
 
+import collections
+import concurrent.futures
 import time
 
 from behave import then
 from behave import when
 
+from hemlockgrade import server_limit
+from hemlockgrade.platform import codec
+from standins import cluster
+
 # Window of the limit, in seconds.
 WINDOW_S = 4.0
 # The limit binds from this time after the server first named it, in seconds.
@@ -45,3 +51,128 @@
     assert context.count_by_status[200] >= total * percent / 100, (
         context.count_by_status
     )
+
+
+@when('all servers name the limit {limit}')
+def name_limit_everywhere(context, limit):
+    for name in context.host_names:
+        context.mesh.set_server(name, limit=limit)
+    context.named_at = time.monotonic()
+
+
+@when('the first server names no limit')
+def name_no_limit(context):
+    context.mesh.set_server('h1', limit=None)
+    context.arrivals_before = len(context.mesh.arrivals('h1'))
+
+
+@then('the first server got at least {count:d} requests since then')
+def check_arrivals_since(context, count):
+    arrivals = len(context.mesh.arrivals('h1')) - context.arrivals_before
+    assert arrivals >= count, arrivals
+
+
+@then('the others were refused within {limit_s:g} seconds and may return later')
+def check_refused_at_once(context, limit_s):
+    refused = [r for r in context.results if r[0] != 200]
+    assert refused
+    for status, elapsed_s, headers in refused:
+        assert status == 503, (status, headers)
+        assert elapsed_s < limit_s, elapsed_s
+        assert float(headers['retry-after']) > 0, headers
+
+
+@when('a slow first server of {slots:d} slots names the limit {limit:g}')
+def name_limit_of_slow_server(context, slots, limit):
+    context.mesh.set_server('h1', limit=limit, work_ms=400, slots=slots)
+    context.named_at = time.monotonic()
+
+
+@when('callers of the second host send {count:d} requests at once')
+def send_at_once(context, count):
+    mesh = context.mesh
+    with concurrent.futures.ThreadPoolExecutor(count) as pool:
+        list(pool.map(lambda _: mesh.call('h2', '/shop/x'), range(count)))
+
+
+@when('a server names the limit {text} in a response')
+def decode_limit(context, text):
+    context.notice = codec.decode_server_notice(
+        [(b'x-request-id', b'1'), (b'server-limit', text.encode())]
+    )
+
+
+@then('its limit is {rate}')
+def check_decoded_limit(context, rate):
+    expected = None if rate == 'unknown' else float(rate)
+    assert context.notice.max_requests_per_s == expected, context.notice
+
+
+@when(
+    '{per_s:d} requests a second of priorities 0 and 2 arrive for a limit of {limit:d} a second'
+)
+def play_priorities(context, per_s, limit):
+    server = server_limit.ServerLimit()
+    server.update(float(limit), 0.0)
+    context.limit = limit
+    context.seconds = 10
+    context.admitted = collections.Counter()
+    # Requests of priority 0 alone come to 0.8 of the limit.
+    urgent_every = round(per_s / (0.8 * limit))
+    for number in range(per_s * context.seconds):
+        now = number / per_s
+        priority = 0 if number % urgent_every == 0 else 2
+        if server.admits(priority, 0, now):
+            server.spend(now)
+            context.admitted[priority] += 1
+
+
+@then(
+    'the server gets {times:d} times as many requests of priority 0 as of priority 2'
+)
+def check_priorities(context, times):
+    admitted = context.admitted
+    assert admitted[0] >= 0.95 * times * admitted[2] > 0, admitted
+
+
+@then('it gets at most {limit:d} a second and a burst')
+def check_rate(context, limit):
+    total = sum(context.admitted.values())
+    burst = max(server_limit.MIN_BURST, limit * server_limit.BURST_S)
+    assert total <= limit * context.seconds + burst, context.admitted
+
+
+@when('it says in a response to a caller of the second host that it leaves')
+def say_leaving(context):
+    mesh = context.mesh
+    for name in context.host_names[1:]:
+        mesh.set_server(name, work_ms=30)
+    mesh.set_server('h1', leaving=True)
+    before = len(mesh.executed_request_ids('h1'))
+    cluster.wait_until(
+        lambda: (
+            mesh.is_serving('h2')
+            and len(mesh.executed_request_ids('h1')) > before
+        ),
+        'the first server has run a request of the second host',
+    )
+
+
+@when('the restarted daemon has heard from its server')
+def wait_for_heartbeat(context):
+    def knows_server():
+        log = context.mesh.read_log('h1')[context.log_size :]
+        return 'event=server_changed' in log or 'event=server_confirmed' in log
+
+    cluster.wait_until(knows_server, 'the restarted daemon knows its server')
+
+
+@then(
+    '{count:d} requests at the second host succeed and none reaches the first server'
+)
+def check_leaving_server_unused(context, count):
+    mesh = context.mesh
+    sent = [mesh.call('h2', '/shop/x') for _ in range(count)]
+    assert all(status == 200 for status, *_ in sent), sent
+    reached = {request_id for request_id, _ in mesh.arrivals('h1')}
+    assert not reached & {request_id for *_, request_id in sent}
--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -14,6 +14,7 @@
 from hemlockgrade import peer_protocol
 from hemlockgrade import registrar as registrar_module
 from hemlockgrade import running_requests
+from hemlockgrade import server_limit
 from hemlockgrade import shutdown as shutdown_module
 from hemlockgrade import upstream
 from hemlockgrade.platform import codec as platform_codec
@@ -92,6 +93,7 @@
         on_response: Called with the result of each request that may have run
             at the local server.
         running: Requests that the local server runs.
+        limit: Limit on the requests to the local server that it names.
     """
 
     registrar: registrar_module.Registrar
@@ -106,6 +108,9 @@
     running: running_requests.RunningRequests = attrs.field(
         factory=running_requests.RunningRequests
     )
+    limit: server_limit.ServerLimit = attrs.field(
+        factory=server_limit.ServerLimit
+    )
     _limiter: limits.Limiter | None = None
     _limiter_key: tuple[str, int, int] | None = None
 
@@ -163,6 +168,8 @@
                 self._refusal_reason(server_id)
             )
         limiter = self._limiter_of(server)
+        if not self.limit.admits(priority, limiter.queued, self.clock()):
+            return peer_protocol.refusal_response(peer_protocol.Refusal.LIMITED)
         try:
             # The prefix of the attempt's identifier names the process of the
             # sending daemon. A full queue is divided among these processes.
@@ -187,6 +194,7 @@
             idempotent=idempotent,
             started=self.clock(),
         )
+        self.limit.spend(admitted.started)
         request_id = (
             http_codec.header(request.headers, platform_codec.REQUEST_ID_HEADER)
             or ''
@@ -341,6 +349,8 @@
             that says why the request was refused or has an unknown outcome.
         """
         if http_codec.header(response.headers, platform_codec.NOT_RUN_HEADER):
+            if response.status != 421:
+                self.apply_notice(admitted.server, response.headers)
             _abort_stream(response)
             return peer_protocol.refusal_response(peer_protocol.Refusal.SHED)
         if response.status == 421:
@@ -359,6 +369,7 @@
             return peer_protocol.unknown_outcome_response(
                 f'unsigned answer {response.status}'
             )
+        self.apply_notice(admitted.server, response.headers)
         ok = response.status < MIN_SERVER_ERROR_STATUS
         if response.stream is None:
             self._report_result(admitted, ok)
@@ -369,6 +380,52 @@
         response.headers = http_codec.without_internal_headers(response.headers)
         return response
 
+    def apply_notice(
+        self, server: model.Server, headers: http_codec.Headers
+    ) -> None:
+        """Applies what a server says of itself in a response.
+
+        Args:
+            server: The server that sent the response; ignored if it is no
+                longer the local one.
+            headers: Headers of the response.
+        """
+        known = self.registrar.server
+        if known is None or _incarnation_key(known) != _incarnation_key(server):
+            return
+        self._limiter_of(known)
+        notice = platform_codec.decode_server_notice(headers)
+        self.limit.is_known = True
+        if notice.max_requests_per_s is not None:
+            self._update_limit(server, notice.max_requests_per_s)
+
+    def adopt_limit(self, max_requests_per_s: float) -> None:
+        """Applies a limit that another daemon knows of.
+
+        A restarted daemon has not received a response of its server yet. It
+        ignores the limit as soon as it has.
+
+        Args:
+            max_requests_per_s: Requests a second that the server takes.
+        """
+        server = self.registrar.ready_server
+        if server is None or self.limit.is_known:
+            return
+        self._limiter_of(server)
+        self._update_limit(server, max_requests_per_s)
+
+    def _update_limit(self, server: model.Server, max_requests_per_s: float):
+        before = self.limit.max_requests_per_s
+        if max_requests_per_s == before:
+            return
+        self.limit.update(max_requests_per_s, self.clock())
+        logger.info(
+            'event=server_limit_changed server={} limit={} before={}',
+            server.server_id,
+            max_requests_per_s,
+            before,
+        )
+
     def _report_result(self, admitted: '_AdmittedRequest', ok: bool):
         if self.on_response is not None:
             self.on_response(
@@ -386,13 +443,18 @@
 
         A restarted server or another number of slots gets a new limiter.
         """
-        key = (server.server_id, server.born_ms, server.slots)
+        key = _incarnation_key(server)
         if self._limiter is None or self._limiter_key != key:
             self._limiter = self.create_limiter(server.slots)
             self._limiter_key = key
+            self.limit = server_limit.ServerLimit()
         return self._limiter
 
 
+def _incarnation_key(server: model.Server) -> tuple[str, int, int]:
+    return server.server_id, server.born_ms, server.slots
+
+
 def _abort_stream(response: http_codec.Response):
     """Closes the connection of a response whose body is not passed on."""
     if response.stream is not None:
@@ -430,6 +492,9 @@
         return peer_protocol.refusal_response(
             peer_protocol.Refusal.OTHER_SERVER
         )
+    limit = peer_protocol.decode_limit(headers)
+    if math.isfinite(limit):
+        admission.adopt_limit(limit)
     now = admission.clock()
     deadline = now + left_s - RESPONSE_MARGIN_S
     # The peer sends a refused request to another server at once.
--- a/hemlockgrade/call.py
+++ b/hemlockgrade/call.py
@@ -69,6 +69,9 @@
         refusals: Number of attempts that a daemon refused or fenced, or whose
             daemon could not be reached.
         tried_members: Names of the members to which attempts were sent.
+        excluded_members: Names of those that the next attempt avoids. A member
+            whose server had got as many requests as it takes is not among
+            them: its peer has a cooldown, and others may have capacity.
         version: Version of the server of the latest attempt.
         may_have_run: True if a server may have run the request.
         failed_response: Latest response with a server error; None if there is
@@ -87,6 +90,7 @@
     sent_attempts: int = 0
     refusals: int = 0
     tried_members: list[str] = attrs.field(factory=list)
+    excluded_members: list[str] = attrs.field(factory=list)
     version: str = ''
     may_have_run: bool = False
     failed_response: http_codec.Response | None = None
@@ -125,6 +129,14 @@
         """
         return self.started + self.route.target_latency_s
 
+    @property
+    def is_limited(self) -> bool:
+        """Returns whether the limits that servers name refuse the request."""
+        return (
+            self.last_result is not None
+            and self.last_result.refusal is peer_protocol.Refusal.LIMITED
+        )
+
     def refuse(self, refusal: peer_protocol.Refusal) -> None:
         """Records that this daemon refuses the request without an attempt."""
         self.last_result = AttemptResult(
@@ -140,6 +152,8 @@
         although the server has not run it.
         """
         self.last_result = result
+        if result.refusal is not peer_protocol.Refusal.LIMITED:
+            self.excluded_members.append(self.tried_members[-1])
         if result.refusal is None:
             self.sent_attempts += 1
             self.may_have_run = True
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -134,6 +134,7 @@
             directory=self.directory,
             pool=self._server_pool,
             clock=self._clock,
+            on_response=self.admission.apply_notice,
         )
         self.directory.on_configuration.append(self._server_check.trigger)
         self._publisher = publisher_module.Publisher(
--- a/hemlockgrade/model.py
+++ b/hemlockgrade/model.py
@@ -273,6 +273,19 @@
         return attrs.evolve(self, sequence=0, warmup_left_s=0.0)
 
 
+@attrs.frozen(kw_only=True)
+class ServerNotice:
+    """What a server says of itself in the headers of a response.
+
+    Attributes:
+        max_requests_per_s: Requests a second that the server takes from all
+            hosts together; `math.inf` if it names no limit, None if it names
+            one that cannot be read.
+    """
+
+    max_requests_per_s: float | None
+
+
 @attrs.frozen(kw_only=True)
 class Member:
     """Stored record of a daemon and the server on its host.
--- a/hemlockgrade/peer_api.py
+++ b/hemlockgrade/peer_api.py
@@ -1,5 +1,7 @@
 """HTTP API of a daemon for its peers."""
 
+import math
+
 import attrs
 import orjson
 
@@ -55,6 +57,11 @@
                 peer_protocol.encode_load(*self.admission.load),
             )
         )
+        limit = self.admission.limit.max_requests_per_s
+        if math.isfinite(limit):
+            response.headers.append(
+                (peer_protocol.LIMIT_HEADER, peer_protocol.encode_limit(limit))
+            )
         response.headers.append(
             (peer_protocol.VERSIONS_HEADER, self.sync.versions().encode())
         )
--- a/hemlockgrade/peer_protocol.py
+++ b/hemlockgrade/peer_protocol.py
@@ -44,6 +44,10 @@
 # and its mean service time in seconds, as `<requests>,<seconds>`.
 LOAD_HEADER = b'x-hemlock-load'
 
+# Requests a second that the server takes from all hosts together, if it names a
+# limit. In a request: the limit that the sender knows of.
+LIMIT_HEADER = b'x-hemlock-limit'
+
 STATE_PATH = '/.hemlock/state'
 VERSIONS_PATH = '/.hemlock/versions'
 EVIDENCE_PATH = '/.hemlock/evidence'
@@ -65,6 +69,8 @@
         OTHER_SERVER: The server on the host is not the one that was chosen or
             is not confirmed, or the request lacks a header of the peer
             protocol.
+        LIMITED: The server has got as many requests as the limit allows that
+            it names.
         SHED: The server refused the request.
         MISDIRECTED: The request reached another server than the one that was
             chosen, which refused it.
@@ -81,6 +87,7 @@
     DRAINING = 'draining'
     SERVER_DOWN = 'server-down'
     OTHER_SERVER = 'other-server'
+    LIMITED = 'limited'
     SHED = 'shed'
     MISDIRECTED = 'misdirected'
     FENCED = 'fenced'
@@ -96,6 +103,7 @@
         return self in (
             Refusal.FULL,
             Refusal.LATE,
+            Refusal.LIMITED,
             Refusal.SHED,
             Refusal.RETRY_BUDGET,
         )
@@ -172,6 +180,25 @@
     return int(values[0]), values[1]
 
 
+def encode_limit(max_requests_per_s: float) -> bytes:
+    """Returns the value of `LIMIT_HEADER`.
+
+    Args:
+        max_requests_per_s: Requests a second that the server takes.
+    """
+    return b'%.4f' % max_requests_per_s
+
+
+def decode_limit(headers: http_codec.Headers) -> float:
+    """Decodes the limit that a server names.
+
+    Returns:
+        Requests a second; `math.inf` if the header is missing or malformed.
+    """
+    values = _decode_numbers(headers, LIMIT_HEADER, 1)
+    return math.inf if values is None else max(0.0, values[0])
+
+
 def decode_refusal(headers: http_codec.Headers) -> Refusal | None:
     """Decodes why a request was refused.
 
--- a/hemlockgrade/peers.py
+++ b/hemlockgrade/peers.py
@@ -1,6 +1,7 @@
 """Load, failures and cooldowns of peers, as this daemon has seen them."""
 
 from collections.abc import Collection
+import math
 from typing import Protocol
 
 import attrs
@@ -21,6 +22,10 @@
 # because no slot was free, is avoided for this time, in seconds. It is about
 # one service time, after which a slot has become free.
 FULL_COOLDOWN_S = 0.05
+# A peer whose server has got as many requests as the limit allows that it names
+# is avoided for the time in which each daemon may send one, in seconds, at most
+# for this time.
+MAX_LIMITED_COOLDOWN_S = 2.0
 # A peer whose server does not accept requests is avoided for this time, in
 # seconds, unless its member changes before that.
 UNAVAILABLE_COOLDOWN_S = 1.0
@@ -60,6 +65,10 @@
         cooldown_until: Monotonic time until which the peer is avoided, because
             it is unreachable or its server does not accept requests.
         connect_failures: Number of consecutive failures to connect.
+        max_requests_per_s: Requests a second that the peer's server takes from
+            all hosts together, according to the peer's latest response.
+        limited_until: Monotonic time until which the peer is not chosen,
+            because its server has got as many requests as it takes.
     """
 
     member: model.Member
@@ -71,13 +80,25 @@
     full_cooldown_until: float = 0.0
     cooldown_until: float = 0.0
     connect_failures: int = 0
+    max_requests_per_s: float = math.inf
+    limited_until: float = 0.0
+
+    @property
+    def slots(self) -> float:
+        """Returns how many requests the server may run at once.
+
+        With a limit on its rate, that is the number of requests that run at
+        once at this rate (Little's law), but not below 1.
+        """
+        slots = self.member.required_server.slots
+        if self.service_s is None or math.isinf(self.max_requests_per_s):
+            return slots
+        return min(slots, max(1.0, self.max_requests_per_s * self.service_s))
 
     @property
     def load(self) -> float:
         """Returns the requests at the server, as a multiple of its slots."""
-        return (
-            self.in_flight + self.in_flight_from_others
-        ) / self.member.required_server.slots
+        return (self.in_flight + self.in_flight_from_others) / self.slots
 
     def failure_fraction_at(self, now: float) -> float:
         """Returns the failed fraction of the responses, from 0 to 1.
@@ -96,7 +117,7 @@
             # 0 makes sure that a new server is chosen: without a request its
             # service time would never be measured.
             return INITIAL_SERVICE_S if self.in_flight else 0.0
-        slots = self.member.required_server.slots
+        slots = self.slots
         queued = max(
             0.0, self.in_flight + self.in_flight_from_others + 1 - slots
         )
@@ -151,6 +172,19 @@
         else:
             self.full_cooldown_until = now + FULL_COOLDOWN_S
 
+    def record_limited(self, daemons: int, now: float) -> None:
+        """Starts a cooldown after a request beyond the limit of the server.
+
+        Args:
+            daemons: Number of daemons that share the limit.
+            now: Monotonic time in seconds.
+        """
+        share_per_s = self.max_requests_per_s / max(1, daemons)
+        cooldown_s = MAX_LIMITED_COOLDOWN_S
+        if share_per_s > 0:
+            cooldown_s = min(cooldown_s, 1 / share_per_s)
+        self.limited_until = now + cooldown_s
+
     def record_connect_failure(self, now: float) -> None:
         """Starts a cooldown after a failed connection."""
         self.connect_failures += 1
@@ -187,3 +221,13 @@
 
     def fails_everywhere(self, service: str) -> bool:
         """Returns whether every server of a service fails often."""
+
+    def limited_until(self, service: str) -> float:
+        """Returns when the first limited server may take requests again.
+
+        Args:
+            service: Service of the servers.
+
+        Returns:
+            Monotonic time in seconds; 0 if no server is limited now.
+        """
--- a/hemlockgrade/platform/codec.py
+++ b/hemlockgrade/platform/codec.py
@@ -29,6 +29,9 @@
 # Identifier of the server that responded to a health check.
 RESPONDING_SERVER_HEADER = b'x-instance-id'
 
+# Requests a second that the server takes from all hosts together.
+SERVER_LIMIT_HEADER = b'server-limit'
+
 READINESS_PATH = '/-/readiness'
 HEARTBEAT_PREFIX = '/-/instances/'
 
@@ -166,6 +169,30 @@
     )
 
 
+def decode_server_notice(
+    headers: list[tuple[bytes, bytes]],
+) -> model.ServerNotice:
+    """Decodes what a server says of itself in a response.
+
+    Args:
+        headers: Lower-case names and values of the headers.
+    """
+    max_requests_per_s: float | None = math.inf
+    for name, value in headers:
+        if name == SERVER_LIMIT_HEADER:
+            max_requests_per_s = _decode_rate(value)
+    return model.ServerNotice(max_requests_per_s=max_requests_per_s)
+
+
+def _decode_rate(value: bytes) -> float | None:
+    """Decodes a rate; returns None if it is not a non-negative number."""
+    try:
+        rate = float(value)
+    except ValueError:
+        return None
+    return rate if rate >= 0 else None
+
+
 def decode_rollout_order(
     spec: Any, status: Any, revision: int, created_revision: int
 ) -> model.RolloutOrder:
--- a/hemlockgrade/plugins/zone_balancer.py
+++ b/hemlockgrade/plugins/zone_balancer.py
@@ -82,7 +82,8 @@
         """Chooses a server for a request.
 
         A peer in a cooldown is chosen only if no other peer is suitable and
-        `tried` is empty.
+        `tried` is empty. A peer whose server has got as many requests as it
+        takes is not chosen.
 
         Args:
             service: Service that runs the request.
@@ -96,10 +97,14 @@
             suitable.
         """
         permitted = self._permitted_peers(service, route)
-        candidates = [p for p in permitted if p.member.name not in tried]
+        now = self.clock()
+        candidates = [
+            p
+            for p in permitted
+            if p.member.name not in tried and p.limited_until <= now
+        ]
         if not candidates:
             return None
-        now = self.clock()
         usable = [p for p in candidates if p.cooldown_until <= now]
         local = [p for p in usable if p.member.zone == self.zone]
         local_not_full = [p for p in local if p.full_cooldown_until <= now]
@@ -146,6 +151,18 @@
         peers = self._peers_by_service.get(service, ())
         return all(self._is_failing(peer) for peer in peers)
 
+    def limited_until(self, service: str) -> float:
+        """Returns when the first limited server may take requests again."""
+        now = self.clock()
+        return min(
+            (
+                peer.limited_until
+                for peer in self._peers_by_service.get(service, ())
+                if peer.limited_until > now
+            ),
+            default=0.0,
+        )
+
     def _is_failing(self, peer: peers_module.Peer) -> bool:
         return peer.failure_fraction_at(self.clock()) > FAILING_FRACTION
 
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -186,6 +186,8 @@
             return self._give_up(call)
         while True:
             peer = self._choose_peer(call)
+            if peer is None and call.last_result is None:
+                self._refuse_if_limited(call)
             if peer is None or call.deadline <= self.clock():
                 return self._give_up(call)
             call.tried_members.append(peer.member.name)
@@ -207,9 +209,13 @@
             if decision is not retries.RetryDecision.RETRY_ELSEWHERE:
                 return self._give_up(call)
 
+    def _refuse_if_limited(self, call: call_module.Call):
+        if self.balancer.limited_until(call.service):
+            call.refuse(peer_protocol.Refusal.LIMITED)
+
     def _choose_peer(self, call: call_module.Call) -> peers.Peer | None:
         peer = self.balancer.choose(
-            call.service, call.tried_members, call.priority, call.route
+            call.service, call.excluded_members, call.priority, call.route
         )
         if (
             peer is None
@@ -251,7 +257,13 @@
             return call.failed_response
         left_s = call.deadline - self.clock()
         if not call.may_have_run:
-            return _refusal_response(_retry_after_s(left_s))
+            retry_after_s = _retry_after_s(left_s)
+            limited_s = self.balancer.limited_until(call.service) - self.clock()
+            if call.is_limited and limited_s > retry_after_s:
+                retry_after_s = min(
+                    limited_s, left_s * RETRY_AFTER_TIME_LEFT_FRACTION
+                )
+            return _refusal_response(retry_after_s)
         is_late = left_s < retries.MIN_TIME_LEFT_S or (
             call.last_result is not None
             and call.last_result.failure is retries.Failure.TIMEOUT
--- a/hemlockgrade/sender.py
+++ b/hemlockgrade/sender.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import itertools
+import math
 
 import attrs
 from loguru import logger
@@ -160,6 +161,7 @@
                 is_repeat=call.is_repeat,
             )
             peer.record_load(*self.admission.load)
+            peer.max_requests_per_s = self.admission.limit.max_requests_per_s
             return response
         now = self.clock()
         left_ms = max(1, int((call.deadline - now) * 1000))
@@ -180,6 +182,13 @@
         ]
         if call.idempotent:
             headers.append((peer_protocol.IDEMPOTENT_HEADER, b'1'))
+        if math.isfinite(peer.max_requests_per_s):
+            headers.append(
+                (
+                    peer_protocol.LIMIT_HEADER,
+                    peer_protocol.encode_limit(peer.max_requests_per_s),
+                )
+            )
         if call.is_repeat:
             headers.append((peer_protocol.REPEAT_HEADER, b'1'))
         return await self.pool.send(
@@ -206,12 +215,19 @@
         load = peer_protocol.decode_load(response.headers)
         if load is not None:
             peer.record_load(*load)
+            peer.max_requests_per_s = peer_protocol.decode_limit(
+                response.headers
+            )
         versions = peer_protocol.decode_versions(response.headers)
         if versions is not None:
             self.sync.handle_versions(peer.member.address, versions)
         refusal = peer_protocol.decode_refusal(response.headers)
         if refusal is not None:
-            peer.record_refusal(refusal.server_unavailable, self.clock())
+            if refusal is peer_protocol.Refusal.LIMITED:
+                daemons = len(self.sync.directory.member_by_name)
+                peer.record_limited(daemons, self.clock())
+            else:
+                peer.record_refusal(refusal.server_unavailable, self.clock())
             return _refused_result(refusal)
         reason = http_codec.header(
             response.headers, peer_protocol.UNKNOWN_HEADER
--- a/hemlockgrade/server_check.py
+++ b/hemlockgrade/server_check.py
@@ -36,12 +36,16 @@
         directory: Holds the path of the health check of each service.
         pool: Connections to the local server.
         clock: Returns the monotonic time in seconds.
+        on_response: Called with the server and the headers of its response.
     """
 
     registrar: registrar_module.Registrar
     directory: directory_module.Directory
     pool: upstream.ConnectionPool
     clock: Callable[[], float]
+    on_response: Callable[[model.Server, http_codec.Headers], None] = (
+        lambda server, headers: None
+    )
     _triggered: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def trigger(self) -> None:
@@ -85,6 +89,8 @@
         server_id = http_codec.header(
             response.headers, platform_codec.RESPONDING_SERVER_HEADER
         )
+        if server_id == server.server_id:
+            self.on_response(server, response.headers)
         is_confirmed = response.status == 200 and server_id == server.server_id
         if not is_confirmed:
             self._log_not_confirmed(
