Send no requests to a server that says in a response that it leaves

A server that leaves says so in its answers (Server-Leaving: 1). The header was not known, and a server that never reports 'draining' in its heartbeats got requests until it deregistered.

The daemon beside the server marks it as draining, as if a heartbeat had said so; that is final for this incarnation and is stored. The daemon that passed the answer on remembers it by itself: its requests stay away although the daemon beside the server is restarted and the store is not reachable.

"A server that says in its responses that it leaves gets requests" and "A leaving server gets requests after a restart of the daemon beside it" failed before.

--- a/features/server_notices.feature
+++ b/features/server_notices.feature
@@ -59,3 +59,19 @@
     When 200 requests a second of priorities 0 and 2 arrive for a limit of 20 a second
     Then the server gets 4 times as many requests of priority 0 as of priority 2
     And it gets at most 20 a second and a burst
+
+  Scenario: A server that says in its responses that it leaves gets requests
+    Given a mesh of 2 hosts
+    When the first server sends heartbeats every 20 seconds
+    And it says in a response to a caller of the second host that it leaves
+    Then 40 requests at each host succeed and none reaches the first server
+
+  Scenario: A leaving server gets requests after a restart of the daemon beside it
+    # The daemon that passed on the response remembers it by itself: neither the
+    # restarted daemon nor the store knows of it.
+    Given a mesh of 3 hosts
+    When the store sends no responses
+    And it says in a response to a caller of the second host that it leaves
+    And the first daemon is killed and restarted
+    And the restarted daemon has heard from its server
+    Then 40 requests at the second host succeed and none reaches the first server
--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -398,6 +398,8 @@
         self.limit.is_known = True
         if notice.max_requests_per_s is not None:
             self._update_limit(server, notice.max_requests_per_s)
+        if notice.leaving:
+            self.registrar.start_draining(server)
 
     def adopt_limit(self, max_requests_per_s: float) -> None:
         """Applies a limit that another daemon knows of.
--- a/hemlockgrade/model.py
+++ b/hemlockgrade/model.py
@@ -281,9 +281,11 @@
         max_requests_per_s: Requests a second that the server takes from all
             hosts together; `math.inf` if it names no limit, None if it names
             one that cannot be read.
+        leaving: True if the server leaves and takes no new requests.
     """
 
     max_requests_per_s: float | None
+    leaving: bool
 
 
 @attrs.frozen(kw_only=True)
--- a/hemlockgrade/peers.py
+++ b/hemlockgrade/peers.py
@@ -69,6 +69,8 @@
             all hosts together, according to the peer's latest response.
         limited_until: Monotonic time until which the peer is not chosen,
             because its server has got as many requests as it takes.
+        server_leaves: True once a response of the peer's server said that it
+            leaves.
     """
 
     member: model.Member
@@ -82,6 +84,7 @@
     connect_failures: int = 0
     max_requests_per_s: float = math.inf
     limited_until: float = 0.0
+    server_leaves: bool = False
 
     @property
     def slots(self) -> float:
--- a/hemlockgrade/platform/codec.py
+++ b/hemlockgrade/platform/codec.py
@@ -31,6 +31,8 @@
 
 # Requests a second that the server takes from all hosts together.
 SERVER_LIMIT_HEADER = b'server-limit'
+# Set by a server that leaves.
+SERVER_LEAVING_HEADER = b'server-leaving'
 
 READINESS_PATH = '/-/readiness'
 HEARTBEAT_PREFIX = '/-/instances/'
@@ -178,10 +180,15 @@
         headers: Lower-case names and values of the headers.
     """
     max_requests_per_s: float | None = math.inf
+    leaving = False
     for name, value in headers:
         if name == SERVER_LIMIT_HEADER:
             max_requests_per_s = _decode_rate(value)
-    return model.ServerNotice(max_requests_per_s=max_requests_per_s)
+        elif name == SERVER_LEAVING_HEADER:
+            leaving = value.strip() == b'1'
+    return model.ServerNotice(
+        max_requests_per_s=max_requests_per_s, leaving=leaving
+    )
 
 
 def _decode_rate(value: bytes) -> float | None:
--- a/hemlockgrade/plugins/zone_balancer.py
+++ b/hemlockgrade/plugins/zone_balancer.py
@@ -32,6 +32,10 @@
 # the requests of many daemons over servers whose expected times are close.
 JITTER_FRACTION = 0.1
 
+# Largest number of leaving servers that are remembered after their peer was
+# replaced.
+MAX_LEAVING_SERVERS = 10_000
+
 
 @kernel.register('balancers', 'zone')
 @attrs.define(eq=False, kw_only=True)
@@ -58,6 +62,9 @@
     _stable_peers_by_service: dict[str, list[peers_module.Peer]] = attrs.field(
         factory=dict
     )
+    _leaving_servers: dict[tuple[str, int] | None, None] = attrs.field(
+        factory=dict
+    )
     _accumulated_share_by_service: dict[str, float] = attrs.field(factory=dict)
     _round_robin_by_selector: dict[
         str, weighted_round_robin.WeightedRoundRobin
@@ -82,8 +89,8 @@
         """Chooses a server for a request.
 
         A peer in a cooldown is chosen only if no other peer is suitable and
-        `tried` is empty. A peer whose server has got as many requests as it
-        takes is not chosen.
+        `tried` is empty. A peer whose server leaves, or has got as many
+        requests as it takes, is not chosen.
 
         Args:
             service: Service that runs the request.
@@ -101,7 +108,9 @@
         candidates = [
             p
             for p in permitted
-            if p.member.name not in tried and p.limited_until <= now
+            if p.member.name not in tried
+            and p.limited_until <= now
+            and not p.server_leaves
         ]
         if not candidates:
             return None
@@ -309,11 +318,14 @@
             service_peers = self._peers_by_service.get(service, [])
             if peer in service_peers:
                 service_peers.remove(peer)
+            if peer.server_leaves:
+                self._remember_leaving(peer.member)
         if member is None:
             self._peer_by_name.pop(name, None)
             return
         if peer is None or _is_other_server(peer.member, member):
             peer = peers_module.Peer(member)
+            peer.server_leaves = _incarnation(member) in self._leaving_servers
             self._peer_by_name[name] = peer
         else:
             peer.member = member
@@ -323,13 +335,24 @@
             self._stable_peers_by_service.pop(service, None)
             self._peers_by_service.setdefault(service, []).append(peer)
 
+    def _remember_leaving(self, member: model.Member):
+        """Remembers a leaving server, whose member may be stored once more."""
+        self._leaving_servers[_incarnation(member)] = None
+        if len(self._leaving_servers) > MAX_LEAVING_SERVERS:
+            del self._leaving_servers[next(iter(self._leaving_servers))]
+
+
+def _incarnation(member: model.Member) -> tuple[str, int] | None:
+    """Returns identifier and start of a member's server, if it has one."""
+    if member.server is None:
+        return None
+    return member.server.server_id, member.server.born_ms
+
 
 def _is_other_server(old: model.Member, new: model.Member) -> bool:
     """Returns whether a member's address or server incarnation changed."""
     return (
         old.address != new.address
         or old.server is None
-        or new.server is None
-        or old.server.server_id != new.server.server_id
-        or old.server.born_ms != new.server.born_ms
+        or _incarnation(old) != _incarnation(new)
     )
--- a/hemlockgrade/registrar.py
+++ b/hemlockgrade/registrar.py
@@ -144,6 +144,23 @@
         self._set_server(attrs.evolve(old, state=model.ServerState.GONE), False)
         return True
 
+    def start_draining(self, server: model.Server) -> None:
+        """Marks the local server as draining.
+
+        Args:
+            server: The incarnation that says that it leaves; ignored if the
+                local server is another one or is draining already.
+        """
+        old = self.server
+        if (
+            old is not None
+            and _same_incarnation(old, server)
+            and old.state is model.ServerState.READY
+        ):
+            self._set_server(
+                attrs.evolve(old, state=model.ServerState.DRAINING), False
+            )
+
     def _marked_if_left(self, server: model.Server) -> model.Server:
         """Returns a server as gone if it left while it was not known.
 
--- a/hemlockgrade/sender.py
+++ b/hemlockgrade/sender.py
@@ -242,6 +242,8 @@
             )
         failed = response.status >= admission_module.MIN_SERVER_ERROR_STATUS
         peer.record_response(failed=failed, now=self.clock())
+        if platform_codec.decode_server_notice(response.headers).leaving:
+            peer.server_leaves = True
         nested_refused = failed and (
             http_codec.header(
                 response.headers, peer_protocol.NESTED_REFUSED_HEADER
