Give refused senders turns at the rate of the limit

A daemon whose request was beyond the limit of a server left it alone for the time in which each daemon may send one request.

The daemon beside the server now gives each refused sender a turn: the time at which the limit allows one more request than those of the senders before it. So senders return one after the other, at the rate of the limit, however many daemons there are.

--- a/features/server_notices.feature
+++ b/features/server_notices.feature
@@ -75,3 +75,9 @@
     And the first daemon is killed and restarted
     And the restarted daemon has heard from its server
     Then 40 requests at the second host succeed and none reaches the first server
+
+  Scenario: Senders beyond the limit of a server return at once
+    # Guards against refused senders that return together: most of them are
+    # refused again, and the limit is not used up in between.
+    When 10 senders exceed a limit of 20 requests a second at the same time
+    Then their turns are 0.05 seconds apart, none more than 2 seconds away
--- a/features/steps/server_notices_steps.py
+++ b/features/steps/server_notices_steps.py
@@ -176,3 +176,26 @@
     assert all(status == 200 for status, *_ in sent), sent
     reached = {request_id for request_id, _ in mesh.arrivals('h1')}
     assert not reached & {request_id for *_, request_id in sent}
+
+
+@when(
+    '{count:d} senders exceed a limit of {limit:d} requests a second at the same time'
+)
+def refuse_senders(context, count, limit):
+    server = server_limit.ServerLimit()
+    server.update(float(limit), 0.0)
+    assert not server.admits(0, 0, 0.0)
+    context.turns_s = [server.next_turn_s(0, 0, 0.0) for _ in range(count)]
+    context.later_turns_s = [server.next_turn_s(0, 0, 0.0) for _ in range(100)]
+
+
+@then(
+    'their turns are {step_s:g} seconds apart, none more than {limit_s:g} seconds away'
+)
+def check_turns(context, step_s, limit_s):
+    turns = [0.0, *context.turns_s]
+    steps = [
+        late - early for early, late in zip(turns, turns[1:], strict=False)
+    ]
+    assert all(abs(step - step_s) < 1e-9 for step in steps), turns
+    assert max(context.later_turns_s) <= limit_s, context.later_turns_s
--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -168,8 +168,11 @@
                 self._refusal_reason(server_id)
             )
         limiter = self._limiter_of(server)
-        if not self.limit.admits(priority, limiter.queued, self.clock()):
-            return peer_protocol.refusal_response(peer_protocol.Refusal.LIMITED)
+        now = self.clock()
+        if not self.limit.admits(priority, limiter.queued, now):
+            return peer_protocol.limit_refusal_response(
+                self.limit.next_turn_s(priority, limiter.queued, now)
+            )
         try:
             # The prefix of the attempt's identifier names the process of the
             # sending daemon. A full queue is divided among these processes.
--- a/hemlockgrade/peer_protocol.py
+++ b/hemlockgrade/peer_protocol.py
@@ -47,6 +47,9 @@
 # Requests a second that the server takes from all hosts together, if it names a
 # limit. In a request: the limit that the sender knows of.
 LIMIT_HEADER = b'x-hemlock-limit'
+# In a refusal because of that limit: time until the turn of the sender, in
+# milliseconds.
+TURN_HEADER = b'x-hemlock-turn-ms'
 
 STATE_PATH = '/.hemlock/state'
 VERSIONS_PATH = '/.hemlock/versions'
@@ -223,6 +226,26 @@
     )
 
 
+def limit_refusal_response(turn_s: float) -> http_codec.Response:
+    """Builds the response to a request beyond the limit of the server.
+
+    Args:
+        turn_s: Time until the turn of the sender, in seconds.
+    """
+    response = refusal_response(Refusal.LIMITED)
+    response.headers.append((TURN_HEADER, b'%d' % max(1, turn_s * 1000)))
+    return response
+
+
+def decode_turn_s(headers: http_codec.Headers) -> float:
+    """Decodes the time until the turn of the sender.
+
+    Returns:
+        Time in seconds; 0 if the header is missing or malformed.
+    """
+    return decode_duration_s(headers, TURN_HEADER) or 0.0
+
+
 def fence_response(result: ledger.FenceResult) -> http_codec.Response:
     """Builds the response to a fence request."""
     return http_codec.Response(status=200, body=result.value.encode())
--- a/hemlockgrade/peers.py
+++ b/hemlockgrade/peers.py
@@ -22,10 +22,6 @@
 # because no slot was free, is avoided for this time, in seconds. It is about
 # one service time, after which a slot has become free.
 FULL_COOLDOWN_S = 0.05
-# A peer whose server has got as many requests as the limit allows that it names
-# is avoided for the time in which each daemon may send one, in seconds, at most
-# for this time.
-MAX_LIMITED_COOLDOWN_S = 2.0
 # A peer whose server does not accept requests is avoided for this time, in
 # seconds, unless its member changes before that.
 UNAVAILABLE_COOLDOWN_S = 1.0
@@ -67,8 +63,9 @@
         connect_failures: Number of consecutive failures to connect.
         max_requests_per_s: Requests a second that the peer's server takes from
             all hosts together, according to the peer's latest response.
-        limited_until: Monotonic time until which the peer is not chosen,
-            because its server has got as many requests as it takes.
+        limited_until: Monotonic time of the turn of this daemon at a server
+            that has got as many requests as it takes; the peer is not chosen
+            before it.
         server_leaves: True once a response of the peer's server said that it
             leaves.
     """
@@ -175,19 +172,6 @@
         else:
             self.full_cooldown_until = now + FULL_COOLDOWN_S
 
-    def record_limited(self, daemons: int, now: float) -> None:
-        """Starts a cooldown after a request beyond the limit of the server.
-
-        Args:
-            daemons: Number of daemons that share the limit.
-            now: Monotonic time in seconds.
-        """
-        share_per_s = self.max_requests_per_s / max(1, daemons)
-        cooldown_s = MAX_LIMITED_COOLDOWN_S
-        if share_per_s > 0:
-            cooldown_s = min(cooldown_s, 1 / share_per_s)
-        self.limited_until = now + cooldown_s
-
     def record_connect_failure(self, now: float) -> None:
         """Starts a cooldown after a failed connection."""
         self.connect_failures += 1
--- a/hemlockgrade/sender.py
+++ b/hemlockgrade/sender.py
@@ -224,8 +224,9 @@
         refusal = peer_protocol.decode_refusal(response.headers)
         if refusal is not None:
             if refusal is peer_protocol.Refusal.LIMITED:
-                daemons = len(self.sync.directory.member_by_name)
-                peer.record_limited(daemons, self.clock())
+                peer.limited_until = self.clock() + peer_protocol.decode_turn_s(
+                    response.headers
+                )
             else:
                 peer.record_refusal(refusal.server_unavailable, self.clock())
             return _refused_result(refusal)
--- a/hemlockgrade/server_limit.py
+++ b/hemlockgrade/server_limit.py
@@ -13,6 +13,8 @@
 # Lowest rate, in requests a second. Only a response shows that the server no
 # longer names a limit.
 MIN_RATE_PER_S = 0.5
+# Longest time until the turn of a refused sender, in seconds.
+MAX_TURN_S = 2.0
 # Priority from which on requests leave the whole reserve to more urgent ones.
 LOWEST_PRIORITY = 2
 # Part of the burst beyond one request that this reserve takes.
@@ -32,6 +34,7 @@
     max_requests_per_s: float = math.inf
     is_known: bool = False
     _bucket: token_bucket.TokenBucket | None = None
+    _last_turn_at: float = 0.0
 
     def update(self, max_requests_per_s: float, now: float) -> None:
         """Applies the limit of the latest response.
@@ -61,11 +64,43 @@
             waiting: Number of admitted requests that are still to be sent.
             now: Monotonic time in seconds.
         """
+        return self._missing_requests(priority, waiting, now) <= 0
+
+    def next_turn_s(self, priority: int, waiting: int, now: float) -> float:
+        """Reserves the next turn for a sender whose request is refused.
+
+        Senders that are refused one after the other get turns at the named
+        rate, so that they do not return at once.
+
+        Args:
+            priority: Priority of the request.
+            waiting: Number of admitted requests that are still to be sent.
+            now: Monotonic time in seconds.
+
+        Returns:
+            Time until the turn, in seconds.
+        """
+        if self._bucket is None:
+            return 0.0
+        rate_per_s = self._bucket.rate_per_s
+        missing = self._missing_requests(priority, waiting, now)
+        self._last_turn_at = min(
+            max(
+                self._last_turn_at + 1 / rate_per_s, now + missing / rate_per_s
+            ),
+            now + MAX_TURN_S,
+        )
+        return self._last_turn_at - now
+
+    def _missing_requests(
+        self, priority: int, waiting: int, now: float
+    ) -> float:
+        """Returns by how many requests the bucket is short of admitting one."""
         if self._bucket is None:
-            return True
+            return 0.0
         urgency = min(priority, LOWEST_PRIORITY) / LOWEST_PRIORITY
         reserved = (self._bucket.burst - 1.0) * RESERVED_FRACTION * urgency
-        return self._bucket.available(now) >= 1.0 + waiting + reserved
+        return 1.0 + waiting + reserved - self._bucket.available(now)
 
     def spend(self, now: float) -> None:
         """Counts a request that is sent to the server.
