--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -200,6 +200,55 @@
         new='',
         feature='mesh_decisions',
     ),
+    Mutation(
+        guard='a call of a repeated run uses the retry budget',
+        module='proxy.py',
+        old='if call.sent_by_repeat and not budget.take_for_nested():',
+        new='if False:',
+        feature='nested_requests',
+    ),
+    Mutation(
+        guard='a run whose call was refused is not repeated',
+        module='proxy.py',
+        old='            and not nested_refused\n',
+        new='',
+        feature='nested_requests',
+    ),
+    Mutation(
+        guard='a request that a server answers with 421 counts as sent',
+        module='peer_protocol.py',
+        old='return self in (Refusal.SHED, Refusal.MISDIRECTED)',
+        new='return self is Refusal.SHED',
+        feature='request_path',
+    ),
+    Mutation(
+        guard='the limit of a server is kept by the daemon beside it',
+        module='admission.py',
+        old='if not self.limit.admits(',
+        new='if False and not self.limit.admits(',
+        feature='server_notices',
+    ),
+    Mutation(
+        guard='a restarted daemon uses the limit that its peers send',
+        module='admission.py',
+        old='        admission.adopt_limit(limit)\n',
+        new='        pass\n',
+        feature='server_notices',
+    ),
+    Mutation(
+        guard='a leaving server is refused by the daemon beside it',
+        module='admission.py',
+        old='            self.registrar.start_draining(server)\n',
+        new='            pass\n',
+        feature='server_notices',
+    ),
+    Mutation(
+        guard='a leaving server is avoided by the daemons that know',
+        module='sender.py',
+        old='peer.server_leaves = True',
+        new='pass',
+        feature='server_notices',
+    ),
 )
 
 
