--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -5,7 +5,6 @@
 import pathlib
 import signal
 import socket
-import tempfile
 import threading
 import time
 
@@ -24,10 +23,7 @@
 
 @given('a mesh of {count:d} hosts')
 def start_mesh(context, count):
-    directory = tempfile.TemporaryDirectory(ignore_cleanup_errors=True)
-    context.add_cleanup(directory.cleanup)
-    mesh = mesh_cluster.MeshCluster(pathlib.Path(directory.name))
-    context.add_cleanup(mesh.__exit__, None, None, None)
+    mesh = mesh_cluster.create_temporary(context.add_cleanup)
     context.mesh = mesh
     mesh.start_store()
     mesh.configure(5, SHOP_ROUTE, ORDER_ROUTE)
--- a/features/steps/nested_requests_steps.py
+++ b/features/steps/nested_requests_steps.py
@@ -2,8 +2,6 @@
 
 import collections
 import concurrent.futures
-import pathlib
-import tempfile
 import time
 
 from behave import given
@@ -21,10 +19,7 @@
     '{callers:d} booking servers whose runs send {calls:d} calls each to {callees:d} permit servers'
 )
 def start_two_services(context, callers, calls, callees):
-    directory = tempfile.TemporaryDirectory(ignore_cleanup_errors=True)
-    context.add_cleanup(directory.cleanup)
-    mesh = mesh_cluster.MeshCluster(pathlib.Path(directory.name))
-    context.add_cleanup(mesh.__exit__, None, None, None)
+    mesh = mesh_cluster.create_temporary(context.add_cleanup)
     context.mesh = mesh
     mesh.start_store()
     mesh.configure(
--- a/hemlockgrade/call.py
+++ b/hemlockgrade/call.py
@@ -71,7 +71,8 @@
         tried_members: Names of the members to which attempts were sent.
         excluded_members: Names of those that the next attempt avoids. A member
             whose server had got as many requests as it takes is not among
-            them: its peer has a cooldown, and others may have capacity.
+            them: its peer waits for its turn, and the refusal says nothing
+            about other servers.
         version: Version of the server of the latest attempt.
         may_have_run: True if a server may have run the request.
         failed_response: Latest response with a server error; None if there is
--- a/hemlockgrade/server_limit.py
+++ b/hemlockgrade/server_limit.py
@@ -6,18 +6,19 @@
 
 from hemlockgrade import token_bucket
 
-# Time at the named rate whose requests may be sent at once, in seconds.
+# The bucket holds the requests of this time at the named rate, in seconds.
 BURST_S = 0.5
-# Lowest such number of requests.
+# Lowest number of requests that the bucket holds.
 MIN_BURST = 3.0
 # Lowest rate, in requests a second. Only a response shows that the server no
 # longer names a limit.
 MIN_RATE_PER_S = 0.5
 # Longest time until the turn of a refused sender, in seconds.
 MAX_TURN_S = 2.0
-# Priority from which on requests leave the whole reserve to more urgent ones.
+# Requests of this priority leave the whole reserve to more urgent ones, those of
+# priority 0 nothing.
 LOWEST_PRIORITY = 2
-# Part of the burst beyond one request that this reserve takes.
+# Fraction of the bucket, less one request, that is reserved in this way.
 RESERVED_FRACTION = 0.5
 
 
--- a/standins/mesh_cluster.py
+++ b/standins/mesh_cluster.py
@@ -1,9 +1,11 @@
 """Starts a small mesh of store, daemons and servers on loopback, for tests."""
 
+from collections.abc import Callable
 import http.client
 import itertools
 import json
 import pathlib
+import tempfile
 import time
 
 from standins import cluster
@@ -251,6 +253,20 @@
         return [*self.server_by_name.values(), *super()._processes()]
 
 
+def create_temporary(add_cleanup: Callable[..., None]) -> MeshCluster:
+    """Creates a mesh without processes, in a temporary directory.
+
+    Args:
+        add_cleanup: Registers a function, with its arguments, that is called
+            after the test.
+    """
+    directory = tempfile.TemporaryDirectory(ignore_cleanup_errors=True)
+    add_cleanup(directory.cleanup)
+    mesh = MeshCluster(pathlib.Path(directory.name))
+    add_cleanup(mesh.__exit__, None, None, None)
+    return mesh
+
+
 def send_request(address, method, path, body=b'', headers=None, timeout_s=4.0):
     """Sends a request.
 
