--- a/hemlockgrade/server_limit.py
+++ b/hemlockgrade/server_limit.py
@@ -15,8 +15,8 @@
 MIN_RATE_PER_S = 0.5
 # Longest time until the turn of a refused sender, in seconds.
 MAX_TURN_S = 2.0
-# Requests of this priority leave the whole reserve to more urgent ones, those of
-# priority 0 nothing.
+# Requests of this priority leave the whole reserve to more urgent ones; those
+# of priority 0 leave nothing.
 LOWEST_PRIORITY = 2
 # Fraction of the bucket, less one request, that is reserved in this way.
 RESERVED_FRACTION = 0.5
