--- /dev/null
+++ b/features/shared_link.feature
@@ -0,0 +1,52 @@
+Feature: Large bodies leave room on the network link for short messages
+
+  Scenario: Short messages do not wait behind the bodies of downloads
+    # Replays the load of a download service on links of 5.5 Mbit/s: downloads of
+    # 90 kB use 60% of the link and share it with short responses.
+    When 30 seconds of downloads and short messages are replayed on a link
+    Then with pacing a short message waits 15 ms at most
+    And without pacing some short messages wait more than 400 ms
+    And pacing delays the mean download no more than the queue of the link did
+
+  Scenario: Pacing uses the whole link
+    When 20 bodies of 10 to 200 kB wait for a link of 5.5 Mbit/s
+    Then the link is idle for less than 2% of the time that they take
+    And the smaller body ends first
+
+  Scenario Outline: Bodies of responses share a link of 2 Mbit/s with short responses
+    Given responses of 100 kB with a body by <framing>
+    When 2 large responses and short ones are sent over a link of 2 Mbit/s
+    Then the large responses arrive whole and take 0.7 s at least
+    And each short response arrived within 150 ms
+
+    Examples:
+      | framing |
+      | length  |
+      | chunked |
+      | close   |
+
+  Scenario Outline: A body that breaks off is never taken for a complete one
+    Given responses of 100 kB with a body by <framing>
+    When the server breaks off a body that waits for the link
+    Then the caller got a broken response
+    And a later body is sent over the link
+
+    Examples:
+      | framing |
+      | length  |
+      | chunked |
+
+  Scenario: A caller that leaves gives its share of the link to others
+    Given responses of 100 kB with a body by length
+    When a caller leaves while its body of 1 MB waits for the link of 2 Mbit/s
+    Then the next large response takes less than 1 s
+    And the run of the server that left off was ended
+
+  Scenario: 50 downloads at once take a bounded amount of memory
+    When 50 downloads of 10 MB wait for a link of 2 Mbit/s
+    Then the daemon holds at most 256 kB of each
+
+  Scenario: A link of an unknown rate is not paced
+    Given responses of 100 kB with a body by length
+    When 2 large responses and short ones are sent over a link of an unknown rate
+    Then the large responses arrive whole
--- a/hemlockgrade/config/base.py
+++ b/hemlockgrade/config/base.py
@@ -163,6 +163,15 @@
     )
 
 
+def not_negative(**options) -> Any:
+    """Declares a setting that is a number of 0 or above."""
+    return attrs.field(
+        validator=attrs.validators.ge(0),
+        metadata={'remedy': 'use 0 or a number above 0'},
+        **options,
+    )
+
+
 def text(**options) -> Any:
     """Declares a setting that is a non-empty text."""
     return attrs.field(
--- a/hemlockgrade/config/daemon.py
+++ b/hemlockgrade/config/daemon.py
@@ -45,6 +45,8 @@
             fraction, over all daemons.
         exposed_share: Maximum fraction of a service's requests that a faulty
             new version may receive.
+        link_mbps: Rate at which the host can send, in megabits a second; 0 if
+            it is not known, so that large responses are not paced.
         drain_timeout_s: Time from SIGTERM to the end of the process, in
             seconds.
         balancer: Name of the plug-in that chooses the server of an attempt.
@@ -72,6 +74,7 @@
     retry_ratio: float = base.positive(default=0.2)
     retry_slack: float = base.positive(default=50.0)
     exposed_share: float = base.positive(default=0.1)
+    link_mbps: float = base.not_negative(default=0.0)
     drain_timeout_s: float = base.positive(default=6.0)
     balancer: str = base.text(default='zone')
     judge: str = base.text(default='binomial')
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Coroutine
 import contextlib
+import math
 import time
 from typing import Any
 import uuid
@@ -23,6 +24,7 @@
 from hemlockgrade import listeners
 from hemlockgrade import metrics as metrics_module
 from hemlockgrade import model
+from hemlockgrade import outgoing_body
 from hemlockgrade import overview
 from hemlockgrade import peer_api
 from hemlockgrade import proxy as proxy_module
@@ -51,6 +53,8 @@
 # the member would be written twice. Without a heartbeat, the member is written
 # after this delay.
 FIRST_MEMBER_WRITE_DELAY_S = 2.0
+# Bytes a second of a link with a rate of one megabit a second.
+BYTES_PER_S_PER_MBPS = 1_000_000 / 8
 
 
 class Daemon:
@@ -96,6 +100,9 @@
             settings.store_address, self._build_pool()
         )
         self._in_flight = in_flight.InFlightCounter(self._clock)
+        self._link = outgoing_body.Link(
+            settings.link_mbps * BYTES_PER_S_PER_MBPS or math.inf
+        )
         self._shutdown = shutdown.Shutdown()
         self._build_server_side()
         self._build_caller_side()
@@ -302,12 +309,15 @@
         """
         settings = self.settings
         caller_factory = http_server.HttpServerFactory(
-            lambda request: self._in_flight.track(self._proxy.handle(request))
+            lambda request: self._in_flight.track(self._proxy.handle(request)),
+            link=self._link,
         )
         self.directory.on_configuration.append(
             lambda: self._apply_caller_limits(caller_factory)
         )
-        peer_factory = http_server.HttpServerFactory(self._peer_api.handle)
+        peer_factory = http_server.HttpServerFactory(
+            self._peer_api.handle, link=self._link
+        )
         factory_by_setting: dict[str, Any] = {
             'admission_address': peer_factory,
             'local_address': http_server.HttpServerFactory(
--- a/hemlockgrade/http_codec.py
+++ b/hemlockgrade/http_codec.py
@@ -300,8 +300,8 @@
     return Framing(length=length, chunked=False, close=close, no_body=False)
 
 
-def encode_response(response: Response, framing: Framing) -> bytes:
-    """Serializes a response with the part of its body that has arrived."""
+def encode_head(response: Response, framing: Framing) -> bytes:
+    """Serializes the status line and the headers of a response."""
     parts = [_status_line(response.status)]
     parts.extend([b'%b: %b\r\n' % item for item in response.headers])
     if framing.chunked:
@@ -311,12 +311,18 @@
     if framing.close:
         parts.append(b'connection: close\r\n')
     parts.append(b'\r\n')
-    if not framing.no_body:
-        body = response.body
-        parts.append(encode_chunk(body) if framing.chunked else body)
     return b''.join(parts)
 
 
+def encode_response(response: Response, framing: Framing) -> bytes:
+    """Serializes a response with the part of its body that has arrived."""
+    head = encode_head(response, framing)
+    if framing.no_body:
+        return head
+    body = response.body
+    return head + (encode_chunk(body) if framing.chunked else body)
+
+
 @functools.lru_cache(maxsize=1024)
 def _status_line(status: int) -> bytes:
     try:
--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -1,4 +1,10 @@
-"""HTTP/1.1 server protocol that hands each request to a coroutine."""
+"""HTTP/1.1 server protocol that hands each request to a coroutine.
+
+Load pattern: clients send several requests on a connection without waiting for
+the responses. Requests that may overlap run at the same time, so that a slow
+one delays no other's run, and the responses are sent in the order of the
+requests (RFC 9112, section 9.3.2).
+"""
 
 import asyncio
 import collections
@@ -14,12 +20,18 @@
 
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
+from hemlockgrade import link as link_module
+from hemlockgrade import outgoing_body
 from hemlockgrade import sockets
 
 Handler = Callable[[http_codec.Request], Awaitable[http_codec.Response]]
 
-# Largest number of requests of a connection that wait for earlier responses.
+# Largest number of requests of a connection that have been read and not been
+# started.
 MAX_PIPELINED_REQUESTS = 16
+# Largest number of requests of a connection that run at the same time or whose
+# response waits for an earlier one.
+MAX_OVERLAPPING_REQUESTS = 16
 # Time for which a closing connection continues to read, in seconds. A
 # connection that is closed with unread bytes is reset, and its last response is
 # lost.
@@ -83,11 +95,34 @@
         return LINGER_S
 
 
+@attrs.define(eq=False, kw_only=True)
+class _Exchange:
+    """A request that has been started and its response.
+
+    Attributes:
+        request: The request.
+        task: Runs the request.
+        response: The response; None until the request has ended.
+    """
+
+    request: http_codec.Request
+    task: asyncio.Task | None = None
+    response: http_codec.Response | None = None
+
+    def cancel(self):
+        """Cancels the request and discards its response."""
+        if self.response is None:
+            if self.task is not None:
+                self.task.cancel()
+        elif self.response.stream is not None:
+            self.response.stream.abort()
+
+
 @zope.interface.implementer(
     interfaces.IHalfCloseableProtocol, interfaces.IPushProducer
 )
 class HttpServerProtocol(protocol.Protocol):
-    """One incoming connection; requests are handled one after the other."""
+    """One incoming connection; responses are sent in order of the requests."""
 
     def __init__(self, factory: 'HttpServerFactory'):
         self._factory = factory
@@ -95,9 +130,8 @@
             factory.limits.header_bytes, factory.limits.body_bytes
         )
         self._pending: collections.deque = collections.deque()
-        self._task: asyncio.Task | None = None
-        self._stream: http_codec.BodyStream | None = None
-        self._framing: http_codec.Framing | None = None
+        self._exchanges: collections.deque[_Exchange] = collections.deque()
+        self._body: outgoing_body.OutgoingBody | None = None
         self._phase = _Phase.BUSY
         self._phase_ends_at = 0.0
         self._timer: asyncio.TimerHandle | None = None
@@ -110,7 +144,7 @@
     @property
     def busy(self) -> bool:
         """Returns whether a request on this connection awaits its response."""
-        return self._task is not None or self._stream is not None
+        return bool(self._exchanges) or self._body is not None
 
     @property
     def finished(self) -> bool:
@@ -122,7 +156,9 @@
         self._loop = asyncio.get_running_loop()
         self._factory.connections.add(self)
         self.transport.setTcpNoDelay(True)
-        self._writer = sockets.DirectWriter(self.transport)
+        self._writer = sockets.DirectWriter(
+            self.transport, self._factory.link.record_write
+        )
         self.transport.registerProducer(self, True)
         self._update_phase()
 
@@ -148,7 +184,7 @@
             self._close_without_lingering()
         elif not self._factory.allow_half_close:
             self._closed = True
-            self._cancel_request()
+            self._cancel_requests()
             self.transport.abortConnection()
 
     def writeConnectionLost(self):  # noqa: N802
@@ -157,78 +193,90 @@
             self._enter_phase(_Phase.LINGERING)
 
     def connectionLost(self, reason):  # noqa: N802
-        """Cancels the running request, because its caller has disconnected."""
+        """Cancels the requests, because their caller has disconnected."""
         self._closed = True
         self._factory.connections.discard(self)
         if self._timer is not None:
             self._timer.cancel()
-        self._cancel_request()
+        self._cancel_requests()
 
     def pauseProducing(self):  # noqa: N802
         """Stops writing, because the client does not read the responses."""
         self._write_paused = True
-        if self._stream is not None:
-            self._stream.pause()
+        if self._body is not None:
+            self._body.pause()
         self._update_phase()
 
     def resumeProducing(self):  # noqa: N802
         """Continues writing."""
         self._write_paused = False
         self._writer.buffer_emptied()
-        if self._stream is not None:
-            self._stream.resume()
-        self._start_next()
+        if self._body is not None:
+            self._body.resume()
+        self._write_responses()
 
     def stopProducing(self):  # noqa: N802
         """Does nothing; `connectionLost` follows."""
 
-    def body_received(self, data: bytes) -> None:
-        """Writes a piece of a streamed body."""
-        assert self._framing is not None
-        if self._framing.chunked:
-            data = http_codec.encode_chunk(data)
-        self._writer.write(data)
-
-    def body_ended(self, complete: bool) -> None:
-        """Ends a streamed body.
-
-        An incomplete body is signalled to the client by aborting the
-        connection.
-        """
-        assert self._framing is not None
-        framing, self._framing, self._stream = self._framing, None, None
-        if self._closed:
-            return
-        if not complete:
-            self.transport.abortConnection()
-            return
-        if framing.chunked:
-            self._writer.write(http_codec.LAST_CHUNK)
-        self._response_written(framing.close)
-
     def close_if_idle(self) -> None:
         """Closes the connection unless a request is in progress."""
         if not self.busy and not self._pending and not self._parser.in_message:
             self._close_without_lingering()
 
-    def _cancel_request(self):
+    def _cancel_requests(self):
         self._pending.clear()
-        if self._task is not None:
-            self._task.cancel()
-        if self._stream is not None:
-            self._stream.abort()
+        exchanges = list(self._exchanges)
+        self._exchanges.clear()
+        for exchange in exchanges:
+            exchange.cancel()
+        if self._body is not None:
+            body, self._body = self._body, None
+            body.abort()
 
     def _start_next(self):
-        if not (self.busy or self._write_paused or self._closed):
-            if self._pending:
-                self._start_request(self._pending.popleft())
-            elif self._parser.expects_continue:
+        """Starts the requests that may run now."""
+        while (
+            self._pending
+            and not (self._write_paused or self._closed)
+            and self._may_start(self._pending[0])
+        ):
+            self._start_request(self._pending.popleft())
+        if not (self.busy or self._pending or self._write_paused):
+            if self._closed:
+                return
+            if self._parser.expects_continue:
                 self._parser.expects_continue = False
                 self._writer.write(http_codec.CONTINUE_RESPONSE)
             elif self._input_ended:
                 self._close_after_response()
         self._update_phase()
 
+    def _may_start(
+        self, item: http_codec.Request | exceptions.MalformedRequestError
+    ) -> bool:
+        """Returns whether the next request may be started.
+
+        An earlier response may close the connection. The client then sends the
+        requests behind it again, so that only those that may run more than once
+        are started before it.
+        """
+        if not self.busy:
+            return True
+        if isinstance(item, exceptions.MalformedRequestError):
+            return False
+        return (
+            len(self._exchanges) < MAX_OVERLAPPING_REQUESTS
+            and self._may_overlap(item)
+            and all(self._may_overlap(e.request) for e in self._exchanges)
+        )
+
+    def _may_overlap(self, request: http_codec.Request) -> bool:
+        return (
+            request.keep_alive
+            and request.version == '1.1'
+            and self._factory.may_overlap(request)
+        )
+
     def _start_request(
         self, item: http_codec.Request | exceptions.MalformedRequestError
     ):
@@ -236,27 +284,40 @@
             request = http_codec.Request(method='', target='')
             self._write_response(_error_response(item), request, close=True)
             return
-        self._task = self._loop.create_task(self._handle_request(item))
+        exchange = _Exchange(request=item)
+        self._exchanges.append(exchange)
+        exchange.task = self._loop.create_task(self._handle_request(exchange))
 
-    async def _handle_request(self, request: http_codec.Request):
+    async def _handle_request(self, exchange: _Exchange):
         try:
-            response = await self._factory.handler(request)
+            response = await self._factory.handler(exchange.request)
         except Exception:
             logger.exception('event=request_handler_failed')
             response = http_codec.Response(
                 status=500, headers=[(b'x-hemlock-outcome', b'unknown')]
             )
-        finally:
-            self._task = None
+        exchange.response = response
         if self._closed:
-            if response.stream is not None:
-                response.stream.abort()
+            exchange.cancel()
             return
-        is_last = (
-            self._input_ended or self._factory.draining
-        ) and not self._pending
-        close = is_last or not request.keep_alive
-        self._write_response(response, request, close=close)
+        self._write_responses()
+
+    def _write_responses(self):
+        """Writes the responses that wait for no earlier one."""
+        while self._exchanges and self._body is None and not self._closed:
+            exchange = self._exchanges[0]
+            if exchange.response is None:
+                break
+            self._exchanges.popleft()
+            is_last = (self._input_ended or self._factory.draining) and not (
+                self._pending or self._exchanges
+            )
+            self._write_response(
+                exchange.response,
+                exchange.request,
+                close=is_last or not exchange.request.keep_alive,
+            )
+        self._start_next()
 
     def _write_response(
         self,
@@ -266,23 +327,42 @@
         close: bool,
     ):
         framing = http_codec.choose_framing(response, request, close=close)
-        self._writer.write(http_codec.encode_response(response, framing))
-        if response.stream is None or framing.no_body:
+        is_large = len(response.body) > link_module.MAX_UNPACED_BYTES
+        if framing.no_body or (response.stream is None and not is_large):
+            self._writer.write(http_codec.encode_response(response, framing))
             self._response_written(framing.close)
             return
-        self._stream = response.stream
-        self._framing = framing
+        self._body = outgoing_body.OutgoingBody(
+            self._writer,
+            self._factory.link,
+            framing,
+            lambda complete: self._body_ended(framing, complete),
+        )
         self._update_phase()
-        response.stream.attach(self)
-        if self._write_paused and self._stream is not None:
-            self._stream.pause()
+        if self._write_paused:
+            self._body.pause()
+        self._writer.write(http_codec.encode_head(response, framing))
+        self._body.send(response)
+
+    def _body_ended(self, framing: http_codec.Framing, complete: bool):
+        """Handles the end of a body that was passed on piece by piece.
+
+        An incomplete body is signalled to the client by aborting the
+        connection.
+        """
+        self._body = None
+        if self._closed:
+            return
+        if not complete:
+            self.transport.abortConnection()
+            return
+        self._response_written(framing.close)
+        self._write_responses()
 
     def _response_written(self, close: bool):
         if close:
-            self._pending.clear()
+            self._cancel_requests()
             self._close_after_response()
-            return
-        self._start_next()
 
     def _close_after_response(self):
         """Closes the connection after the last response.
@@ -385,6 +465,9 @@
             that closes its socket looks the same until a response is written.
         connections: The open connections.
         draining: True once each connection is closed after its next response.
+        link: Network link over which the connections send.
+        may_overlap: Returns whether a request may run while earlier requests
+            of its connection have not ended.
     """
 
     noisy = False
@@ -395,8 +478,12 @@
         limits: ConnectionLimits | None = None,
         *,
         allow_half_close: bool = False,
+        link: outgoing_body.Link | None = None,
+        may_overlap: Callable[[http_codec.Request], bool] = lambda _: False,
     ):
         self.handler = handler
+        self.link = link or outgoing_body.Link()
+        self.may_overlap = may_overlap
         self.allow_half_close = allow_half_close
         self.limits = limits or ConnectionLimits()
         self.connections: set[HttpServerProtocol] = set()
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -15,6 +15,7 @@
 from hemlockgrade import call as call_module
 from hemlockgrade import directory as directory_module
 from hemlockgrade import http_codec
+from hemlockgrade import model
 from hemlockgrade import peer_protocol
 from hemlockgrade import peers
 from hemlockgrade import retries
@@ -127,6 +128,12 @@
         self._log_finished(call, response.status, outcome)
         return response
 
+    def is_idempotent(self, request: http_codec.Request) -> bool:
+        """Returns whether a request of a caller may run more than once."""
+        host = http_codec.header(request.headers, b'host') or ''
+        entry = self.directory.match(host, request.path)
+        return entry is not None and _is_idempotent(entry.route, request)
+
     def _refuse_while_stopping(
         self, call: call_module.Call
     ) -> http_codec.Response:
@@ -162,9 +169,6 @@
                 self.local_service().encode(),
             )
         )
-        idempotent = entry.route.idempotent
-        if idempotent is None:
-            idempotent = retries.is_idempotent(request.method)
         return call_module.Call(
             request=request.with_headers(headers),
             request_id=request_id,
@@ -173,7 +177,7 @@
             service=entry.next_service(),
             started=started,
             deadline=started + min(left_s, entry.route.timeout_s),
-            idempotent=idempotent,
+            idempotent=_is_idempotent(entry.route, request),
         )
 
     async def _send_with_retries(
@@ -354,6 +358,12 @@
         self.on_finished(labels, self.clock() - call.started)
 
 
+def _is_idempotent(route: model.Route, request: http_codec.Request) -> bool:
+    if route.idempotent is None:
+        return retries.is_idempotent(request.method)
+    return route.idempotent
+
+
 def _retry_after_s(left_s: float) -> float:
     """Returns after what time a caller may send a refused request again.
 
--- a/hemlockgrade/sockets.py
+++ b/hemlockgrade/sockets.py
@@ -1,8 +1,13 @@
 """Writes to Twisted transports without waiting for the event loop."""
 
+from collections.abc import Callable
 from typing import Any
 
 
+def _ignore_size(size: int) -> None:
+    """Ignores the number of written bytes."""
+
+
 class DirectWriter:
     """Writes to the socket at once and leaves only the rest to Twisted.
 
@@ -11,12 +16,24 @@
     twice for it, which takes a third of the processor time of a request.
     """
 
-    def __init__(self, transport: Any):
+    def __init__(
+        self,
+        transport: Any,
+        on_write: Callable[[int], None] = _ignore_size,
+    ):
+        """Creates a writer.
+
+        Args:
+            transport: The transport of the connection.
+            on_write: Called with the number of bytes of each write.
+        """
         self._transport = transport
+        self._on_write = on_write
         self._buffered = False
 
     def write(self, data: bytes) -> None:
         """Writes data after all data that was written before."""
+        self._on_write(len(data))
         if self._buffered:
             self._transport.write(data)
             return
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -233,7 +233,11 @@
             on_finished=lambda *_: None,
         )
         self.factory, self.address = self._listen(
-            self.proxy.handle, **self._listener_options
+            self.proxy.handle,
+            **{
+                'may_overlap': self.proxy.is_idempotent,
+                **self._listener_options,
+            },
         )
         return self
 
