--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -311,6 +311,7 @@
         caller_factory = http_server.HttpServerFactory(
             lambda request: self._in_flight.track(self._proxy.handle(request)),
             link=self._link,
+            may_overlap=self._proxy.is_idempotent,
         )
         self.directory.on_configuration.append(
             lambda: self._apply_caller_limits(caller_factory)
