--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -119,6 +119,30 @@
       | PathPrefix |
       | TimeoutMs  |
 
+  Scenario: The requests of a download may run more than once
+    When a configuration with a route of type download is decoded
+    Then the requests of the route are idempotent
+
+  Scenario Outline: A split that cannot be kept is refused as a whole
+    When a configuration whose split has <fault> is decoded
+    Then decoding fails with a message that names <field>
+
+    Examples:
+      | fault               | field                |
+      | no weight above 0   | TrafficSplit         |
+      | no services         | TrafficSplit         |
+      | a negative weight   | TrafficSplit.Weight  |
+      | an absent weight    | TrafficSplit.Weight  |
+      | a textual weight    | TrafficSplit.Weight  |
+      | an infinite weight  | TrafficSplit.Weight  |
+      | an unknown service  | TrafficSplit.Service |
+
+  Scenario: Splits keep their shares over many daemons that begin anew
+    # Guards against round robins that all begin with the same service. Each of
+    # 79 daemons sends a few requests before the next change of the routes.
+    When 10000 requests on a split of 60, 30, 10 and 0 percent begin anew each 3
+    Then each service got its share within 2 percent
+
   Scenario: The longest matching path prefix selects the route
     Given a route table with prefixes /x/ and /x/y/
     Then hosts and paths match these routes
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -79,6 +79,11 @@
             'Metadata': {'Name': 'booking'},
             'Spec': {'MaxConnections': 110, 'HealthCheckPath': '/health'},
         },
+        {
+            'EntryType': 'Services',
+            'Metadata': {'Name': 'permits'},
+            'Spec': {'MaxConnections': 110},
+        },
     ]
     return {'Version': '0000000c', 'Resources': entries, **changes}
 
@@ -197,6 +202,68 @@
     assert context.configuration.check_path_by_service == {'booking': '/health'}
 
 
+@when('a configuration with a route of type {route_type} is decoded')
+def decode_route_type(context, route_type):
+    entry = build_route_entry(RouteType=route_type)
+    del entry['Spec']['TrafficSplit']
+    entry['Spec']['Service'] = 'booking'
+    context.configuration = codec.decode_configuration(
+        build_configuration(Resources=[entry])
+    )
+
+
+@then('the requests of the route are idempotent')
+def check_idempotent(context):
+    [route] = context.configuration.routes
+    assert route.idempotent
+
+
+BOOKING, PERMITS = {'Service': 'booking'}, {'Service': 'permits', 'Weight': 1}
+SPLIT_BY_FAULT = {
+    'no weight above 0': [{**BOOKING, 'Weight': 0}, {**PERMITS, 'Weight': 0}],
+    'no services': [],
+    'a negative weight': [{**BOOKING, 'Weight': -1}, PERMITS],
+    'an absent weight': [BOOKING, PERMITS],
+    'a textual weight': [{**BOOKING, 'Weight': '9'}, PERMITS],
+    'an infinite weight': [{**BOOKING, 'Weight': float('inf')}, PERMITS],
+    'an unknown service': [
+        {**BOOKING, 'Weight': 1},
+        {'Service': 'elsewhere', 'Weight': 1},
+    ],
+}
+
+
+@when('a configuration whose split has {fault} is decoded')
+def decode_faulty_split(context, fault):
+    data = build_configuration()
+    data['Resources'][0] = build_route_entry(TrafficSplit=SPLIT_BY_FAULT[fault])
+    context.error_message = error_message_of(
+        lambda: codec.decode_configuration(data)
+    )
+
+
+@when(
+    '{total:d} requests on a split of 60, 30, 10 and 0 percent begin anew each '
+    '{count:d}'
+)
+def choose_split(context, total, count):
+    shares = (('a', 60.0), ('b', 30.0), ('c', 10.0), ('d', 0.0))
+    route = build_route('x', '/x/', shares)
+    context.weight_by_service = dict(shares)
+    context.chosen = []
+    while len(context.chosen) < total:
+        entry = directory.RouteEntry(route)
+        context.chosen += [entry.next_service() for _ in range(count)]
+
+
+@then('each service got its share within {percent:d} percent')
+def check_split(context, percent):
+    for service, weight in context.weight_by_service.items():
+        share = 100 * context.chosen.count(service) / len(context.chosen)
+        assert abs(share - weight) <= percent, (service, share)
+        assert weight or not share, service
+
+
 def build_route(name, prefix, shares=(('booking', 1.0),)):
     return model.Route(
         name=name,
--- a/hemlockgrade/directory.py
+++ b/hemlockgrade/directory.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterator
+import random
 from typing import Any
 
 import attrs
@@ -18,16 +19,24 @@
 # be small: operators delete few objects, and a daemon that is connected to the
 # store gets every deletion from its watch.
 MAX_REMEMBERED_DELETIONS = 256
+# Largest number of choices of a round robin that are skipped at its start.
+MAX_SKIPPED = 100
 
 
 @attrs.define(eq=False)
 class RouteEntry:
-    """A route in force, with the round-robin state of its services."""
+    """A route in force, with the round-robin state of its services.
+
+    The round robin starts at a random place: each daemon begins anew with each
+    change of the routes and sends few requests until the next one, so the first
+    choices of all daemons must not be the same.
+    """
 
     route: model.Route
     _round_robin: weighted_round_robin.WeightedRoundRobin = attrs.field(
         factory=weighted_round_robin.WeightedRoundRobin
     )
+    _started: bool = False
 
     def next_service(self) -> str:
         """Returns the service for the next request, by the route's weights.
@@ -35,7 +44,14 @@
         Returns:
             The name of the service; empty if the route has no services.
         """
-        weights = {share.service: share.weight for share in self.route.shares}
+        weights: dict[str, float] = {}
+        for share in self.route.shares:
+            weights[share.service] = (
+                weights.get(share.service, 0.0) + share.weight
+            )
+        if not self._started:
+            self._started = True
+            self._round_robin.skip(weights, random.randrange(MAX_SKIPPED))
         return self._round_robin.next(weights) or ''
 
 
--- a/hemlockgrade/platform/codec.py
+++ b/hemlockgrade/platform/codec.py
@@ -46,6 +46,8 @@
     'ready': model.ServerState.READY,
     'draining': model.ServerState.DRAINING,
 }
+# Types of routes whose requests may run more than once.
+IDEMPOTENT_ROUTE_TYPES = ('idempotent', 'download')
 # A configuration's version is a string of this many hexadecimal digits.
 _VERSION_DIGITS = 8
 
@@ -61,6 +63,7 @@
     """
     spec = _mapping('configuration', spec)
     routes = []
+    service_names = set()
     check_path_by_service = {}
     limits = model.CallerLimits()
     for resource in _list('Resources', spec.get('Resources')):
@@ -73,6 +76,8 @@
         if kind == 'Routes':
             routes.append(_decode_route(name, body))
         elif kind == 'Services':
+            if isinstance(name, str):
+                service_names.add(name)
             path = body.get('HealthCheckPath')
             if path:
                 check_path_by_service[_text('Name', name)] = _text(
@@ -80,6 +85,7 @@
                 )
         elif kind == 'Limits':
             limits = _decode_limits(body)
+    _check_services(routes, service_names)
     return model.MeshConfiguration(
         version=_decode_version(spec.get('Version')),
         routes=tuple(routes),
@@ -91,14 +97,8 @@
 
 def _decode_route(name: Any, body: dict[str, Any]) -> model.Route:
     split = body.get('TrafficSplit')
-    if split:
-        shares = tuple(
-            model.ServiceShare(
-                service=_text('TrafficSplit.Service', share.get('Service')),
-                weight=_number('TrafficSplit.Weight', share.get('Weight')),
-            )
-            for share in (_mapping('TrafficSplit', share) for share in split)
-        )
+    if split is not None:
+        shares = _decode_split(split)
     else:
         service = _text('Service', body.get('Service'))
         shares = (model.ServiceShare(service=service, weight=1.0),)
@@ -106,7 +106,7 @@
         name=_text('Name', name),
         host=_text('Hostname', body.get('Hostname')).lower(),
         prefix=_text('PathPrefix', body.get('PathPrefix')),
-        idempotent=body.get('RouteType') == 'idempotent',
+        idempotent=body.get('RouteType') in IDEMPOTENT_ROUTE_TYPES,
         attempts=max(1, _integer('Attempts', body.get('Attempts', 1))),
         timeout_s=_number('TimeoutMs', body.get('TimeoutMs')) / 1000,
         target_latency_s=_number('TargetLatencyMs', body.get('TargetLatencyMs'))
@@ -116,6 +116,36 @@
     )
 
 
+def _decode_split(value: Any) -> tuple[model.ServiceShare, ...]:
+    shares = tuple(
+        model.ServiceShare(
+            service=_text('TrafficSplit.Service', share.get('Service')),
+            weight=_number('TrafficSplit.Weight', share.get('Weight')),
+        )
+        for share in (
+            _mapping('TrafficSplit', share)
+            for share in _list('TrafficSplit', value)
+        )
+    )
+    if not any(share.weight for share in shares):
+        raise _invalid('TrafficSplit', value)
+    return shares
+
+
+def _check_services(routes: list[model.Route], names: set[str]):
+    """Checks that the services of split routes are defined.
+
+    A route of one service may name one that is not defined: its requests find
+    no server. In a split such a service would take its share of the requests.
+    """
+    for route in routes:
+        if len(route.shares) == 1:
+            continue
+        for share in route.shares:
+            if share.service not in names:
+                raise _invalid('TrafficSplit.Service', share.service)
+
+
 def _decode_limits(body: dict[str, Any]) -> model.CallerLimits:
     return model.CallerLimits(
         header_bytes=_integer('MaxHeaderBytes', body.get('MaxHeaderBytes')),
--- a/hemlockgrade/weighted_round_robin.py
+++ b/hemlockgrade/weighted_round_robin.py
@@ -34,3 +34,14 @@
         chosen = max(weight_by_name, key=lambda name: current_weights[name])
         current_weights[chosen] -= sum(weight_by_name.values())
         return chosen
+
+    def skip(self, weight_by_name: Mapping[str, float], count: int) -> None:
+        """Skips choices, so that the next ones begin at another place.
+
+        Args:
+            weight_by_name: Weights of the names to choose from.
+            count: Number of choices.
+        """
+        if len(weight_by_name) > 1:
+            for _ in range(count):
+                self.next(weight_by_name)
