--- a/features/shared_link.feature
+++ b/features/shared_link.feature
@@ -50,3 +50,18 @@
     Given responses of 100 kB with a body by length
     When 2 large responses and short ones are sent over a link of an unknown rate
     Then the large responses arrive whole
+
+  Scenario: A download that the link cannot carry in time is refused at once
+    # Guards against downloads that are run and then delivered late.
+    When a download with 1 s left comes to a host whose link has bodies for 4 s
+    Then it was refused within 200 ms and not run
+    And it was run once the link was free
+
+  Scenario: Downloads go to a host whose link is free, other requests do not care
+    Given a balancer and servers in one failure domain
+      | name | version | born | service_ms |
+      | a    | v1      | 100  | 10         |
+      | b    | v1      | 200  | 50         |
+    When the link of a has bodies for 500 ms
+    Then the next choice of a large download is b
+    And the next choice is a
--- a/features/steps/shared_link_steps.py
+++ b/features/steps/shared_link_steps.py
@@ -7,6 +7,7 @@
 from behave import given
 from behave import then
 from behave import when
+from mesh_decisions_steps import choose
 from request_path_steps import wait_until
 from request_path_steps import when_system_runs
 
@@ -268,3 +269,45 @@
     assert len(context.waiting_bytes) == 50, len(context.waiting_bytes)
     largest = max(context.waiting_bytes)
     assert largest <= kilobytes * 1000, largest
+
+
+@when_system_runs(
+    'a download with 1 s left comes to a host whose link has bodies for 4 s'
+)
+async def send_download_to_busy_link(context, system):
+    loop = asyncio.get_running_loop()
+    load = system.hosts[0].admission.link_load
+    load.schedule.bytes_per_s = 2 * MBPS
+    load.sizes.record('all', 100_000)
+    bodies = link_module.Transfer(remaining_bytes=int(4 * 2 * MBPS))
+    load.schedule.add(bodies)
+    headers = 'x-request-timeout-ms: 1000\r\n'
+    started = loop.time()
+    context.refused = await system.send_request('GET', '/a', headers=headers)
+    context.took_s = loop.time() - started
+    context.early_runs = len(system.targets[0].log)
+    load.schedule.remove(bodies)
+    await asyncio.sleep(0.1)
+    context.served = await system.send_request('GET', '/a', headers=headers)
+
+
+@then('it was refused within {limit_ms:d} ms and not run')
+def check_refused(context, limit_ms):
+    assert context.refused.status == 503, context.refused.status
+    assert context.took_s < limit_ms / 1000, context.took_s
+    assert context.early_runs == 0
+
+
+@then('it was run once the link was free')
+def check_served(context):
+    assert context.served.status == 200, context.served.status
+
+
+@when('the link of {name:w} has bodies for {ms:d} ms')
+def set_link_wait(context, name, ms):
+    context.balancer.peer(name).link_free_at = 100.0 + ms / 1000
+
+
+@then('the next choice of a large download is {name:w}')
+def check_download_choice(context, name):
+    assert choose(context, has_large_response=True) == name
--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -10,6 +10,7 @@
 from hemlockgrade import http_codec
 from hemlockgrade import ledger as ledger_module
 from hemlockgrade import limits
+from hemlockgrade import link_load as link_load_module
 from hemlockgrade import model
 from hemlockgrade import peer_protocol
 from hemlockgrade import registrar as registrar_module
@@ -94,6 +95,7 @@
             at the local server.
         running: Requests that the local server runs.
         limit: Limit on the requests to the local server that it names.
+        link_load: Load of the link over which responses go to other daemons.
     """
 
     registrar: registrar_module.Registrar
@@ -111,6 +113,9 @@
     limit: server_limit.ServerLimit = attrs.field(
         factory=server_limit.ServerLimit
     )
+    link_load: link_load_module.LinkLoad = attrs.field(
+        factory=link_load_module.LinkLoad
+    )
     _limiter: limits.Limiter | None = None
     _limiter_key: tuple[str, int, int] | None = None
 
@@ -142,6 +147,7 @@
         is_repeat: bool = False,
         is_nested: bool = False,
         max_wait_s: float = math.inf,
+        uses_link: bool = False,
     ) -> http_codec.Response:
         """Sends a request to the local server as soon as a slot is free.
 
@@ -162,6 +168,7 @@
                 one.
             max_wait_s: Longest expected wait for a slot that the sender
                 accepts, in seconds.
+            uses_link: True if the response leaves this host.
 
         Returns:
             The response of the server, or a response built by
@@ -179,15 +186,24 @@
             return peer_protocol.limit_refusal_response(
                 self.limit.next_turn_s(priority, limiter.queued, now)
             )
+        send_s = self.link_load.send_s(route) if uses_link else 0.0
+        if send_s:
+            link_wait_s = self.link_load.wait_s(now)
+            if link_wait_s > max_wait_s:
+                return peer_protocol.refusal_response(
+                    peer_protocol.Refusal.BUSY
+                )
+            send_s += link_wait_s
         try:
             # The prefix of the attempt's identifier names the process of the
             # sending daemon. A full queue is divided among these processes.
             await limiter.acquire(
                 limits.SlotRequest(
-                    deadline=deadline,
+                    # The server has to be done before the body needs the link.
+                    deadline=deadline - send_s,
                     caller=attempt_id.rpartition('-')[0],
                     priority=priority,
-                    on_time_until=on_time_until,
+                    on_time_until=on_time_until - send_s,
                     route=route,
                     is_nested=is_nested,
                     max_wait_s=max_wait_s,
@@ -211,6 +227,7 @@
             started=self.clock(),
         )
         self.limit.spend(admitted.started)
+        expected_bytes = self.link_load.start_run(route) if uses_link else 0.0
         request_id = (
             http_codec.header(request.headers, platform_codec.REQUEST_ID_HEADER)
             or ''
@@ -223,6 +240,7 @@
         try:
             response = await self._run_admitted(request, admitted, request_id)
         finally:
+            self.link_load.end_run(expected_bytes)
             if response is None or peer_protocol.is_unknown_outcome(response):
                 self.running.abandon(running, self.clock())
             else:
@@ -387,6 +405,8 @@
             )
         self.apply_notice(admitted.server, response.headers)
         ok = response.status < MIN_SERVER_ERROR_STATUS
+        if ok:
+            self.link_load.sizes.record(admitted.route, response.body_bytes)
         if response.stream is None:
             self._report_result(admitted, ok)
         else:
@@ -537,4 +557,5 @@
         is_nested=http_codec.header(headers, peer_protocol.NESTED_HEADER)
         is not None,
         max_wait_s=math.inf if max_wait_s is None else max_wait_s,
+        uses_link=True,
     )
--- a/hemlockgrade/call.py
+++ b/hemlockgrade/call.py
@@ -176,14 +176,20 @@
         else:
             self.refusals += 1
 
-    def needs(self) -> peers.RequestNeeds:
-        """Returns what the next attempt needs from its server."""
+    def needs(self, *, has_large_response: bool) -> peers.RequestNeeds:
+        """Returns what the next attempt needs from its server.
+
+        Args:
+            has_large_response: True if the response waits for the link of the
+                server's host.
+        """
         return peers.RequestNeeds(
             service=self.service,
             route=self.route,
             on_time_until=self.on_time_until,
             deadline=self.deadline,
             busy_refusals=self.busy_refusals,
+            has_large_response=has_large_response,
         )
 
     def retry_state(self) -> retries.RetryState:
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -21,6 +21,7 @@
 from hemlockgrade import in_flight
 from hemlockgrade import kernel
 from hemlockgrade import ledger
+from hemlockgrade import link_load
 from hemlockgrade import listeners
 from hemlockgrade import metrics as metrics_module
 from hemlockgrade import model
@@ -135,6 +136,7 @@
             create_limiter=kernel.get_plugin('limiters', settings.limiter),
             requires_signature=settings.signed_answers,
             on_response=self._record_response,
+            link_load=link_load.LinkLoad(self._link.schedule),
         )
         self._server_check = server_check.ServerCheck(
             registrar=self.registrar,
--- a/hemlockgrade/http_codec.py
+++ b/hemlockgrade/http_codec.py
@@ -212,6 +212,11 @@
     content_length: int | None = None
     stream: BodyStream | None = None
 
+    @property
+    def body_bytes(self) -> int:
+        """Returns the size of the body, as far as it is known, in bytes."""
+        return max(len(self.body), self.content_length or 0)
+
 
 def header(headers: Headers, name: bytes) -> str | None:
     """Returns the first value of a header, by its lower-case name."""
--- a/hemlockgrade/link.py
+++ b/hemlockgrade/link.py
@@ -72,7 +72,7 @@
             now: Monotonic time in seconds.
         """
         queued_bytes = sum(t.remaining_bytes for t in self._transfers)
-        return self.backlog_s(now) + self._duration_s(queued_bytes)
+        return self.backlog_s(now) + self.duration_s(queued_bytes)
 
     def record_write(self, size: int, now: float) -> None:
         """Records bytes that were written.
@@ -82,7 +82,7 @@
             now: Monotonic time in seconds.
         """
         self._backlog_ends_at = (
-            now + self.backlog_s(now) + self._duration_s(size)
+            now + self.backlog_s(now) + self.duration_s(size)
         )
 
     def add(self, transfer: Transfer) -> None:
@@ -126,7 +126,7 @@
         Args:
             now: Monotonic time in seconds.
         """
-        room_s = self._duration_s(self._min_segment_bytes)
+        room_s = self.duration_s(self._min_segment_bytes)
         return max(0.0, self.backlog_s(now) + room_s - MAX_BACKLOG_S)
 
     @property
@@ -135,5 +135,6 @@
         half_queue = MAX_BACKLOG_S / 2 * self.bytes_per_s
         return min(MIN_SEGMENT_BYTES, half_queue / PACKET_OVERHEAD_FACTOR)
 
-    def _duration_s(self, size: int | float) -> float:
+    def duration_s(self, size: float) -> float:
+        """Returns how long the link needs for a number of bytes, in seconds."""
         return size * PACKET_OVERHEAD_FACTOR / self.bytes_per_s
--- a/hemlockgrade/peer_api.py
+++ b/hemlockgrade/peer_api.py
@@ -57,6 +57,11 @@
                 peer_protocol.encode_load(*self.admission.load),
             )
         )
+        link_wait_s = self.admission.link_load.wait_s(self.admission.clock())
+        if link_wait_s >= 0.001:
+            response.headers.append(
+                (peer_protocol.LINK_WAIT_HEADER, b'%d' % (link_wait_s * 1000))
+            )
         limit = self.admission.limit.max_requests_per_s
         if math.isfinite(limit):
             response.headers.append(
--- a/hemlockgrade/peer_protocol.py
+++ b/hemlockgrade/peer_protocol.py
@@ -48,6 +48,9 @@
 # In a response: number of requests that run at the server or wait for a slot,
 # and its mean service time in seconds, as `<requests>,<seconds>`.
 LOAD_HEADER = b'x-hemlock-load'
+# In a response: time that a large body would wait for the link of the host, in
+# milliseconds; missing if it would not wait.
+LINK_WAIT_HEADER = b'x-hemlock-link-wait-ms'
 
 # Requests a second that the server takes from all hosts together, if it names a
 # limit. In a request: the limit that the sender knows of.
@@ -192,6 +195,15 @@
     return int(values[0]), values[1]
 
 
+def decode_link_wait_s(headers: http_codec.Headers) -> float:
+    """Decodes how long a large body would wait for the link of a peer.
+
+    Returns:
+        Time in seconds; 0 if the header is missing or malformed.
+    """
+    return decode_duration_s(headers, LINK_WAIT_HEADER) or 0.0
+
+
 def encode_limit(max_requests_per_s: float) -> bytes:
     """Returns the value of `LIMIT_HEADER`.
 
--- a/hemlockgrade/peers.py
+++ b/hemlockgrade/peers.py
@@ -67,6 +67,8 @@
         limited_until: Monotonic time of the turn of this daemon at a server
             that has got as many requests as it takes; the peer is not chosen
             before it.
+        link_free_at: Monotonic time at which the link of the peer's host has
+            sent the large bodies that it had at the latest response.
         server_leaves: True once a response of the peer's server said that it
             leaves.
     """
@@ -82,6 +84,7 @@
     connect_failures: int = 0
     max_requests_per_s: float = math.inf
     limited_until: float = 0.0
+    link_free_at: float = 0.0
     server_leaves: bool = False
 
     @property
@@ -138,6 +141,14 @@
             1 + FAILURE_PENALTY_FACTOR * self.failure_fraction_at(now)
         )
 
+    def link_wait_s(self, now: float) -> float:
+        """Returns how long a large body waits for the link, in seconds.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        return max(0.0, self.link_free_at - now)
+
     def mean_service_s(self, mean: 'MeanServer') -> float:
         """Returns the mean service time of the server, in seconds.
 
@@ -255,6 +266,8 @@
         deadline: Monotonic time until which the caller waits for the response.
         busy_refusals: Number of servers that refused the request because its
             wait was longer than expected.
+        has_large_response: True if the response waits for the link of the
+            server's host.
     """
 
     service: str
@@ -262,6 +275,7 @@
     on_time_until: float = math.inf
     deadline: float = math.inf
     busy_refusals: int = 0
+    has_large_response: bool = False
 
 
 class Balancer(Protocol):
--- a/hemlockgrade/plugins/zone_balancer.py
+++ b/hemlockgrade/plugins/zone_balancer.py
@@ -115,7 +115,7 @@
     ) -> peers_module.Choice | None:
         mean = peers_module.MeanServer.of(candidates)
         placed = placement.place(
-            [self._describe(peer, mean, now) for peer in candidates],
+            [self._describe(peer, mean, needs, now) for peer in candidates],
             on_time_s=needs.on_time_until - now,
             deadline_s=needs.deadline - now,
             busy_refusals=needs.busy_refusals,
@@ -128,13 +128,20 @@
         )
 
     def _describe(
-        self, peer: peers_module.Peer, mean: peers_module.MeanServer, now: float
+        self,
+        peer: peers_module.Peer,
+        mean: peers_module.MeanServer,
+        needs: peers_module.RequestNeeds,
+        now: float,
     ) -> placement.Candidate:
+        expected_s = peer.expected_s(now, mean)
+        if needs.has_large_response:
+            expected_s += peer.link_wait_s(now)
         return placement.Candidate(
             name=peer.member.name,
             is_local=peer.member.zone == self.zone,
             service_s=peer.mean_service_s(mean),
-            expected_s=peer.expected_s(now, mean),
+            expected_s=expected_s,
             is_failing=self._is_failing(peer),
         )
 
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -219,7 +219,11 @@
             call.refuse(peer_protocol.Refusal.LIMITED)
 
     def _choose_server(self, call: call_module.Call) -> peers.Choice | None:
-        choice = self.balancer.choose(call.needs(), call.excluded_members)
+        needs = call.needs(
+            has_large_response=self.sender.sizes.paced_bytes(call.route.name)
+            > 0
+        )
+        choice = self.balancer.choose(needs, call.excluded_members)
         if (
             choice is None
             and call.last_result is not None
@@ -227,7 +231,7 @@
         ):
             # A failed connection does not show that the server is faulty, so
             # a server that was tried already may be chosen again.
-            return self.balancer.choose(call.needs(), ())
+            return self.balancer.choose(needs, ())
         return choice
 
     def _is_retryable(
--- a/hemlockgrade/sender.py
+++ b/hemlockgrade/sender.py
@@ -12,6 +12,7 @@
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
 from hemlockgrade import ledger
+from hemlockgrade import link_load
 from hemlockgrade import peer_protocol
 from hemlockgrade import peers
 from hemlockgrade import retries
@@ -39,6 +40,7 @@
         clock: Returns the monotonic time in seconds.
         sync: Provides the versions of this daemon, which are sent to peers,
             and processes those in the responses of peers.
+        sizes: Mean sizes of the response bodies of each route.
     """
 
     host_name: str
@@ -47,6 +49,7 @@
     pool: upstream.ConnectionPool
     clock: Callable[[], float]
     sync: state_sync.StateSync
+    sizes: link_load.BodySizes = attrs.field(factory=link_load.BodySizes)
     _attempt_numbers: itertools.count = attrs.field(factory=itertools.count)
 
     async def send(
@@ -222,6 +225,9 @@
         load = peer_protocol.decode_load(response.headers)
         if load is not None:
             peer.record_load(*load)
+            peer.link_free_at = self.clock() + peer_protocol.decode_link_wait_s(
+                response.headers
+            )
             peer.max_requests_per_s = peer_protocol.decode_limit(
                 response.headers
             )
@@ -249,6 +255,8 @@
                 else retries.Failure.UNKNOWN,
             )
         failed = response.status >= admission_module.MIN_SERVER_ERROR_STATUS
+        if not failed:
+            self.sizes.record(call.route.name, response.body_bytes)
         peer.record_response(failed=failed, now=self.clock())
         if platform_codec.decode_server_notice(response.headers).leaving:
             peer.server_leaves = True
