--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -57,7 +57,10 @@
     Mutation(
         guard='the overlapping requests of a connection are bounded',
         module='http_server.py',
-        old='            len(self._exchanges) < MAX_OVERLAPPING_REQUESTS\n            and ',
+        old=(
+            '            len(self._exchanges) < MAX_OVERLAPPING_REQUESTS\n'
+            '            and '
+        ),
         new='            ',
         feature='pipelining',
     ),
@@ -71,14 +74,19 @@
     Mutation(
         guard='a stream is paused while its bytes wait for the link',
         module='outgoing_body.py',
-        old='self._transfer.is_paused or len(self._waiting) > MAX_WAITING_BYTES',
+        old=(
+            'self._transfer.is_paused or len(self._waiting) > MAX_WAITING_BYTES'
+        ),
         new='self._transfer.is_paused',
         feature='shared_link',
     ),
     Mutation(
         guard='a body that broke off is not completed',
         module='outgoing_body.py',
-        old='        if not complete:\n            self._end(complete=False)\n            return\n',
+        old=(
+            '        if not complete:\n'
+            '            self._end(complete=False)\n            return\n'
+        ),
         new='',
         feature='shared_link',
     ),
@@ -111,16 +119,24 @@
         feature='placement',
     ),
     Mutation(
-        guard='a request leaves its failure domain if only that makes it on time',
+        guard=(
+            'a request leaves its failure domain if only that makes it on time'
+        ),
         module='placement.py',
-        old='    return not _is_likely(home, on_time_s) and _is_likely(away, on_time_s)',
+        old=(
+            '    return not _is_likely(home, on_time_s) and '
+            '_is_likely(away, on_time_s)'
+        ),
         new='    return False',
         feature='placement',
     ),
     Mutation(
         guard='a split begins at a random place',
         module='directory.py',
-        old='            self._round_robin.skip(weights, random.randrange(MAX_SKIPPED))\n',
+        old=(
+            '            self._round_robin.skip(weights, '
+            'random.randrange(MAX_SKIPPED))\n'
+        ),
         new='',
         feature='mesh_decisions',
     ),
