--- a/features/placement.feature
+++ b/features/placement.feature
@@ -28,6 +28,26 @@
       | 350  | 390  | 400  | home  |
       | 900  | 500  | 400  | home  |
 
+  Scenario Outline: A large message leaves its failure domain only if it is urgent
+    # Users pay for each byte between failure domains.
+    Given candidates whose expected time is <home> ms at home and 100 ms away
+    When a request of priority <priority> with a message of <kilobytes> kB is placed
+    Then it goes <where>
+
+    Examples:
+      | home | priority | kilobytes | where |
+      | 350  | 2        | 1         | away  |
+      | 450  | 2        | 5         | home  |
+      | 350  | 1        | 5         | home  |
+      | 450  | 1        | 5         | away  |
+      | 450  | 1        | 90        | home  |
+      | 450  | 0        | 5         | away  |
+
+  Scenario: A large message leaves its failure domain if it would not be answered there
+    Given candidates whose expected time is 12000 ms at home and 100 ms away
+    When a request of priority 2 with a message of 90 kB is placed
+    Then it goes away
+
   Scenario: A wait that is longer than the one elsewhere is refused at once
     Given a queue of 2 slots with a mean service time of 0.1 seconds
     And its slots are in use
--- a/features/steps/placement_steps.py
+++ b/features/steps/placement_steps.py
@@ -273,13 +273,14 @@
     ]
 
 
-def place_request(context, left_ms, busy_refusals=0):
+def place_request(context, left_ms, busy_refusals=0, **needs):
     context.placed = placement.place(
         context.candidates,
         on_time_s=left_ms / 1000,
         deadline_s=10.0,
         busy_refusals=busy_refusals,
         random=lambda: 0.0,
+        **needs,
     )
 
 
@@ -288,6 +289,16 @@
     place_request(context, left)
 
 
+@when(
+    'a request of priority {priority:d} with a message of {kilobytes:d} kB is '
+    'placed'
+)
+def place_message(context, priority, kilobytes):
+    place_request(
+        context, 400, priority=priority, message_bytes=kilobytes * 1000
+    )
+
+
 @then('it goes {where:w}')
 def check_placed(context, where):
     assert context.placed.name == where, context.placed
--- a/hemlockgrade/call.py
+++ b/hemlockgrade/call.py
@@ -5,6 +5,7 @@
 import attrs
 
 from hemlockgrade import http_codec
+from hemlockgrade import link_load
 from hemlockgrade import model
 from hemlockgrade import peer_protocol
 from hemlockgrade import peers
@@ -176,20 +177,22 @@
         else:
             self.refusals += 1
 
-    def needs(self, *, has_large_response: bool) -> peers.RequestNeeds:
+    def needs(self, sizes: link_load.BodySizes) -> peers.RequestNeeds:
         """Returns what the next attempt needs from its server.
 
         Args:
-            has_large_response: True if the response waits for the link of the
-                server's host.
+            sizes: Mean sizes of the response bodies of each route.
         """
+        route = self.route.name
         return peers.RequestNeeds(
             service=self.service,
             route=self.route,
             on_time_until=self.on_time_until,
             deadline=self.deadline,
             busy_refusals=self.busy_refusals,
-            has_large_response=has_large_response,
+            priority=self.priority,
+            message_bytes=len(self.request.body) + sizes.mean_bytes(route),
+            has_large_response=sizes.paced_bytes(route) > 0,
         )
 
     def retry_state(self) -> retries.RetryState:
--- a/hemlockgrade/link_load.py
+++ b/hemlockgrade/link_load.py
@@ -38,6 +38,17 @@
             del self._mean_bytes_by_route[oldest]
         self._mean_bytes_by_route[route] = size
 
+    def mean_bytes(self, route: str) -> float:
+        """Returns the mean size of the bodies of a route, in bytes.
+
+        Args:
+            route: Name of the route.
+
+        Returns:
+            0 if the bodies of the route have not been measured.
+        """
+        return self._mean_bytes_by_route.get(route, 0.0)
+
     def paced_bytes(self, route: str) -> float:
         """Returns the mean size of the bodies of a route that are paced.
 
@@ -48,7 +59,7 @@
             Size in bytes; 0 if the bodies are so small that they are not paced,
             or have not been measured.
         """
-        mean = self._mean_bytes_by_route.get(route, 0.0)
+        mean = self.mean_bytes(route)
         return mean if mean > link.MAX_UNPACED_BYTES else 0.0
 
 
--- a/hemlockgrade/peers.py
+++ b/hemlockgrade/peers.py
@@ -266,6 +266,8 @@
         deadline: Monotonic time until which the caller waits for the response.
         busy_refusals: Number of servers that refused the request because its
             wait was longer than expected.
+        priority: Priority of the request; 0 is the most urgent.
+        message_bytes: Expected size of the request and its response, in bytes.
         has_large_response: True if the response waits for the link of the
             server's host.
     """
@@ -275,6 +277,8 @@
     on_time_until: float = math.inf
     deadline: float = math.inf
     busy_refusals: int = 0
+    priority: int = 0
+    message_bytes: float = 0.0
     has_large_response: bool = False
 
 
--- a/hemlockgrade/plugins/zone_balancer.py
+++ b/hemlockgrade/plugins/zone_balancer.py
@@ -119,6 +119,8 @@
             on_time_s=needs.on_time_until - now,
             deadline_s=needs.deadline - now,
             busy_refusals=needs.busy_refusals,
+            priority=needs.priority,
+            message_bytes=needs.message_bytes,
             random=self.random.random,
         )
         if placed is None:
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -219,10 +219,7 @@
             call.refuse(peer_protocol.Refusal.LIMITED)
 
     def _choose_server(self, call: call_module.Call) -> peers.Choice | None:
-        needs = call.needs(
-            has_large_response=self.sender.sizes.paced_bytes(call.route.name)
-            > 0
-        )
+        needs = call.needs(self.sender.sizes)
         choice = self.balancer.choose(needs, call.excluded_members)
         if (
             choice is None
--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -302,8 +302,8 @@
     ),
     Mutation(
         guard='another failure domain is used if the own servers fail',
-        module='plugins/zone_balancer.py',
-        old='and not self._is_failing(best_local)',
+        module='placement.py',
+        old='    if home.is_failing:\n        return True\n',
         new='',
         feature='mesh_decisions',
     ),
