--- a/features/shared_link.feature
+++ b/features/shared_link.feature
@@ -46,6 +46,12 @@
     When 50 downloads of 10 MB wait for a link of 2 Mbit/s
     Then the daemon holds at most 256 kB of each
 
+  Scenario: A stream with many bytes at its start is paused as well
+    # Guards against a stream that is resumed when it is attached and then no
+    # more paused, so that its whole body is held.
+    When a stream with 100 kB at its start waits for a link of 2 Mbit/s
+    Then the source of the stream is paused
+
   Scenario: A link of an unknown rate is not paced
     Given responses of 100 kB with a body by length
     When 2 large responses and short ones are sent over a link of an unknown rate
--- a/features/steps/shared_link_steps.py
+++ b/features/steps/shared_link_steps.py
@@ -11,6 +11,7 @@
 from request_path_steps import wait_until
 from request_path_steps import when_system_runs
 
+from hemlockgrade import http_codec
 from hemlockgrade import link as link_module
 from hemlockgrade import outgoing_body
 
@@ -264,6 +265,53 @@
         caller.close()
 
 
+class Source:
+    """A source of a stream that records whether it is paused."""
+
+    is_paused = True
+
+    def pause(self):
+        self.is_paused = True
+
+    def resume(self):
+        self.is_paused = False
+
+    def abort(self):
+        self.is_paused = True
+
+
+class Writer:
+    """A connection that accepts all bytes."""
+
+    def write(self, data):
+        """Accepts bytes."""
+
+
+@when_system_runs(
+    'a stream with 100 kB at its start waits for a link of 2 Mbit/s'
+)
+async def attach_long_stream(context, system):
+    context.source = Source()
+    stream = http_codec.BodyStream(context.source)
+    stream.push(b'x' * 100_000)
+    response = http_codec.Response(status=200, stream=stream)
+    request = http_codec.Request(method='GET', target='/')
+    body = outgoing_body.OutgoingBody(
+        Writer(),
+        outgoing_body.Link(2 * MBPS),
+        http_codec.choose_framing(response, request, close=False),
+        lambda complete: None,
+    )
+    body.send(response)
+    context.is_paused = context.source.is_paused
+    body.abort()
+
+
+@then('the source of the stream is paused')
+def check_source_paused(context):
+    assert context.is_paused
+
+
 @then('the daemon holds at most {kilobytes:d} kB of each')
 def check_waiting_bytes(context, kilobytes):
     assert len(context.waiting_bytes) == 50, len(context.waiting_bytes)
--- a/hemlockgrade/outgoing_body.py
+++ b/hemlockgrade/outgoing_body.py
@@ -109,6 +109,8 @@
             return
         self._stream = response.stream
         response.stream.attach(self)
+        # The stream was resumed when it was attached.
+        self._is_stream_paused = False
         self._throttle_stream()
 
     def body_received(self, data: bytes) -> None:
