--- a/features/steps/shared_link_steps.py
+++ b/features/steps/shared_link_steps.py
@@ -281,10 +281,13 @@
 
 
 class Writer:
-    """A connection that accepts all bytes."""
+    """A connection over a link that accepts all bytes."""
+
+    def __init__(self, link):
+        self.link = link
 
     def write(self, data):
-        """Accepts bytes."""
+        self.link.record_write(len(data))
 
 
 @when_system_runs(
@@ -296,9 +299,10 @@
     stream.push(b'x' * 100_000)
     response = http_codec.Response(status=200, stream=stream)
     request = http_codec.Request(method='GET', target='/')
+    link = outgoing_body.Link(2 * MBPS)
     body = outgoing_body.OutgoingBody(
-        Writer(),
-        outgoing_body.Link(2 * MBPS),
+        Writer(link),
+        link,
         http_codec.choose_framing(response, request, close=False),
         lambda complete: None,
     )
