--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -255,6 +255,13 @@
       | 6      | 0   | b      |
       | 6      | 9   | a      |
 
+  Scenario: A choice in a large service compares a bounded number of servers
+    # Guards against processor time that grows with the servers of all failure
+    # domains.
+    Given 30 servers in the own failure domain and 119 in others
+    When 200 servers are chosen
+    Then at most 38 servers were compared for each, and each remote one at times
+
   Scenario: A full server of another failure domain is not chosen
     Given a balancer and servers in one failure domain
       | name | version | born | service_ms |
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -6,6 +6,7 @@
 import os
 import random
 import time
+from unittest import mock
 
 import attrs
 from behave import given
@@ -21,6 +22,7 @@
 from hemlockgrade import object_store
 from hemlockgrade import peer_protocol
 from hemlockgrade import peers
+from hemlockgrade import placement
 from hemlockgrade import registrar
 from hemlockgrade import rollout_task
 from hemlockgrade import state_sync
@@ -515,6 +517,52 @@
     assert choose(context, ['a']) is None
 
 
+@given('{local:d} servers in the own failure domain and {remote:d} in others')
+def build_large_service(context, local, remote):
+    context.directory = directory.Directory('a')
+    context.balancer = zone_balancer.ZoneBalancer(
+        directory=context.directory,
+        zone='a',
+        clock=lambda: 100.0,
+        random=random.Random(1),
+    )
+    for number in range(local + remote):
+        context.directory.apply_member(
+            model.Member(
+                name=f's{number}',
+                address=f'10.0.0.{number}:90',
+                zone='a' if number < local else 'z',
+                boot_id='x',
+                server=attrs.evolve(SERVER, server_id=f'i-{number}'),
+                revision=1 + number,
+            ),
+            'test',
+        )
+
+
+@when('{count:d} servers are chosen')
+def choose_and_record(context, count):
+    context.compared = []
+    place = placement.place
+
+    def record(candidates, **options):
+        context.compared.append({c.name for c in candidates})
+        return place(candidates, **options)
+
+    with mock.patch.object(zone_balancer.placement, 'place', record):
+        for _ in range(count):
+            choose(context)
+
+
+@then(
+    'at most {most:d} servers were compared for each, and each remote one at '
+    'times'
+)
+def check_compared(context, most):
+    assert max(map(len, context.compared)) <= most
+    assert len(set.union(*context.compared)) == 149
+
+
 @then('the next choice of a request with {left:d} ms left is {name}')
 def check_choice_with_time_left(context, left, name):
     chosen = choose(context, on_time_until=100.0 + left / 1000)
--- a/hemlockgrade/peers.py
+++ b/hemlockgrade/peers.py
@@ -112,6 +112,8 @@
         Args:
             now: Monotonic time in seconds.
         """
+        if not self.failure_fraction:
+            return 0.0
         idle_s = max(0.0, now - self.last_response_at)
         return self.failure_fraction * 0.5 ** (idle_s / FAILURE_HALF_LIFE_S)
 
@@ -230,7 +232,8 @@
         than another one.
         """
         known = [peer for peer in peers if peer.service_s is not None]
-        if not known:
+        if not known or len(known) == len(peers):
+            # No mean is known, or none is needed.
             return cls(0.0, INITIAL_SERVICE_S)
         return cls(
             sum(peer.in_flight_from_others / peer.slots for peer in known)
--- a/hemlockgrade/plugins/zone_balancer.py
+++ b/hemlockgrade/plugins/zone_balancer.py
@@ -22,6 +22,10 @@
 # then preferred. If all servers of a service fail this often, the failures have
 # a common cause, and a retry does not help.
 FAILING_FRACTION = 0.2
+# Largest number of servers of other failure domains that are compared for a
+# request. A random choice spreads the requests that leave, and bounds the
+# processor time of a choice in a large service.
+MAX_REMOTE_CANDIDATES = 8
 # Largest number of leaving servers that are remembered after their peer was
 # replaced.
 MAX_LEAVING_SERVERS = 10_000
@@ -105,7 +109,17 @@
             candidates += [p for p in usable if p.member.zone == self.zone]
         if not candidates and not tried and not usable:
             candidates = sorted(suitable, key=lambda p: p.cooldown_until)[:1]
-        return self._place(candidates, needs, now)
+        return self._place(self._limit_remote(candidates), needs, now)
+
+    def _limit_remote(
+        self, candidates: list[peers_module.Peer]
+    ) -> list[peers_module.Peer]:
+        """Returns the local candidates and some of the others."""
+        remote = [p for p in candidates if p.member.zone != self.zone]
+        if len(remote) <= MAX_REMOTE_CANDIDATES:
+            return candidates
+        local = [p for p in candidates if p.member.zone == self.zone]
+        return local + self.random.sample(remote, MAX_REMOTE_CANDIDATES)
 
     def _place(
         self,
