Show that an entry of another writer ends the daemons

Cause: entries of the store are decoded without a check of their fields, and the comparison of versions with peers catches only expected errors.

Change: review/2 with a script that writes a member whose address is a number, and a check of the shared mesh that counts ends of processes. The ports of the scripts stay reserved while a case runs.

--- /dev/null
+++ b/review/2/run.py
@@ -0,0 +1,42 @@
+"""An entry of another writer ends the daemons again and again.
+
+Another program writes an entry into the store that looks like a member of the
+mesh, except that its address is a number. The platform restarts each daemon
+that ends by itself.
+"""
+
+import copy
+import pathlib
+
+from review import mesh as mesh_module
+
+TIMEOUT_MS = 800
+OBSERVED_S = 40.0
+
+
+async def play(mesh: mesh_module.Mesh) -> bool:
+    """Returns whether the daemons kept running."""
+    mesh.configure(
+        1,
+        mesh_module.build_route(
+            'browse', '/browse/', 'idempotent', TIMEOUT_MS, 400
+        ),
+    )
+    for number, zone in enumerate(('z1', 'z2', 'z3')):
+        daemon = await mesh.add_daemon(f'h-{number}', zone)
+        await mesh.add_server(daemon)
+    await mesh.wait_until_serving()
+
+    def disturb():
+        entry = copy.deepcopy(mesh.store.objects['mesh']['member.h-0']['Spec'])
+        entry['name'] = 'h-9'
+        entry['address'] = 8145
+        mesh.write('mesh', 'member.h-9', entry)
+
+    return await mesh_module.observe_ends(
+        mesh, '/browse/x', OBSERVED_S, disturb
+    )
+
+
+if __name__ == '__main__':
+    mesh_module.run_case(play, pathlib.Path(__file__).resolve().parent)
--- a/review/mesh.py
+++ b/review/mesh.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import collections
 from collections.abc import Awaitable
 from collections.abc import Callable
 import contextlib
@@ -36,10 +37,13 @@
 # Time after which the platform restarts a process that has ended, in seconds.
 RESTART_DELAY_S = 0.5
 START_TIMEOUT_S = 30.0
+# Ends of a host's processes that count as a fault, on two hosts at least.
+MIN_ENDS = 3
 # Ports below the range that Linux assigns to outgoing connections.
 FIRST_PORT = 12_000
 PORT_RANGE_END = 32_000
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
+_reservations: list[socket.socket] = []
 
 
 class NotRunnableError(Exception):
@@ -62,14 +66,22 @@
 
 
 def free_address() -> str:
-    """Returns a loopback address whose port is free."""
+    """Returns a loopback address whose port stays reserved for this process.
+
+    A UDP socket that is bound to the same port keeps other cases from
+    reserving the port.
+    """
     while True:
         port = random.SystemRandom().randrange(FIRST_PORT, PORT_RANGE_END)
-        with socket.socket() as probe:
-            try:
+        reservation = socket.socket(type=socket.SOCK_DGRAM)
+        try:
+            reservation.bind(('127.0.0.1', port))
+            with socket.socket() as probe:
                 probe.bind(('127.0.0.1', port))
-            except OSError:
-                continue
+        except OSError:
+            reservation.close()
+            continue
+        _reservations.append(reservation)
         return f'127.0.0.1:{port}'
 
 
@@ -641,6 +653,56 @@
         return request_id, status, headers
 
 
+async def observe_ends(
+    mesh: Mesh, path: str, observed_s: float, disturb: Callable[[], None]
+) -> bool:
+    """Sends requests and restarts each daemon that ends by itself.
+
+    Args:
+        mesh: A mesh that serves.
+        path: Path of the requests.
+        observed_s: Time for which the daemons are observed, in seconds.
+        disturb: Called at the start, unless the case plays no disruption.
+
+    Returns:
+        False if processes ended by themselves three times, on a tenth of the
+        hosts and two at least.
+    """
+    async with asyncio.TaskGroup() as group:
+        keepers = [
+            group.create_task(daemon.keep_running()) for daemon in mesh.daemons
+        ]
+        if has_trouble():
+            disturb()
+        counts = await asyncio.gather(
+            *(
+                _send_steadily(mesh, daemon, path, observed_s)
+                for daemon in mesh.daemons
+            )
+        )
+        for keeper in keepers:
+            keeper.cancel()
+    total = sum(counts, collections.Counter())
+    mesh.record.add('answers', statuses=dict(total))
+    for daemon in mesh.daemons:
+        mesh.record.add('ends', daemon=daemon.name, count=len(daemon.ends))
+    hosts = sum(len(daemon.ends) >= MIN_ENDS for daemon in mesh.daemons)
+    return hosts < max(2, len(mesh.daemons) / 10)
+
+
+async def _send_steadily(
+    mesh: Mesh, daemon: Daemon, path: str, duration_s: float
+) -> collections.Counter[int]:
+    """Sends requests to a daemon and returns the number of each status."""
+    counts: collections.Counter[int] = collections.Counter()
+    ends_at = time.monotonic() + duration_s
+    while time.monotonic() < ends_at:
+        _, status, _ = await mesh.call(daemon, path, 'GET', 1500)
+        counts[status] += 1
+        await asyncio.sleep(0.1)
+    return counts
+
+
 def build_route(
     name: str, prefix: str, kind: str, timeout_ms: int, target_ms: int
 ) -> dict[str, Any]:
