Fence the process to which an attempt was sent

Cause: Sender put the boot identifier of the peer's member at the time of the fence into the fence. The member of the restarted daemon had replaced the earlier one, so a process with an empty ledger answered `never_seen` for an attempt of its predecessor.

Ruled out: an expired ledger entry (the scenario takes 0.3 s) and an arrival at the new process (one run at the first target).

Change: the boot identifier is read before the attempt is sent. After a restart the result of the fence is "unknown": 502 for a request that may run once, another server for an idempotent one.

--- a/features/retries.feature
+++ b/features/retries.feature
@@ -53,6 +53,18 @@
     When a fence request for another boot identifier arrives
     Then the fence result is unknown and the request can still be admitted
 
+  Scenario Outline: A request is not run again after the daemon beside its server restarted
+    # Guards against a second run: the restarted daemon does not know what the
+    # earlier process has sent to the server.
+    When the daemon beside the server of a <method> request restarts <count> times before the response
+    Then the caller got status <status> and the request ran <runs> times
+
+    Examples:
+      | method | count | status | runs |
+      | POST   | 1     | 502    | 1    |
+      | POST   | 3     | 502    | 1    |
+      | GET    | 1     | 200    | 2    |
+
   Scenario: The size of the attempt ledger is limited
     When 30000 requests are admitted in 300 seconds
     Then the ledger holds at most the requests of its retention time
--- a/hemlockgrade/sender.py
+++ b/hemlockgrade/sender.py
@@ -71,10 +71,13 @@
         attempt_id = (
             f'{self.host_name}.{self.boot_id}-{next(self._attempt_numbers)}'
         )
+        # The member is replaced when the peer's daemon has restarted, and the
+        # new process does not know what the earlier one sent to the server.
+        boot_id = peer.member.boot_id
         result = await self._attempt(call, peer, attempt_id)
         if result.failure is not retries.Failure.NO_ANSWER or call.idempotent:
             return result
-        if await self._fence_attempt(call, peer, attempt_id):
+        if await self._fence_attempt(call, peer, attempt_id, boot_id):
             return _refused_result(peer_protocol.Refusal.FENCED)
         return result
 
@@ -106,7 +109,11 @@
         return self._process_response(call, peer, response)
 
     async def _fence_attempt(
-        self, call: call_module.Call, peer: peers.Peer, attempt_id: str
+        self,
+        call: call_module.Call,
+        peer: peers.Peer,
+        attempt_id: str,
+        boot_id: str,
     ) -> bool:
         """Fences an attempt and returns whether it was not run.
 
@@ -114,6 +121,12 @@
         received the request. The ledger of the peer shows which is the case.
         After the fence the peer refuses the attempt if it arrives late.
 
+        Args:
+            call: The request.
+            peer: The daemon to which the attempt was sent.
+            attempt_id: Identifier of the attempt.
+            boot_id: Boot identifier of that daemon when the attempt was sent.
+
         Returns:
             False if the attempt may have run or the fence failed.
         """
@@ -122,7 +135,7 @@
             target=peer_protocol.FENCE_PATH,
             headers=[
                 (peer_protocol.ATTEMPT_HEADER, attempt_id.encode()),
-                (peer_protocol.BOOT_ID_HEADER, peer.member.boot_id.encode()),
+                (peer_protocol.BOOT_ID_HEADER, boot_id.encode()),
             ],
         )
         deadline = min(call.deadline, self.clock() + FENCE_TIMEOUT_S)
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -84,6 +84,10 @@
     def stop(self):
         """Closes the listener and all connections."""
         self._server.close()
+        self.close_connections()
+
+    def close_connections(self):
+        """Closes all connections and keeps listening."""
         for task in self._tasks:
             task.cancel()
 
