Refuse the requests that wait for a server when it leaves

Cause: AdmissionController.run read the state of the server before the wait for a slot and never again; SlotLimiter.drain, which refuses the waiting requests, had no caller.

Ruled out: outdated members at the senders (requests of the same host failed as well) and the length of the queue (one waiting request is enough).

Change: when the server is no longer ready, the daemon refuses the waiting requests, and their senders send them elsewhere at once. The state is also read again when a slot is granted and when the connection to the server is open. Requests that wait when their server restarts under its identifier wait for the new process. A state restored from the store counts as a change of the server.

--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -119,6 +119,9 @@
     _limiter: limits.Limiter | None = None
     _limiter_key: tuple[str, int, int] | None = None
 
+    def __attrs_post_init__(self):
+        self.registrar.on_change.append(self._refuse_waiting_if_left)
+
     @property
     def load(self) -> tuple[int, float]:
         """Returns the load of the local server.
@@ -175,49 +178,41 @@
             `peer_protocol.refusal_response` or by
             `peer_protocol.unknown_outcome_response`.
         """
-        server = self.registrar.ready_server
-        if server is None or server.server_id != server_id:
-            return peer_protocol.refusal_response(
-                self._refusal_reason(server_id)
-            )
-        limiter = self._limiter_of(server)
-        now = self.clock()
-        if not self.limit.admits(priority, limiter.queued, now):
-            return peer_protocol.limit_refusal_response(
-                self.limit.next_turn_s(priority, limiter.queued, now)
-            )
         send_s = self.link_load.send_s(route) if uses_link else 0.0
-        if send_s:
-            link_wait_s = self.link_load.wait_s(now)
+        link_wait_s = self.link_load.wait_s(self.clock()) if send_s else 0.0
+        send_s += link_wait_s
+        slot_request = limits.SlotRequest(
+            # The server has to be done before the body needs the link.
+            deadline=deadline - send_s,
+            # The prefix of the attempt's identifier names the process of the
+            # sending daemon. A full queue is divided among these processes.
+            caller=attempt_id.rpartition('-')[0],
+            priority=priority,
+            on_time_until=on_time_until - send_s,
+            route=route,
+            is_nested=is_nested,
+            max_wait_s=max_wait_s,
+        )
+        while True:
+            server = self.registrar.ready_server
+            if server is None or server.server_id != server_id:
+                return peer_protocol.refusal_response(
+                    self._refusal_reason(server_id)
+                )
             if link_wait_s > max_wait_s:
                 return peer_protocol.refusal_response(
                     peer_protocol.Refusal.BUSY
                 )
-            send_s += link_wait_s
-        try:
-            # The prefix of the attempt's identifier names the process of the
-            # sending daemon. A full queue is divided among these processes.
-            await limiter.acquire(
-                limits.SlotRequest(
-                    # The server has to be done before the body needs the link.
-                    deadline=deadline - send_s,
-                    caller=attempt_id.rpartition('-')[0],
-                    priority=priority,
-                    on_time_until=on_time_until - send_s,
-                    route=route,
-                    is_nested=is_nested,
-                    max_wait_s=max_wait_s,
-                )
-            )
-        except exceptions.ServerBusyError:
-            return peer_protocol.refusal_response(peer_protocol.Refusal.BUSY)
-        except exceptions.RequestNotRunError:
-            late = deadline - self.clock() < limiter.service_s
-            return peer_protocol.refusal_response(
-                peer_protocol.Refusal.LATE
-                if late
-                else peer_protocol.Refusal.FULL
-            )
+            limiter = self._limiter_of(server)
+            refusal = await self._wait_for_slot(limiter, slot_request, deadline)
+            if self._is_limiter_of_ready_server(limiter):
+                break
+            # The server left or restarted during the wait, so that its new
+            # state decides.
+            if refusal is None:
+                limiter.release(None)
+        if refusal is not None:
+            return refusal
         admitted = _AdmittedRequest(
             server=server,
             route=route,
@@ -260,6 +255,78 @@
             response.headers.append((peer_protocol.NESTED_REFUSED_HEADER, b'1'))
         return response
 
+    async def _wait_for_slot(
+        self,
+        limiter: limits.Limiter,
+        slot_request: limits.SlotRequest,
+        deadline: float,
+    ) -> http_codec.Response | None:
+        """Waits for a slot of the local server.
+
+        Args:
+            limiter: Limiter of the server.
+            slot_request: The request for a slot.
+            deadline: Monotonic time until which the caller waits for the
+                response.
+
+        Returns:
+            None if the request has got a slot, or else a response that says
+            why it was refused.
+        """
+        now = self.clock()
+        priority = slot_request.priority
+        if not self.limit.admits(priority, limiter.queued, now):
+            return peer_protocol.limit_refusal_response(
+                self.limit.next_turn_s(priority, limiter.queued, now)
+            )
+        try:
+            await limiter.acquire(slot_request)
+        except exceptions.ServerBusyError:
+            return peer_protocol.refusal_response(peer_protocol.Refusal.BUSY)
+        except exceptions.RequestNotRunError:
+            late = deadline - self.clock() < limiter.service_s
+            return peer_protocol.refusal_response(
+                peer_protocol.Refusal.LATE
+                if late
+                else peer_protocol.Refusal.FULL
+            )
+        return None
+
+    def _refuse_waiting_if_left(self):
+        """Refuses the requests that wait for a server that has left.
+
+        Their senders send them to other servers at once. Those that wait when
+        their server restarts under its identifier wait for the new process.
+        """
+        limiter = self._limiter
+        if limiter is None or self._is_limiter_of_ready_server(limiter):
+            return
+        if limiter.queued:
+            logger.info(
+                'event=waiting_requests_refused requests={} in_use={}',
+                limiter.queued,
+                limiter.in_use,
+            )
+        limiter.drain()
+
+    def _is_limiter_of_ready_server(self, limiter: limits.Limiter) -> bool:
+        """Returns whether a limiter admits to the server that is ready now."""
+        ready = self.registrar.ready_server
+        return (
+            ready is not None
+            and limiter is self._limiter
+            and self._limiter_key == _limiter_key_of(ready)
+        )
+
+    def _is_ready(self, server: model.Server) -> bool:
+        """Returns whether the local server is this incarnation and ready."""
+        ready = self.registrar.ready_server
+        return (
+            ready is not None
+            and ready.server_id == server.server_id
+            and ready.born_ms == server.born_ms
+        )
+
     async def _run_admitted(
         self,
         request: http_codec.Request,
@@ -284,8 +351,13 @@
                 peer_protocol.Refusal.SERVER_DOWN
             )
         except exceptions.RequestNotRunError:
-            # Raised by the ledger before the first byte was written.
-            return peer_protocol.refusal_response(peer_protocol.Refusal.FENCED)
+            # Raised before the first byte was written: the server has left, or
+            # the attempt was fenced.
+            return peer_protocol.refusal_response(
+                peer_protocol.Refusal.FENCED
+                if self._is_ready(admitted.server)
+                else self._refusal_reason(admitted.server.server_id)
+            )
         except exceptions.DeadlineExceededError:
             admitted.service_s = self.clock() - admitted.started
             self._report_result(admitted, False)
@@ -336,14 +408,23 @@
             max_idle_s=MAX_IDLE_NON_IDEMPOTENT_S
             if run_once
             else MAX_IDLE_IDEMPOTENT_S,
-            before_write=(lambda: self._record_attempt(admitted))
-            if run_once
-            else None,
+            before_write=lambda: self._check_before_write(admitted),
             request_id=request_id,
         )
 
-    def _record_attempt(self, admitted: '_AdmittedRequest'):
-        """Records an attempt before its first byte is sent to the server."""
+    def _check_before_write(self, admitted: '_AdmittedRequest'):
+        """Checks and records an attempt before its first byte is sent.
+
+        The server may have left while the connection to it was opened.
+
+        Raises:
+            exceptions.RequestNotRunError: The server has left, or the attempt
+                was fenced.
+        """
+        if not self._is_ready(admitted.server):
+            raise limits.refusal_error('the server has left')
+        if admitted.idempotent:
+            return
         now = self.clock()
         self.ledger.expire(now)
         self.ledger.admit(admitted.attempt_id, now)
@@ -427,7 +508,7 @@
             headers: Headers of the response.
         """
         known = self.registrar.server
-        if known is None or _incarnation_key(known) != _incarnation_key(server):
+        if known is None or _limiter_key_of(known) != _limiter_key_of(server):
             return
         self._limiter_of(known)
         notice = platform_codec.decode_server_notice(headers)
@@ -481,7 +562,7 @@
 
         A restarted server or another number of slots gets a new limiter.
         """
-        key = _incarnation_key(server)
+        key = _limiter_key_of(server)
         if self._limiter is None or self._limiter_key != key:
             self._limiter = self.create_limiter(server.slots)
             self._limiter_key = key
@@ -489,7 +570,8 @@
         return self._limiter
 
 
-def _incarnation_key(server: model.Server) -> tuple[str, int, int]:
+def _limiter_key_of(server: model.Server) -> tuple[str, int, int]:
+    """Returns incarnation and slots, which a limiter is made for."""
     return server.server_id, server.born_ms, server.slots
 
 
--- a/hemlockgrade/registrar.py
+++ b/hemlockgrade/registrar.py
@@ -85,7 +85,7 @@
             server: State that an earlier daemon process on this host stored.
         """
         if self.server is None or _age_order(server) > _age_order(self.server):
-            self.server = self._marked_if_left(server)
+            self._set_server(self._marked_if_left(server), False)
 
     def confirm(self, server: model.Server) -> None:
         """Allows requests to a server from the store that passed a check.
