Percent-encode names in paths, queries and headers between daemons

Cause: names of objects were put into request lines as they are; http_codec.encode_request raised UnicodeEncodeError, which RolloutTask.run did not catch. The headers that name server and route were written as UTF-8 and read as Latin-1.

Ruled out: the decoding of the order (the share of the rollout was written before the daemon ended).

Change: names are percent-encoded in paths, queries and headers between daemons; a target that cannot be sent is an expected error; an unexpected error in a step of one rollout is logged and does not end the task. Related paths: the query for response statistics and the path of a health check.

Evidence: foreign_entries "A target with letters that cannot be sent fails its request only" (UnicodeEncodeError) and "A server identifier and a route name may have any letters" (503 instead of 200) failed before and pass now, as does "A rollout of a service with any letters in its name ends no daemon".

--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -607,7 +607,7 @@
         return peer_protocol.refusal_response(peer_protocol.Refusal.LEAVING)
     headers = request.headers
     left_s = peer_protocol.decode_time_left_s(headers)
-    server_id = http_codec.header(headers, peer_protocol.SERVER_HEADER)
+    server_id = peer_protocol.decode_name(headers, peer_protocol.SERVER_HEADER)
     if left_s is None or server_id is None:
         return peer_protocol.refusal_response(
             peer_protocol.Refusal.OTHER_SERVER
@@ -632,7 +632,8 @@
         deadline=deadline,
         priority=int(priority) if priority.isdecimal() else 0,
         idempotent=idempotent is not None,
-        route=http_codec.header(headers, peer_protocol.ROUTE_HEADER) or '',
+        route=peer_protocol.decode_name(headers, peer_protocol.ROUTE_HEADER)
+        or '',
         on_time_until=math.inf if on_time_s is None else now + on_time_s,
         is_repeat=http_codec.header(headers, peer_protocol.REPEAT_HEADER)
         is not None,
--- a/hemlockgrade/http_codec.py
+++ b/hemlockgrade/http_codec.py
@@ -5,6 +5,7 @@
 import http
 from typing import Any
 from typing import Protocol
+import urllib.parse
 
 import attrs
 import httptools
@@ -13,6 +14,9 @@
 
 MAX_HEADER_BYTES = 16 * 1024
 MAX_BODY_BYTES = 1024 * 1024
+# Characters of a request target that stay as they are; the others are encoded
+# (RFC 3986, section 2).
+_TARGET_CHARACTERS = "%/?#[]@!$&'()*+,;=:"
 # Response bodies larger than this are passed on while they arrive.
 MAX_BUFFERED_BYTES = 64 * 1024
 # Largest number of responses that are dropped before the one to a request:
@@ -235,16 +239,38 @@
     ]
 
 
+def quote(text: str) -> str:
+    """Returns a text as one segment of a path or as a query (RFC 3986, 2.1).
+
+    Letters outside ASCII are encoded as UTF-8, and lone surrogates become
+    question marks.
+    """
+    return urllib.parse.quote(text, safe='', errors='replace')
+
+
+def quote_target(target: str) -> str:
+    """Returns a target in which only what cannot be sent is encoded."""
+    return urllib.parse.quote(target, safe=_TARGET_CHARACTERS, errors='replace')
+
+
 def encode_request(request: Request, host: str) -> bytes:
     """Serializes a request with its content length.
 
     Args:
         request: The request.
         host: Value of the `host` header if the request has none.
+
+    Raises:
+        exceptions.MalformedRequestError: The target has characters that cannot
+            be sent in a request line.
     """
-    parts = [
-        f'{request.method} {request.target} HTTP/1.1\r\n'.encode('latin-1')
-    ]
+    line = f'{request.method} {request.target} HTTP/1.1\r\n'
+    try:
+        parts = [line.encode('latin-1')]
+    except UnicodeEncodeError as error:
+        raise exceptions.MalformedRequestError(
+            f'the target {request.target!r} is not percent-encoded'
+        ) from error
     if header(request.headers, b'host') is None:
         parts.append(f'host: {host}\r\n'.encode())
     parts.extend([b'%b: %b\r\n' % item for item in request.headers])
--- a/hemlockgrade/peer_api.py
+++ b/hemlockgrade/peer_api.py
@@ -1,6 +1,7 @@
 """HTTP API of a daemon for its peers."""
 
 import math
+import urllib.parse
 
 import attrs
 import orjson
@@ -77,7 +78,7 @@
         self, request: http_codec.Request
     ) -> http_codec.Response:
         # The query of the request is the name of the service.
-        service = request.target.partition('?')[2]
+        service = urllib.parse.unquote(request.target.partition('?')[2])
         data = self.evidence.encode(service)
         data['busy'], _ = self.admission.load
         data['table'] = self.sync.versions().table_revision
--- a/hemlockgrade/peer_protocol.py
+++ b/hemlockgrade/peer_protocol.py
@@ -2,6 +2,7 @@
 
 import enum
 import math
+import urllib.parse
 
 import attrs
 
@@ -295,6 +296,21 @@
     return http_codec.header(response.headers, UNKNOWN_HEADER) is not None
 
 
+def encode_name(name: str) -> bytes:
+    """Encodes a name, which may have any letters, as the value of a header."""
+    return urllib.parse.quote(name, safe='/:', errors='replace').encode()
+
+
+def decode_name(headers: http_codec.Headers, name: bytes) -> str | None:
+    """Decodes a header that `encode_name` has encoded.
+
+    Returns:
+        The name; None if the header is missing.
+    """
+    value = http_codec.header(headers, name)
+    return None if value is None else urllib.parse.unquote(value)
+
+
 def decode_time_left_s(headers: http_codec.Headers) -> float | None:
     """Decodes how long the sender still waits for the response.
 
--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -40,7 +40,7 @@
     async def get(self, kind: str, name: str) -> object_store.StoredItem | None:
         """Returns one object, or None if it does not exist."""
         try:
-            data = await self._call('GET', f'{kind}/{name}')
+            data = await self._call('GET', _object_path(kind, name))
         except exceptions.NotFoundError:
             return None
         return _decode_item(kind, data)
@@ -58,7 +58,8 @@
             if not data.get('HasMore') or not data['items']:
                 break
             separator = '&' if may_lag else '?'
-            path = f'{first}{separator}after={items[-1].name}'
+            last_name = data['items'][-1]['Metadata']['Name']
+            path = f'{first}{separator}after={http_codec.quote(last_name)}'
         return object_store.Listing(
             items=tuple(items), revision=data['CurrentRev']
         )
@@ -102,7 +103,7 @@
     ) -> object_store.StoredItem:
         """Replaces the spec of an object if it has the given revision."""
         body = {'Metadata': {'Name': name, 'Rev': revision}, 'Spec': spec}
-        data = await self._call('PUT', f'{kind}/{name}', body)
+        data = await self._call('PUT', _object_path(kind, name), body)
         return _decode_item(kind, data)
 
     async def replace_status(
@@ -110,12 +111,14 @@
     ) -> object_store.StoredItem:
         """Replaces the status of an object if it has the given revision."""
         body = {'Metadata': {'Name': name, 'Rev': revision}, 'Status': status}
-        data = await self._call('PUT', f'{kind}/{name}/status', body)
+        path = f'{_object_path(kind, name)}/status'
+        data = await self._call('PUT', path, body)
         return _decode_item(kind, data)
 
     async def delete(self, kind: str, name: str, revision: int) -> None:
         """Deletes an object if it has the given revision."""
-        await self._call('DELETE', f'{kind}/{name}?Rev={revision}')
+        path = f'{_object_path(kind, name)}?Rev={revision}'
+        await self._call('DELETE', path)
 
     async def _call(
         self,
@@ -146,6 +149,11 @@
         return _decode_response(method, path, response)
 
 
+def _object_path(kind: str, name: str) -> str:
+    """Returns the path of an object, whose name may have any letters."""
+    return f'{kind}/{http_codec.quote(name)}'
+
+
 def _decode_response(
     method: str, path: str, response: http_codec.Response
 ) -> Any:
--- a/hemlockgrade/rollout_task.py
+++ b/hemlockgrade/rollout_task.py
@@ -205,6 +205,11 @@
                         order.service,
                         str(error),
                     )
+                except Exception:
+                    # The fault of one rollout must not end the others.
+                    logger.exception(
+                        'event=rollout_step_failed service={}', order.service
+                    )
             await asyncio.sleep(STEP_INTERVAL_S)
 
     def _is_complete(self, order: model.RolloutOrder) -> bool:
@@ -500,7 +505,8 @@
             daemon sent no valid response in time.
         """
         request = http_codec.Request(
-            method='GET', target=f'{peer_protocol.EVIDENCE_PATH}?{service}'
+            method='GET',
+            target=f'{peer_protocol.EVIDENCE_PATH}?{http_codec.quote(service)}',
         )
         deadline = self.clock() + STATISTICS_TIMEOUT_S
         try:
--- a/hemlockgrade/sender.py
+++ b/hemlockgrade/sender.py
@@ -191,11 +191,17 @@
         ]
         headers += [
             (platform_codec.TIME_LEFT_MS_HEADER, b'%d' % left_ms),
-            (peer_protocol.SERVER_HEADER, server.server_id.encode()),
+            (
+                peer_protocol.SERVER_HEADER,
+                peer_protocol.encode_name(server.server_id),
+            ),
             (peer_protocol.ATTEMPT_HEADER, attempt_id.encode()),
             (peer_protocol.PRIORITY_HEADER, b'%d' % call.priority),
             (peer_protocol.ON_TIME_HEADER, b'%d' % on_time_ms),
-            (peer_protocol.ROUTE_HEADER, call.route.name.encode()),
+            (
+                peer_protocol.ROUTE_HEADER,
+                peer_protocol.encode_name(call.route.name),
+            ),
             *self.sync.version_headers(),
         ]
         if call.idempotent:
--- a/hemlockgrade/server_check.py
+++ b/hemlockgrade/server_check.py
@@ -79,7 +79,9 @@
         self, server: model.Server, path: str
     ) -> bool:
         """Returns whether the server is healthy and is the stored one."""
-        request = http_codec.Request(method='GET', target=path)
+        request = http_codec.Request(
+            method='GET', target=http_codec.quote_target(path)
+        )
         deadline = self.clock() + CHECK_TIMEOUT_S
         try:
             response = await self.pool.fetch(server.address, request, deadline)
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -168,7 +168,10 @@
         ):
             return 503, {}
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query).items()}
-        path = url.path.removeprefix(OBJECTS_PATH).split('/')
+        path = [
+            urllib.parse.unquote(part)
+            for part in url.path.removeprefix(OBJECTS_PATH).split('/')
+        ]
         if request.method == 'GET':
             return await self.read(path, query)
         result = self.write(request, path, query)
