Check each entry of the store, and decode each one by itself

Cause: the decoder makes values of any type fit (8145 becomes '8145', false becomes 0), nothing checked the result or the name of the entry, and the error came up where the value was used: ValueError in StateSync.run, ZeroDivisionError in the choice of a server.

Ruled out: an error in the decoder (both members were applied, `member_updated` names them).

Change: object_checks checks type, range and use of the fields of members, rollout states, labels and selectors. What does not pass is named in the log (`entry_refused`) and changes nothing. Related paths: one object that is not valid text made the whole list of its kind unreadable; one object of a peer's state ended the use of that state; a daemon whose member was overwritten did not write it again.

--- a/hemlockgrade/addresses.py
+++ b/hemlockgrade/addresses.py
@@ -1,5 +1,7 @@
 """Parsing of addresses of the form `host:port`."""
 
+import ipaddress
+
 
 def split(address: str) -> tuple[str, int]:
     """Returns the host and the port of an address.
@@ -11,3 +13,13 @@
     if not host or not 0 < int(port) < 65536:
         raise ValueError(f'{address!r} is not host:port')
     return host, int(port)
+
+
+def check_ip(address: str) -> None:
+    """Checks that the host of an address is an IP address.
+
+    Raises:
+        ValueError: The address has no valid port, or its host is a name.
+    """
+    host, _ = split(address)
+    ipaddress.ip_address(host.strip('[]'))
--- a/hemlockgrade/config/base.py
+++ b/hemlockgrade/config/base.py
@@ -1,6 +1,5 @@
 """Loads JSON settings and reports all errors of a file at once."""
 
-import ipaddress
 import pathlib
 from typing import Any
 from typing import cast
@@ -207,5 +206,4 @@
 
 
 def _check_address(instance, attribute, value: str):
-    host, _ = addresses.split(value)
-    ipaddress.ip_address(host.strip('[]'))
+    addresses.check_ip(value)
--- a/hemlockgrade/definition_store.py
+++ b/hemlockgrade/definition_store.py
@@ -55,7 +55,7 @@
         }
         share_by_key: dict[str, model.VersionShare] = {}
         for item in listing.items:
-            value = object_codec.decode_or_log(item)
+            value = object_codec.decode_item_or_log(item)
             if isinstance(value, model.VersionShare):
                 share_by_key[value.key] = value
             elif isinstance(value, model.Definition):
--- a/hemlockgrade/object_codec.py
+++ b/hemlockgrade/object_codec.py
@@ -12,6 +12,7 @@
 
 from hemlockgrade import exceptions
 from hemlockgrade import model
+from hemlockgrade import object_checks
 from hemlockgrade import object_store
 
 # Kind of all mesh objects in the store.
@@ -61,7 +62,7 @@
 
 
 def decode(name: str, data: Any, revision: int) -> MeshObject | None:
-    """Decodes an object.
+    """Decodes an object, which another program may have written.
 
     Args:
         name: Name under which the object is stored.
@@ -72,7 +73,9 @@
         The object, or None if its name has no known prefix.
 
     Raises:
-        exceptions.InvalidFieldError: The content cannot be decoded.
+        exceptions.InvalidFieldError: The content cannot be decoded, a field
+            has another type or an unusable value, or the name is not that of
+            the content.
     """
     prefix = name[: name.find('.') + 1]
     model_class = _CLASS_BY_PREFIX.get(prefix)
@@ -80,29 +83,47 @@
         return None
     try:
         value = _converter.structure(data, model_class)
+        object_checks.check_types(revision, 0, 'revision')
+        object_checks.check_types(data, encode(value))
+        object_checks.CHECK_BY_CLASS[model_class](value)
+        if key_of(value) != name:
+            raise ValueError(f'the content is that of {key_of(value)!r}')
     except Exception as error:  # noqa: BLE001
         raise exceptions.InvalidFieldError(
             name,
-            f'cannot be decoded: {error!r}',
+            f'cannot be decoded: {error!r:.300}',
             remedy='delete the object; its owner then writes it again',
         ) from error
     return attrs.evolve(value, revision=revision)
 
 
-def decode_item(item: object_store.StoredItem) -> MeshObject | None:
-    """Decodes an object as the store returned it; see `decode`."""
-    return decode(item.name, item.spec, item.revision)
+def decode_or_log(
+    name: str, data: Any, revision: int, source: str
+) -> MeshObject | None:
+    """Decodes an object; logs an error and returns None if that fails.
 
+    An object that cannot be decoded must not affect any other one.
 
-def decode_or_log(item: object_store.StoredItem) -> MeshObject | None:
-    """Decodes an object; logs an error and returns None if that fails."""
+    Args:
+        name: Name under which the object is stored.
+        data: Encoded content of the object.
+        revision: Revision of the object's last change.
+        source: Origin of the object, for the log: `store` or the address of a
+            peer.
+    """
     try:
-        return decode_item(item)
+        return decode(name, data, revision)
     except exceptions.InvalidFieldError as error:
         logger.error(
-            'event=entry_refused name={} revision={} problem={!r}',
-            item.name,
-            item.revision,
+            'event=entry_refused name={!r} revision={} source={} problem={!r}',
+            name,
+            revision,
+            source,
             str(error),
         )
         return None
+
+
+def decode_item_or_log(item: object_store.StoredItem) -> MeshObject | None:
+    """Decodes an object as the store returned it; see `decode_or_log`."""
+    return decode_or_log(item.name, item.spec, item.revision, 'store')
--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -1,10 +1,12 @@
 """Client of the platform's metadata store."""
 
 import asyncio
+import json
 from typing import Any
 from typing import Literal
 
 import attrs
+from loguru import logger
 import orjson
 
 from hemlockgrade import exceptions
@@ -54,7 +56,7 @@
         path = first
         while True:
             data = await self._call('GET', path)
-            items.extend(_decode_item(kind, item) for item in data['items'])
+            items.extend(_decode_items(kind, data['items']))
             if not data.get('HasMore') or not data['items']:
                 break
             separator = '&' if may_lag else '?'
@@ -81,11 +83,9 @@
             timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
         )
         changes = tuple(
-            object_store.ItemChange(
-                item=_decode_item(kind, event['Object']),
-                deleted=bool(event['Deleted']),
-            )
+            object_store.ItemChange(item=item, deleted=bool(event['Deleted']))
             for event in data['events']
+            for item in _decode_items(kind, [event['Object']])
         )
         return object_store.Changes(
             changes=changes, revision=data['CurrentRev']
@@ -154,6 +154,25 @@
     return f'{kind}/{http_codec.quote(name)}'
 
 
+def _decode_json(body: bytes) -> Any:
+    """Decodes a body, of which another program may have written a part.
+
+    Bytes and escapes that are no valid text become lone surrogates, so that
+    only the objects that contain them cannot be used.
+
+    Raises:
+        ValueError: The body is not JSON.
+    """
+    try:
+        return orjson.loads(body)
+    except orjson.JSONDecodeError:
+        text = body.decode('utf-8', 'surrogateescape')
+    try:
+        return json.loads(text)
+    except RecursionError as error:
+        raise ValueError('the body is nested too deeply') from error
+
+
 def _decode_response(
     method: str, path: str, response: http_codec.Response
 ) -> Any:
@@ -161,8 +180,8 @@
     status = response.status
     if status in (200, 201, 204):
         try:
-            return orjson.loads(response.body) if response.body else {}
-        except orjson.JSONDecodeError as error:
+            return _decode_json(response.body) if response.body else {}
+        except ValueError as error:
             raise _unavailable(
                 method,
                 path,
@@ -190,11 +209,32 @@
 ) -> object_store.StoredItem | None:
     kind = path.partition('/')[0]
     try:
-        return _decode_item(kind, orjson.loads(response.body))
-    except (orjson.JSONDecodeError, exceptions.HemlockError):
+        return _decode_item(kind, _decode_json(response.body))
+    except (ValueError, exceptions.HemlockError):
         return None
 
 
+def _decode_items(kind: str, data: list[Any]) -> list[object_store.StoredItem]:
+    """Decodes objects; leaves out those that cannot be decoded."""
+    items = []
+    for each in data:
+        try:
+            items.append(_decode_item(kind, each))
+        except exceptions.PlatformUnavailableError as error:
+            logger.error(
+                'event=entry_refused name={!r} source=store problem={!r}',
+                _name_of(each),
+                str(error),
+            )
+    return items
+
+
+def _name_of(data: Any) -> Any:
+    """Returns the name of an object that cannot be decoded, if it has one."""
+    metadata = data.get('Metadata') if isinstance(data, dict) else None
+    return metadata.get('Name') if isinstance(metadata, dict) else None
+
+
 def _decode_item(kind: str, data: Any) -> object_store.StoredItem:
     try:
         metadata = data['Metadata']
--- a/hemlockgrade/publisher.py
+++ b/hemlockgrade/publisher.py
@@ -69,6 +69,19 @@
             if not self._is_current():
                 self.schedule_update()
 
+    def handle_overwritten(self, revision: int) -> None:
+        """Handles a member that another program made undecodable.
+
+        It is written again.
+
+        Args:
+            revision: Revision of the stored object.
+        """
+        if self._revision is None or revision > self._revision:
+            self._revision = revision
+            self._stored = None
+            self.schedule_update()
+
     def handle_deleted(self) -> None:
         """Handles the deletion of the member; it is written again."""
         self._revision = None
@@ -151,7 +164,7 @@
         self._revision = found.revision if found is not None else None
         if found is None:
             return
-        stored = object_codec.decode_or_log(found)
+        stored = object_codec.decode_item_or_log(found)
         if isinstance(stored, model.Member):
             self.restore_server(stored)
 
--- a/hemlockgrade/rollout_task.py
+++ b/hemlockgrade/rollout_task.py
@@ -358,7 +358,7 @@
                 )
         except object_store.RevisionConflictError as error:
             if error.current is not None:
-                value = object_codec.decode_item(error.current)
+                value = object_codec.decode_item_or_log(error.current)
                 if isinstance(value, model.VersionShare):
                     self.directory.apply_share(value, 'conflict')
             raise
--- a/hemlockgrade/state_sync.py
+++ b/hemlockgrade/state_sync.py
@@ -206,7 +206,7 @@
             )
         try:
             self._merge(orjson.loads(response.body), address)
-        except (KeyError, TypeError, orjson.JSONDecodeError) as error:
+        except (KeyError, TypeError, ValueError) as error:
             raise exceptions.MalformedRequestError(
                 f'{address} sent a malformed state: {error!r}'
             ) from error
@@ -218,7 +218,7 @@
                 source,
             )
         for name, revision, content in data['objects']:
-            value = object_codec.decode(name, content, revision)
+            value = object_codec.decode_or_log(name, content, revision, source)
             if value is not None:
                 self.directory.apply(value, source)
         for name, revision in data['removed'].items():
--- a/hemlockgrade/store_feed.py
+++ b/hemlockgrade/store_feed.py
@@ -111,8 +111,10 @@
         self.directory.apply_configuration(new, 'store')
 
     def _object_changed(self, item: object_store.StoredItem):
-        value = object_codec.decode_or_log(item)
+        value = object_codec.decode_item_or_log(item)
         if value is None:
+            if item.name == object_codec.MEMBER_PREFIX + self._own_name:
+                self.publisher.handle_overwritten(item.revision)
             return
         if isinstance(value, model.Member) and value.name == self._own_name:
             self.restore_server(value)
