Check the identifiers, addresses and numbers of heartbeats and orders

Seen: a heartbeat whose `Seq`, `Slots` or `born` was beyond 64 bits was acknowledged, and the daemon then ended by an uncaught error when it stored its member (noted by the review, not a case of it). Line breaks in a version or an identifier would have gone into headers. An order could stand under the name of another service.

Cause: the same class as that of the malformed entries of the store: values from outside were checked for their type only.

Change: heartbeats, announcements and orders are checked like the objects of the store; what is refused is named in the log, as before. An order is only for the service that its name says.

Evidence: 5 of 8 new rows of mesh_decisions "An invalid heartbeat is refused with the name of the invalid field" and 2 of 4 rows of foreign_entries "A rollout order that cannot be understood is refused" failed before, all pass now.

--- a/features/foreign_entries.feature
+++ b/features/foreign_entries.feature
@@ -68,6 +68,17 @@
     When a peer sends its state with a malformed member before a sound one
     Then the sound member of that state is applied
 
+  Scenario Outline: A rollout order that cannot be understood is refused
+    When the order <name> arrives with <field> set to <value>
+    Then the order is refused with its name in the log
+
+    Examples:
+      | name    | field         | value     |
+      | booking | Service       | "permits" |
+      | booking | Service       | 7         |
+      | booking | TargetVersion | "v\r\n2"  |
+      | booking | DurationS     | "12"      |
+
   Scenario Outline: An object of the store that cannot be read leaves the others readable
     When the store lists a sound object beside one with <problem>
     Then the sound object is returned
--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -100,6 +100,14 @@
       | Seq     | null      |
       | Service | 7         |
       | born    | 1.5       |
+      | born    | 1e30      |
+      | Seq     | 1e30      |
+      | Slots   | 1e30      |
+      | Slots   | true      |
+      | Address | 7         |
+      | Address | "booking" |
+      | Version | "v\r\n1" |
+      | Zone    | ""        |
 
   Scenario: A heartbeat that is not a JSON object is refused
     Then decoding a heartbeat that is not a JSON object fails
--- a/hemlockgrade/heartbeats.py
+++ b/hemlockgrade/heartbeats.py
@@ -17,6 +17,7 @@
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
 from hemlockgrade import model
+from hemlockgrade import object_checks
 from hemlockgrade import registrar as registrar_module
 from hemlockgrade import serialization
 from hemlockgrade.platform import codec as platform_codec
@@ -185,14 +186,19 @@
 
 
 def _check_announcement(announcement: Announcement) -> None:
-    for name in ('service', 'version'):
+    for name in ('target_id', 'service', 'version'):
         if not getattr(announcement, name):
             raise ValueError(f'{name} is empty; set the {name} of the target')
-    addresses.split(announcement.address)
-    if announcement.slots < 1:
+        if not object_checks.is_identifier(getattr(announcement, name)):
+            raise ValueError(
+                f'{name} is not printable or longer than '
+                f'{object_checks.MAX_IDENTIFIER_LENGTH} characters; change it'
+            )
+    addresses.check_ip(announcement.address)
+    if not 1 <= announcement.slots <= object_checks.MAX_INTEGER:
         raise ValueError(
-            'slots is below 1; set the number of requests that the target may '
-            'run at once'
+            'slots is out of range; set the number of requests that the target '
+            'may run at once, at least 1'
         )
 
 
--- a/hemlockgrade/platform/codec.py
+++ b/hemlockgrade/platform/codec.py
@@ -1,12 +1,15 @@
 """Conversion of the platform's documents; names of its headers and paths."""
 
 import math
+import sys
 from typing import Any
 
 import orjson
 
+from hemlockgrade import addresses
 from hemlockgrade import exceptions
 from hemlockgrade import model
+from hemlockgrade import object_checks
 
 # Kinds and names of the objects in the store that operators write.
 CONFIGURATION_KIND = 'config'
@@ -186,11 +189,11 @@
     if slots < 1:
         raise _invalid('Slots', slots)
     return model.Server(
-        server_id=_text('ID', server_id),
-        service=_text('Service', data.get('Service')),
-        address=_text('Address', data.get('Address')),
-        zone=_text('Zone', data.get('Zone')),
-        version=_text('Version', data.get('Version')),
+        server_id=_identifier('ID', server_id),
+        service=_identifier('Service', data.get('Service')),
+        address=_address('Address', data.get('Address')),
+        zone=_identifier('Zone', data.get('Zone')),
+        version=_identifier('Version', data.get('Version')),
         slots=slots,
         state=state,
         warmup_left_s=_number('WarmupLeftMs', data.get('WarmupLeftMs', 0))
@@ -231,26 +234,30 @@
 
 
 def decode_rollout_order(
-    spec: Any, status: Any, revision: int, created_revision: int
+    name: str, spec: Any, status: Any, revision: int, created_revision: int
 ) -> model.RolloutOrder:
     """Decodes an operator's rollout order.
 
     Args:
+        name: Name of the order's object in the store, which is the service.
         spec: Spec of the order's object in the store.
         status: Status of the object; None before the first report.
         revision: Revision of the object's last change.
         created_revision: Revision at which the object was created.
 
     Raises:
-        exceptions.InvalidFieldError: A field is missing or malformed.
+        exceptions.InvalidFieldError: A field is missing or malformed, or the
+            order is for another service than its name says.
     """
     spec = _mapping('rollout', spec)
     status = status if isinstance(status, dict) else {}
-    service = _text('Service', spec.get('Service'))
+    service = _identifier('Service', spec.get('Service'))
+    if service != name:
+        raise _invalid('Service', service)
     return model.RolloutOrder(
         key=service,
         service=service,
-        version=_text('TargetVersion', spec.get('TargetVersion')),
+        version=_identifier('TargetVersion', spec.get('TargetVersion')),
         duration_s=_number('DurationS', spec.get('DurationS')),
         revision=revision,
         created_revision=created_revision,
@@ -301,13 +308,28 @@
     return value
 
 
+def _identifier(field: str, value: Any) -> str:
+    """Checks that a value is a usable identifier, and returns it."""
+    if not isinstance(value, str) or not object_checks.is_identifier(value):
+        raise _invalid(field, value)
+    return value
+
+
+def _address(field: str, value: Any) -> str:
+    """Checks that a value is an IP address with a port, and returns it."""
+    try:
+        addresses.check_ip(_text(field, value))
+    except ValueError:
+        raise _invalid(field, value) from None
+    return value
+
+
 def _number(field: str, value: Any) -> float:
     """Checks that a value is a finite non-negative number, and returns it."""
     if (
         not isinstance(value, (int, float))
         or isinstance(value, bool)
-        or not math.isfinite(value)
-        or value < 0
+        or not 0 <= value <= sys.float_info.max
     ):
         raise _invalid(field, value)
     return float(value)
@@ -316,6 +338,6 @@
 def _integer(field: str, value: Any) -> int:
     """Checks that a value is a non-negative integer, and returns it."""
     number = _number(field, value)
-    if number != int(number):
+    if number != int(number) or number > object_checks.MAX_INTEGER:
         raise _invalid(field, value)
     return int(number)
--- a/hemlockgrade/rollout_task.py
+++ b/hemlockgrade/rollout_task.py
@@ -153,11 +153,15 @@
         """
         try:
             order = platform_codec.decode_rollout_order(
-                item.spec, item.status, item.revision, item.created_revision
+                item.name,
+                item.spec,
+                item.status,
+                item.revision,
+                item.created_revision,
             )
         except exceptions.InvalidFieldError as error:
             logger.error(
-                'event=order_refused name={} revision={} problem={!r}',
+                'event=order_refused name={!r} revision={} problem={!r}',
                 item.name,
                 item.revision,
                 str(error),
