Look at the limit of a server again after the wait for a slot

Change: the limit is read again when the slot is granted; a request beyond it is refused as limited and gets its turn.

--- a/features/server_notices.feature
+++ b/features/server_notices.feature
@@ -31,6 +31,11 @@
     And at least 30% of the requests succeeded
     And the others were refused within 0.25 seconds and may return later
 
+  Scenario: Waiting requests exceed a limit that the server names meanwhile
+    # Guards against a limit that is looked at before the wait for a slot only.
+    When a server with 4 slots names the limit 0.5 while 3 requests wait for it
+    Then 4 of 7 requests ran and the others were refused within 0.5 seconds
+
   Scenario: A daemon that was restarted exceeds the limit of its server
     # Until its server has responded, a restarted daemon knows only what its peers
     # send along.
--- a/features/steps/server_notices_steps.py
+++ b/features/steps/server_notices_steps.py
@@ -83,6 +83,38 @@
         assert float(headers['retry-after']) > 0, headers
 
 
+@when(
+    'a server with {slots:d} slots names the limit {limit} while {waiting:d} requests wait for it'
+)
+def lower_limit(context, slots, limit, waiting):
+    async def run():
+        async with loopback.LoopbackSystem(1, slots=slots) as system:
+            host = system.hosts[0]
+            # The responses of the running requests name the limit.
+            path = f'/a?ms=200&limit={limit}'
+            tasks = [
+                asyncio.ensure_future(system.send_request('GET', path))
+                for _ in range(slots + waiting)
+            ]
+            while host.limiter_load() != (slots, waiting):
+                await asyncio.sleep(0.002)
+            started_at = time.monotonic()
+            responses = await asyncio.gather(*tasks)
+            context.elapsed_s = time.monotonic() - started_at
+            context.statuses = [response.status for response in responses]
+
+    loopback.run(run())
+
+
+@then(
+    '{served:d} of {count:d} requests ran and the others were refused within {limit_s:g} seconds'
+)
+def check_waiting_limited(context, served, count, limit_s):
+    expected = [200] * served + [503] * (count - served)
+    assert sorted(context.statuses) == expected, context.statuses
+    assert context.elapsed_s < limit_s, context.elapsed_s
+
+
 @when(
     'a daemon has {count:d} requests for a server whose limit of {limit:d} a second only it knows'
 )
--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -273,12 +273,9 @@
             None if the request has got a slot, or else a response that says
             why it was refused.
         """
-        now = self.clock()
         priority = slot_request.priority
-        if not self.limit.admits(priority, limiter.queued, now):
-            return peer_protocol.limit_refusal_response(
-                self.limit.next_turn_s(priority, limiter.queued, now)
-            )
+        if not self.limit.admits(priority, limiter.queued, self.clock()):
+            return self._limit_refusal(priority, limiter.queued)
         try:
             await limiter.acquire(slot_request)
         except exceptions.ServerBusyError:
@@ -290,8 +287,18 @@
                 if late
                 else peer_protocol.Refusal.FULL
             )
+        # The server may have lowered its limit during the wait.
+        if not self.limit.admits(0, 0, self.clock()):
+            limiter.release(None)
+            return self._limit_refusal(priority, 0)
         return None
 
+    def _limit_refusal(
+        self, priority: int, waiting: int
+    ) -> http_codec.Response:
+        turn_s = self.limit.next_turn_s(priority, waiting, self.clock())
+        return peer_protocol.limit_refusal_response(turn_s)
+
     def _refuse_waiting_if_left(self):
         """Refuses the requests that wait for a server that has left.
 
--- a/standins/target_server.py
+++ b/standins/target_server.py
@@ -7,8 +7,8 @@
 `GET /.control/stats` returns its counters. `GET /health` responds with 200 in
 every state. The query of a request may set `?ms=` (service time), `?bytes=`
 (length of the response body), `?status=`, `?forge=` (adds internal headers of
-the daemons to the response) and `?body=chunked|close|length` (how the end of
-the body is marked).
+the daemons to the response), `?limit=` (names a limit in the response) and
+`?body=chunked|close|length` (how the end of the body is marked).
 """
 
 import argparse
@@ -282,6 +282,8 @@
         head = [f'HTTP/1.1 {status} Status', 'content-type: application/json']
         request_id = http_codec.header(request.headers, b'x-request-id')
         head += [f'x-request-id: {request_id}'] if request_id else []
+        if 'limit' in query:
+            head.append(f'server-limit: {query["limit"]}')
         if 'forge' in query:
             head += ['x-hemlock-refused: full', 'x-hemlock-outcome: not-run']
         if mode == 'chunked':
