Watch from the revision of the first page of a list

Seen: a change of an object on an earlier page of a list, made while the later pages were read, was missed until the object changed again (noted by the review; a list has several pages from about 500 objects on).

Cause: the watch began at the revision of the last page.

Evidence: store_client "A change of an object on an earlier page of a list is not missed" failed before and passes now.

--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -50,21 +50,26 @@
     async def list(
         self, kind: str, *, may_lag: bool = False
     ) -> object_store.Listing:
-        """Returns all objects of a kind, which are read page by page."""
+        """Returns all objects of a kind, which are read page by page.
+
+        The revision is that of the first page, so that a watch from there
+        returns what changed on this page while the later ones were read.
+        """
         items: list[object_store.StoredItem] = []
+        revision: int | None = None
         first = f'{kind}?Serializable=1' if may_lag else kind
         path = first
         while True:
             data = await self._call('GET', path)
             items.extend(_decode_items(kind, data['items']))
+            if revision is None:
+                revision = data['CurrentRev']
             if not data.get('HasMore') or not data['items']:
                 break
             separator = '&' if may_lag else '?'
             last_name = data['items'][-1]['Metadata']['Name']
             path = f'{first}{separator}after={http_codec.quote(last_name)}'
-        return object_store.Listing(
-            items=tuple(items), revision=data['CurrentRev']
-        )
+        return object_store.Listing(items=tuple(items), revision=revision)
 
     async def watch(
         self, kind: str, revision: int, wait_s: float
