Apply the limits on callers' requests between daemons

Seen: a body of more than 1 MiB was refused with 413 by the daemon beside the server although the configuration allows more (noted by the review).

Cause: only the listener for callers got the limits of the configuration, and only new connections.

Change: the listener for peers gets them, with an allowance for the headers of the peer protocol, and open connections use the present limits.

Evidence: mesh_processes "A body of the configured size reaches a server of another host": 413 before, 200 now. The stand-in server read at most 1 MiB, too; it reads 64 MiB now.

--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -20,6 +20,12 @@
     When the operator adds 600 routes
     Then every daemon serves the new route within 2 seconds
 
+  Scenario: A body of the configured size reaches a server of another host
+    # Guards against limits that apply to callers but not between daemons.
+    Given a mesh of 2 hosts
+    When the operator allows bodies of 4 MB and the server of the first host drains
+    Then a request with a body of 3 MB at the first host is served
+
   Scenario: An invalid configuration leaves the previous one in force
     Given a mesh of 1 hosts
     When the operator writes an invalid configuration
--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -114,6 +114,44 @@
     assert elapsed_s < limit_s, elapsed_s
 
 
+@when(
+    'the operator allows bodies of {megabytes:d} MB and the server of the first host drains'
+)
+def allow_large_bodies(context, megabytes):
+    limits = {
+        'EntryType': 'Limits',
+        'Metadata': {'Name': 'limits'},
+        'Spec': {
+            'MaxHeaderBytes': 16_384,
+            'MaxBodyBytes': megabytes * 10**6,
+            'HeaderTimeoutMs': 5000,
+            'IdleTimeoutMs': 60_000,
+        },
+    }
+    context.mesh.configure(9, SHOP_ROUTE, limits)
+    for name in context.host_names:
+        cluster.wait_until(
+            lambda name=name: (
+                'event=configuration_applied version=9'
+                in context.mesh.read_log(name)
+            ),
+            'the configuration is in force',
+        )
+    drain_server(context)
+
+
+@then('a request with a body of {megabytes:d} MB at the first host is served')
+def check_large_body(context, megabytes):
+    status, body, _ = mesh_cluster.send_request(
+        context.mesh.daemon_by_name['h1'].addresses['caller'],
+        'POST',
+        '/shop/x',
+        b'x' * (megabytes * 10**6),
+        {'Host': mesh_cluster.HOST_NAME},
+    )
+    assert status == 200 and b'i-h2' in body, (status, body)
+
+
 @when('the operator writes an invalid configuration')
 def write_invalid_configuration(context):
     context.mesh.configure(9, {**SHOP_ROUTE, 'Spec': {'Hostname': 7}})
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -46,6 +46,9 @@
 
 # Connecting to another host of the mesh takes a few milliseconds.
 PEER_CONNECT_TIMEOUT_S = 0.25
+# Largest size of the headers that a daemon adds to a request for another one,
+# in bytes.
+MAX_PEER_HEADER_BYTES = 8 * 1024
 # Responses of the store and of peers are buffered whole. The largest one is a
 # page of a list of the store, which has at most 1 MB.
 MAX_BUFFERED_RESPONSE_BYTES = 4 * 1024 * 1024
@@ -316,12 +319,12 @@
             link=self._link,
             may_overlap=self._proxy.is_idempotent,
         )
-        self.directory.on_configuration.append(
-            lambda: self._apply_caller_limits(caller_factory)
-        )
         peer_factory = http_server.HttpServerFactory(
             self._peer_api.handle, link=self._link
         )
+        self.directory.on_configuration.append(
+            lambda: self._apply_caller_limits(caller_factory, peer_factory)
+        )
         factory_by_setting: dict[str, Any] = {
             'admission_address': peer_factory,
             'local_address': http_server.HttpServerFactory(
@@ -375,8 +378,15 @@
         self.admission.requires_signature = new.signed_answers
 
     def _apply_caller_limits(
-        self, caller_factory: http_server.HttpServerFactory
+        self,
+        caller_factory: http_server.HttpServerFactory,
+        peer_factory: http_server.HttpServerFactory,
     ):
+        """Applies the limits on the requests of callers.
+
+        Other daemons send what their callers may send, with the headers of the
+        peer protocol.
+        """
         configuration = self.directory.configuration
         if configuration is None:
             return
@@ -387,6 +397,10 @@
             header_bytes=limits.header_bytes,
             body_bytes=limits.body_bytes,
         )
+        peer_factory.limits = http_server.ConnectionLimits(
+            header_bytes=limits.header_bytes + MAX_PEER_HEADER_BYTES,
+            body_bytes=limits.body_bytes,
+        )
 
     async def _handle_metrics(
         self, request: http_codec.Request
--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -126,9 +126,7 @@
 
     def __init__(self, factory: 'HttpServerFactory'):
         self._factory = factory
-        self._parser = http_codec.RequestParser(
-            factory.limits.header_bytes, factory.limits.body_bytes
-        )
+        self._parser = http_codec.RequestParser()
         self._pending: collections.deque = collections.deque()
         self._exchanges: collections.deque[_Exchange] = collections.deque()
         self._body: outgoing_body.OutgoingBody | None = None
@@ -166,6 +164,9 @@
         """Parses requests; after a malformed one no more are read."""
         if self._input_ended or self._closed:
             return
+        # A new configuration changes the limits of open connections, too.
+        self._parser.max_header_bytes = self._factory.limits.header_bytes
+        self._parser.max_body_bytes = self._factory.limits.body_bytes
         items = self._parser.feed(data)
         self._pending.extend(items)
         if items and isinstance(items[-1], exceptions.MalformedRequestError):
--- a/standins/http_connection.py
+++ b/standins/http_connection.py
@@ -5,12 +5,15 @@
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
 
+# Largest body of a request that the stand-ins read, in bytes.
+MAX_BODY_BYTES = 64 * 1024 * 1024
+
 
 class HttpConnection(asyncio.Protocol):
     """Reads requests from a connection and handles them in sequence."""
 
     def __init__(self):
-        self.parser = http_codec.RequestParser()
+        self.parser = http_codec.RequestParser(max_body_bytes=MAX_BODY_BYTES)
         self.requests = asyncio.Queue()
 
     def connection_made(self, transport):
