Refuse identifiers in settings and selectors that daemons would refuse

Seen by reading: since entries of the store are checked, a host name or a version with control characters, or longer than 255, would have been accepted where it is set and refused by each daemon that gets it.

Change: settings, selectors, heartbeats, announcements, orders and entries share one definition of an identifier.

Evidence: product "A host name that other daemons would refuse is refused in the settings" and configuration "A version that daemons would refuse is refused when it is set" failed without the checks and pass now.

--- a/features/configuration.feature
+++ b/features/configuration.feature
@@ -5,6 +5,12 @@
     When a selector with unknown labels and shares of 50 percent is checked
     Then the fields proxies, targets, shares_by_version are refused
 
+  Scenario: A version that daemons would refuse is refused when it is set
+    # Guards against a rollout whose stored state no daemon accepts.
+    Given labels and a selector booking that gives version v1 all traffic
+    When a selector with a version that has a line break is checked
+    Then the fields shares_by_version are refused
+
   Scenario: During a rollout the stable and the new version share the traffic
     Given labels and a selector booking that gives version v1 all traffic
     When the selector booking gives version v2 all traffic
--- a/features/product.feature
+++ b/features/product.feature
@@ -6,6 +6,12 @@
     Then the settings are refused with errors in the keys color, failure_domain, proxy_address, administration_token
     And no settings error shows the token
 
+  Scenario: A host name that other daemons would refuse is refused in the settings
+    # Guards against a daemon whose member no other daemon accepts.
+    Given settings whose daemon_id has a line break
+    When the settings are loaded
+    Then the settings are refused with errors in the keys daemon_id
+
   Scenario: The settings page documents each key in the order of the code
     When the settings page is read
     Then it lists the keys of the daemon and of the client with their defaults
--- a/features/steps/configuration_steps.py
+++ b/features/steps/configuration_steps.py
@@ -67,7 +67,16 @@
     'a selector with unknown labels and shares of {share:d} percent is checked'
 )
 def check_bad_selector(context, share):
-    body = selector_body({'v1': share})
+    check_refused(context, selector_body({'v1': share}))
+
+
+@when('a selector with a version that has a line break is checked')
+def check_selector_with_line_break(context):
+    check_refused(context, selector_body({'v\n1': 100}, agreed_by=NOW + 60))
+
+
+def check_refused(context, body):
+    """Checks a selector and keeps the names of the fields that are refused."""
     try:
         selectors.check_selector(context.definitions, 'booking', body, NOW)
     except exceptions.InvalidChangeError as error:
--- a/features/steps/product_steps.py
+++ b/features/steps/product_steps.py
@@ -44,6 +44,18 @@
     }
 
 
+@given('settings whose daemon_id has a line break')
+def build_settings_with_line_break(context):
+    build_invalid_settings(context)
+    del context.settings['color']
+    context.settings |= {
+        'daemon_id': 'host\n1',
+        'failure_domain': 'a',
+        'proxy_address': '127.0.0.1:1',
+        'administration_token': TOKEN,
+    }
+
+
 @when('the settings are loaded')
 def load_settings(context):
     try:
--- a/hemlockgrade/config/base.py
+++ b/hemlockgrade/config/base.py
@@ -11,6 +11,7 @@
 
 from hemlockgrade import addresses
 from hemlockgrade import exceptions
+from hemlockgrade import identifiers
 from hemlockgrade import serialization
 
 T = TypeVar('T')
@@ -180,6 +181,18 @@
     )
 
 
+def identifier(**options) -> Any:
+    """Declares a setting that other daemons get as an identifier."""
+    return attrs.field(
+        validator=_check_identifier,
+        metadata={
+            'remedy': 'use a text of 1 to '
+            f'{identifiers.MAX_LENGTH} printable characters'
+        },
+        **options,
+    )
+
+
 def token(**options) -> Any:
     """Declares a secret of at least 16 characters that `repr` omits."""
     return attrs.field(
@@ -205,5 +218,10 @@
     )
 
 
+def _check_identifier(instance, attribute, value: str):
+    if not identifiers.is_identifier(value):
+        raise ValueError(f'{value!r} is not an identifier')
+
+
 def _check_address(instance, attribute, value: str):
     addresses.check_ip(value)
--- a/hemlockgrade/config/daemon.py
+++ b/hemlockgrade/config/daemon.py
@@ -58,8 +58,8 @@
         log_level: Lowest level that is logged.
     """
 
-    daemon_id: str = base.text()
-    failure_domain: str = base.text()
+    daemon_id: str = base.identifier()
+    failure_domain: str = base.identifier()
     proxy_address: str = base.address()
     admission_address: str = base.address()
     local_address: str = base.address()
--- a/hemlockgrade/heartbeats.py
+++ b/hemlockgrade/heartbeats.py
@@ -16,6 +16,7 @@
 from hemlockgrade import addresses
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
+from hemlockgrade import identifiers
 from hemlockgrade import model
 from hemlockgrade import object_checks
 from hemlockgrade import registrar as registrar_module
@@ -189,10 +190,10 @@
     for name in ('target_id', 'service', 'version'):
         if not getattr(announcement, name):
             raise ValueError(f'{name} is empty; set the {name} of the target')
-        if not object_checks.is_identifier(getattr(announcement, name)):
+        if not identifiers.is_identifier(getattr(announcement, name)):
             raise ValueError(
                 f'{name} is not printable or longer than '
-                f'{object_checks.MAX_IDENTIFIER_LENGTH} characters; change it'
+                f'{identifiers.MAX_LENGTH} characters; change it'
             )
     addresses.check_ip(announcement.address)
     if not 1 <= announcement.slots <= object_checks.MAX_INTEGER:
--- a/hemlockgrade/object_checks.py
+++ b/hemlockgrade/object_checks.py
@@ -5,25 +5,15 @@
 from typing import Any
 
 from hemlockgrade import addresses
+from hemlockgrade import identifiers
 from hemlockgrade import model
 from hemlockgrade import selectors
 
 # Largest whole number that JSON encoders and stores keep exactly.
 MAX_INTEGER = 2**63 - 1
-# Longest identifier, in characters. Identifiers are sent in headers.
-MAX_IDENTIFIER_LENGTH = 255
 MAX_PERMILLE = 1000
 
 
-def is_identifier(text: str) -> bool:
-    """Returns whether a text is usable in headers, logs and names.
-
-    It has 1 to `MAX_IDENTIFIER_LENGTH` printable characters, so that it has
-    neither control characters nor lone surrogates.
-    """
-    return 0 < len(text) <= MAX_IDENTIFIER_LENGTH and text.isprintable()
-
-
 def check_types(data: Any, encoded: Any, path: str = '') -> None:
     """Checks that the values of an object have the types of their fields.
 
@@ -147,7 +137,7 @@
 
 def _check_identifiers(**text_by_field: str):
     for field, text in text_by_field.items():
-        _require(is_identifier(text), field, text)
+        _require(identifiers.is_identifier(text), field, text)
 
 
 def _require(holds: bool, field: str, value: Any):
--- a/hemlockgrade/platform/codec.py
+++ b/hemlockgrade/platform/codec.py
@@ -8,6 +8,7 @@
 
 from hemlockgrade import addresses
 from hemlockgrade import exceptions
+from hemlockgrade import identifiers
 from hemlockgrade import model
 from hemlockgrade import object_checks
 
@@ -310,7 +311,7 @@
 
 def _identifier(field: str, value: Any) -> str:
     """Checks that a value is a usable identifier, and returns it."""
-    if not isinstance(value, str) or not object_checks.is_identifier(value):
+    if not isinstance(value, str) or not identifiers.is_identifier(value):
         raise _invalid(field, value)
     return value
 
--- a/hemlockgrade/selectors.py
+++ b/hemlockgrade/selectors.py
@@ -10,6 +10,7 @@
 import cattrs
 
 from hemlockgrade import exceptions
+from hemlockgrade import identifiers
 from hemlockgrade import model
 from hemlockgrade import serialization
 
@@ -396,9 +397,11 @@
                 f'label {name} has kind {label.kind}',
                 remedy=f'use a {kind} label',
             )
-    if not selector.service:
+    if not identifiers.is_identifier(selector.service):
         yield exceptions.InvalidFieldError(
-            'service', 'is empty', remedy='set the service'
+            'service',
+            f'{selector.service!r} is not a valid name',
+            remedy='set the service, in printable characters',
         )
 
 
@@ -441,6 +444,12 @@
 
 def _check_shares(selector):
     shares = selector.shares_by_version
+    if not all(map(identifiers.is_identifier, shares)):
+        yield exceptions.InvalidFieldError(
+            'shares_by_version',
+            'a version is empty, too long or not printable',
+            remedy='use the versions of the targets',
+        )
     if any(share < 0 for share in shares.values()):
         yield exceptions.InvalidFieldError(
             'shares_by_version', 'a share is negative', remedy='use 0 to 100'
