--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -52,6 +52,19 @@
     latency_s: float
 
 
+@attrs.frozen
+class _Slot:
+    """A slot in use.
+
+    Attributes:
+        server: The local server.
+        limiter: Limiter to which the slot is released.
+    """
+
+    server: model.Server
+    limiter: limits.Limiter
+
+
 @attrs.define(eq=False, kw_only=True)
 class _AdmittedRequest:
     """A request that has a slot of the local server.
@@ -193,28 +206,14 @@
             is_nested=is_nested,
             max_wait_s=max_wait_s,
         )
-        while True:
-            server = self.registrar.ready_server
-            if server is None or server.server_id != server_id:
-                return peer_protocol.refusal_response(
-                    self._refusal_reason(server_id)
-                )
-            if link_wait_s > max_wait_s:
-                return peer_protocol.refusal_response(
-                    peer_protocol.Refusal.BUSY
-                )
-            limiter = self._limiter_of(server)
-            refusal = await self._wait_for_slot(limiter, slot_request, deadline)
-            if self._is_limiter_of_ready_server(limiter):
-                break
-            # The server left or restarted during the wait, so that its new
-            # state decides.
-            if refusal is None:
-                limiter.release(None)
-        if refusal is not None:
-            return refusal
+        slot = await self._acquire_slot(
+            server_id, slot_request, deadline, link_wait_s
+        )
+        if isinstance(slot, http_codec.Response):
+            return slot
+        limiter = slot.limiter
         admitted = _AdmittedRequest(
-            server=server,
+            server=slot.server,
             route=route,
             attempt_id=attempt_id,
             deadline=deadline,
@@ -255,6 +254,47 @@
             response.headers.append((peer_protocol.NESTED_REFUSED_HEADER, b'1'))
         return response
 
+    async def _acquire_slot(
+        self,
+        server_id: str,
+        slot_request: limits.SlotRequest,
+        deadline: float,
+        link_wait_s: float,
+    ) -> '_Slot | http_codec.Response':
+        """Waits for a slot of the server that the sender chose.
+
+        The state of the server is looked at before and after the wait.
+
+        Args:
+            server_id: Identifier of the server.
+            slot_request: The request for a slot.
+            deadline: Monotonic time until which the caller waits for the
+                response.
+            link_wait_s: Time that the body of the response would wait for the
+                link, in seconds.
+
+        Returns:
+            The slot, or a response that says why the request was refused.
+        """
+        while True:
+            server = self.registrar.ready_server
+            if server is None or server.server_id != server_id:
+                return peer_protocol.refusal_response(
+                    self._refusal_reason(server_id)
+                )
+            if link_wait_s > slot_request.max_wait_s:
+                return peer_protocol.refusal_response(
+                    peer_protocol.Refusal.BUSY
+                )
+            limiter = self._limiter_of(server)
+            refusal = await self._wait_for_slot(limiter, slot_request, deadline)
+            if self._is_limiter_of_ready_server(limiter):
+                return refusal or _Slot(server, limiter)
+            # The server left or restarted during the wait, so that its new
+            # state decides.
+            if refusal is None:
+                limiter.release(None)
+
     async def _wait_for_slot(
         self,
         limiter: limits.Limiter,
