--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -330,9 +330,9 @@
     ),
     Mutation(
         guard='the limit of a server is kept by the daemon beside it',
-        module='admission.py',
-        old='if not self.limit.admits(',
-        new='if False and not self.limit.admits(',
+        module='server_limit.py',
+        old='return self._missing_requests(priority, waiting, now) <= 0',
+        new='return True',
         feature='server_notices',
     ),
     Mutation(
@@ -356,6 +356,62 @@
         new='pass',
         feature='server_notices',
     ),
+    Mutation(
+        guard='a limit that is named during the wait for a slot is kept',
+        module='admission.py',
+        old='        if not self.limit.admits(0, 0, self.clock()):\n',
+        new='        if False:\n',
+        feature='server_notices',
+    ),
+    Mutation(
+        guard='a fence names the process to which the attempt was sent',
+        module='sender.py',
+        old='(peer_protocol.BOOT_ID_HEADER, boot_id.encode())',
+        new='(peer_protocol.BOOT_ID_HEADER, peer.member.boot_id.encode())',
+        feature='retries',
+    ),
+    Mutation(
+        guard='waiting requests are refused when their server leaves',
+        module='admission.py',
+        old='        limiter.drain()\n',
+        new='',
+        feature='leaving_server',
+    ),
+    Mutation(
+        guard='the new state of the server decides after the wait for a slot',
+        module='admission.py',
+        old='            if self._is_limiter_of_ready_server(limiter):\n',
+        new='            if True:\n',
+        feature='leaving_server',
+    ),
+    Mutation(
+        guard='the state of the server is read before a request is written',
+        module='admission.py',
+        old='        if not self._is_ready(admitted.server):\n',
+        new='        if False:\n',
+        feature='leaving_server',
+    ),
+    Mutation(
+        guard='the fields of an entry have their types',
+        module='object_codec.py',
+        old='        object_checks.check_types(data, encode(value))\n',
+        new='',
+        feature='foreign_entries',
+    ),
+    Mutation(
+        guard='the name of an entry is that of its content',
+        module='object_codec.py',
+        old='        if key_of(value) != name:\n',
+        new='        if False:\n',
+        feature='foreign_entries',
+    ),
+    Mutation(
+        guard='names are percent-encoded in calls to the store',
+        module='platform/store.py',
+        old="return f'{kind}/{http_codec.quote(name)}'",
+        new="return f'{kind}/{name}'",
+        feature='foreign_entries',
+    ),
 )
 
 
