Compare versions with another failure domain every second time without the store

Cause: only 0.15 of the comparisons, and of those the share of remote peers, went to other failure domains, so the time had no bound.

Change: while the store sends a daemon nothing, comparisons alternate between its own and other failure domains, beginning with another one.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -327,6 +327,17 @@
     When a peer with the same configuration and one with an older one ask for the state
     Then only the second one gets the configuration
 
+  Scenario Outline: A daemon without the store compares versions with other failure domains
+    # Guards against a failure domain without a path to the store that gets
+    # changes from others only by chance.
+    When a daemon among 9 local and 9 other peers compares versions 40 times and the store is <store>
+    Then <least> to <most> of the comparisons are with another failure domain
+
+    Examples:
+      | store       | least | most |
+      | available   | 0     | 12   |
+      | unavailable | 20    | 20   |
+
   Scenario Outline: A daemon waits for the store before it fetches from a peer
     When a peer has a newer configuration and the store is <store>
     Then the daemon fetches it from the peer after <delay> seconds
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -824,6 +824,40 @@
     assert same is None and older is not None
 
 
+@when(
+    'a daemon among {local:d} local and {remote:d} other peers compares versions {count:d} times and the store is {state}'
+)
+def choose_compared_peers(context, local, remote, count, state):
+    sync = build_sync(
+        5, is_watching=lambda: state == 'available', random=random.Random(1)
+    )
+    for number in range(local + remote):
+        sync.directory.apply_member(
+            model.Member(
+                name=f'h{number}',
+                address=f'10.0.0.{number + 1}:80',
+                zone='a' if number < local else 'b',
+                boot_id='boot',
+                revision=number + 1,
+            ),
+            'test',
+        )
+    addresses = [sync._random_peer() for _ in range(count)]
+    context.remote_comparisons = sum(
+        int(address.split(':')[0].rpartition('.')[2]) > local
+        for address in addresses
+    )
+
+
+@then(
+    '{least:d} to {most:d} of the comparisons are with another failure domain'
+)
+def check_compared_peers(context, least, most):
+    assert least <= context.remote_comparisons <= most, (
+        context.remote_comparisons
+    )
+
+
 @when('a peer has a newer configuration and the store is {state}')
 def hear_of_configuration(context, state):
     sync = build_sync(5, is_watching=lambda: state == 'available')
--- a/hemlockgrade/state_sync.py
+++ b/hemlockgrade/state_sync.py
@@ -28,8 +28,9 @@
 # Mean time between two comparisons of versions with a peer, in seconds.
 COMPARE_INTERVAL_S = 1.0
 # Fraction of the comparisons for which peers of other failure domains are
-# candidates, too. It is low since traffic between failure domains is billed by
-# the byte.
+# candidates, too, while the store sends new configurations. It is low since
+# traffic between failure domains is billed by the byte. Without the store,
+# every second comparison is one with another failure domain.
 REMOTE_ZONE_COMPARISON_FRACTION = 0.15
 # Longest time for a peer to send its versions, in seconds.
 PEER_TIMEOUT_S = 1.0
@@ -59,6 +60,7 @@
     random: random_module.Random = attrs.field(factory=random_module.Random)
     is_watching: Callable[[], bool] = lambda: False
     _task: asyncio.Task | None = None
+    _asked_remote_zone: bool = False
 
     async def run(self) -> None:
         """Compares versions with random peers until it is cancelled.
@@ -111,7 +113,9 @@
     def _random_peer(self) -> str | None:
         """Returns the address of a random peer.
 
-        The peer is mostly one of this daemon's own failure domain.
+        The peer is mostly one of this daemon's own failure domain. Without the
+        store, the two kinds take turns: the whole failure domain may lack the
+        store, and then gets changes from other ones only.
 
         Returns:
             The address; None if no peer is known that is not leaving.
@@ -122,11 +126,15 @@
             if member.address != self.address and not member.leaving
         ]
         local_zone = [member for member in peers if member.zone == self.zone]
-        if (
-            local_zone
-            and self.random.random() > REMOTE_ZONE_COMPARISON_FRACTION
-        ):
-            peers = local_zone
+        remote_zones = [member for member in peers if member.zone != self.zone]
+        if self.is_watching():
+            # The first comparison without the store is a remote one.
+            self._asked_remote_zone = False
+            if self.random.random() > REMOTE_ZONE_COMPARISON_FRACTION:
+                peers = local_zone or peers
+        elif local_zone and remote_zones:
+            self._asked_remote_zone = not self._asked_remote_zone
+            peers = remote_zones if self._asked_remote_zone else local_zone
         return self.random.choice(peers).address if peers else None
 
     def versions(self) -> peer_protocol.Versions:
