--- a/hemlockgrade/object_checks.py
+++ b/hemlockgrade/object_checks.py
@@ -142,4 +142,7 @@
 
 def _require(holds: bool, field: str, value: Any):
     if not holds:
-        raise ValueError(f'{field.lstrip(".")} is {value!r:.80}')
+        raise ValueError(
+            f'{field.lstrip(".") or "the content"} has the unusable value '
+            f'{value!r:.80}'
+        )
