Limit the receive buffer of each connection

Cause: the daemon stops to read, but the operating system lets its receive buffer grow up to net.ipv4.tcp_rmem, which is 32 MB on this machine and 6 MB on the former ones.

--- a/hemlockgrade/http_server.py
+++ b/hemlockgrade/http_server.py
@@ -154,6 +154,7 @@
         self._loop = asyncio.get_running_loop()
         self._factory.connections.add(self)
         self.transport.setTcpNoDelay(True)
+        sockets.limit_receive_buffer(self.transport.getHandle())
         self._writer = sockets.DirectWriter(
             self.transport, self._factory.link.record_write
         )
--- a/hemlockgrade/sockets.py
+++ b/hemlockgrade/sockets.py
@@ -1,8 +1,29 @@
-"""Writes to Twisted transports without waiting for the event loop."""
+"""Writes to Twisted transports at once and sets options of their sockets."""
 
 from collections.abc import Callable
+import socket
 from typing import Any
 
+# Size of the buffer in which the operating system keeps received bytes that
+# this process has not read, in bytes. It allows 1 Gbit/s at a round trip of
+# 8 ms. Without a limit, the operating system lets the buffer grow to tens of
+# megabytes a connection.
+RECEIVE_BUFFER_BYTES = 1_048_576
+
+
+def limit_receive_buffer(handle: Any) -> None:
+    """Limits the received bytes that the operating system keeps for a socket.
+
+    Bytes of a sender that this process has stopped to read stay at the sender.
+
+    Args:
+        handle: Handle of a transport; ignored if it is not a socket.
+    """
+    if isinstance(handle, socket.socket):
+        handle.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES
+        )
+
 
 def _ignore_size(size: int) -> None:
     """Ignores the number of written bytes."""
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -53,7 +53,9 @@
             self.transport.abortConnection()
             return
         self.transport.setTcpNoDelay(True)
-        _set_silence_timeout(self.transport.getHandle())
+        handle = self.transport.getHandle()
+        _set_silence_timeout(handle)
+        sockets.limit_receive_buffer(handle)
         self._writer = sockets.DirectWriter(self.transport)
         if not self.opened.done():
             self.opened.set_result(None)
