--- a/hemlockgrade/watcher.py
+++ b/hemlockgrade/watcher.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from collections.abc import Collection
 import random as random_module
 
 import attrs
@@ -91,6 +92,7 @@
 
     async def _list(self, *, may_lag: bool = False) -> object_store.Listing:
         listing = await self.store.list(self.kind, may_lag=may_lag)
+        self._log_read('list', may_lag, listing.items, listing.revision)
         for item in listing.items:
             self._handle(self.on_item, item)
         if self.on_listed is not None:
@@ -109,6 +111,9 @@
             listing = await self._list(may_lag=True)
             self._revision = max(self._revision, listing.revision)
         changes = await self.store.watch(self.kind, self._revision, self.wait_s)
+        if changes.changes:
+            items = [change.item for change in changes.changes]
+            self._log_read('watch', True, items, changes.revision)
         for change in changes.changes:
             self._handle(
                 self.on_deleted if change.deleted else self.on_item, change.item
@@ -159,6 +164,25 @@
                 item.revision,
             )
 
+    def _log_read(
+        self,
+        call: str,
+        may_lag: bool,
+        items: Collection[object_store.StoredItem],
+        revision: int,
+    ):
+        logger.info(
+            'event=store_read kind={} call={} may_lag={} items={} newest={} '
+            'revision={} before={}',
+            self.kind,
+            call,
+            may_lag,
+            len(items),
+            max((item.revision for item in items), default='-'),
+            revision,
+            self._revision,
+        )
+
     def _set_connected(self, connected: bool, problem: str):
         if connected == self.connected:
             return
