Reproduce late and lost configurations when reads of the store lag

What happened on the users' machines stays unproven.

The stand-in of the store ignored Serializable, so no test could see what the store's page allows.

Watcher._list_until_unchanged continues from CurrentRev, past the change. The watch goes on from CurrentRev, too. - The watcher alone: it never gets the change after an empty or lagging watch response (config and mesh), a list after quick changes and a list after a failure (config), if the counter is newer than the data.

Ruled out: a dropped history alone.

--- /dev/null
+++ b/features/configuration_freshness.feature
@@ -0,0 +1,64 @@
+Feature: A new configuration is in force on every daemon in time
+
+  The store acknowledges a version and each daemon has to serve it within 2.0
+  seconds, `ConfigApplyMs` of the users' smaller sites. Reads with `Serializable`
+  may return data that is seconds old; the store's page doesn't say whether
+  `CurrentRev` in such a response is that of the data or the newest one.
+
+  @known_red
+  Scenario: Added routes are in force in time although cheap reads are old
+    # Guards against a daemon that knows only what reads with Serializable return.
+    Given a mesh with hosts in 3 failure domains, 2 in each
+    When cheap reads of the store are 3 seconds behind
+    And a route is added 3 times
+    Then each daemon served each route within 2.0 seconds
+
+  @known_red
+  Scenario: The last of several quick changes is not lost
+    # Guards against a watch that continues from the counter of an older list.
+    Given a mesh with hosts in 3 failure domains, 2 in each
+    When cheap lists of the store are 3 seconds behind its counter
+    And a route is added 2 times, each time as the last of 7 versions within 0.4 seconds
+    Then each daemon served each route within 2.0 seconds
+
+  @known_red
+  Scenario: A change right after one that a watch returns late is not lost
+    # Guards against a watch that continues from a counter newer than its events.
+    Given a mesh with hosts in 3 failure domains, 2 in each
+    When cheap reads of the store are 3 seconds behind its counter
+    And a route is added 1 times, each time as the last of 2 versions within 1.0 seconds
+    Then each daemon served each route within 2.0 seconds
+
+  @known_red
+  Scenario: Silent connections to the store do not delay a failure domain
+    # Guards against a failure domain that waits on watches that return nothing.
+    Given a mesh with hosts in 3 failure domains, 2 in each
+    When a route is added while the open connections of one failure domain to the store are silent, for each domain in turn
+    Then each daemon served each route within 2.0 seconds
+
+  Scenario: A change right after the store has dropped its history is not lost
+    # Guards against an old list in place of the current one after a 410.
+    Given a mesh with hosts in 3 failure domains, 2 in each
+    When cheap lists of the store are 3 seconds behind its counter
+    And a route is added 2 times, each time right after the store has dropped its history
+    Then each daemon served each route within 2.0 seconds
+
+  Scenario Outline: The counter of an old response does not hide a change
+    # Guards against a watch that continues from a counter newer than the data.
+    When <response> of the kind <kind> has a counter that is newer than its data
+    Then the watcher gets the change between the two
+
+    @known_red
+    Examples: Responses that lag
+      | kind   | response                     |
+      | config | an empty watch response      |
+      | config | a watch response             |
+      | config | the list after quick changes |
+      | config | the list after a failure     |
+      | mesh   | an empty watch response      |
+      | mesh   | a watch response             |
+
+    Examples: Lists that do not lag
+      | kind   | response                      |
+      | config | the list after a lost history |
+      | mesh   | the list after a lost history |
--- /dev/null
+++ b/features/steps/configuration_freshness_steps.py
@@ -0,0 +1,342 @@
+"""Steps for the time until a new configuration is in force."""
+
+import asyncio
+from concurrent import futures
+import contextlib
+import itertools
+import math
+import threading
+import time
+
+import attrs
+from behave import given
+from behave import then
+from behave import when
+
+from hemlockgrade import exceptions
+from hemlockgrade import object_store
+from hemlockgrade import watcher
+from standins import cluster
+from standins import mesh_cluster
+from standins import store_links
+
+# Longest time for which a route is requested, in seconds.
+MEASURE_S = 5.0
+# Time between two requests for a new route to a daemon, in seconds.
+PROBE_INTERVAL_S = 0.1
+# Time between two other requests to a daemon, in seconds.
+CALL_INTERVAL_S = 0.25
+# Time for daemons to watch again after a change or a reset, in seconds.
+SETTLE_S = 1.5
+# Time for a watcher to get a change that any read would return, in seconds.
+WATCHER_TIMEOUT_S = 2.0
+SHOP_ROUTE = mesh_cluster.build_route('shop', '/shop/')
+
+
+@attrs.define(eq=False)
+class Operator:
+    """Writes configurations with more and more routes.
+
+    Attributes:
+        mesh: The mesh.
+        routes: Routes of the last version.
+        version_numbers: Numbers of the next versions.
+    """
+
+    mesh: mesh_cluster.MeshCluster
+    routes: list[dict] = attrs.field(factory=lambda: [SHOP_ROUTE])
+    version_numbers: itertools.count = attrs.field(
+        factory=lambda: itertools.count(1)
+    )
+
+    def write_version(self):
+        """Writes a version with the same routes."""
+        self.mesh.configure(next(self.version_numbers), *self.routes)
+
+    def add_route(self) -> str:
+        """Writes a version with another route and returns a path of it."""
+        prefix = f'/new{len(self.routes)}/'
+        self.routes.append(mesh_cluster.build_route(prefix, prefix))
+        self.write_version()
+        return f'{prefix}x'
+
+
+@given('a mesh with hosts in {domains:d} failure domains, {count:d} in each')
+def start_mesh(context, domains, count):
+    mesh = context.mesh = mesh_cluster.create_temporary(context.add_cleanup)
+    mesh.start_store()
+    context.domains = cluster.FAILURE_DOMAINS[:domains]
+    context.links = store_links.StoreLinks(
+        {domain: mesh.store_address(domain) for domain in context.domains}
+    )
+    context.links.start()
+    context.add_cleanup(context.links.stop)
+    context.operator = Operator(mesh)
+    context.operator.write_version()
+    context.host_names = []
+    for domain in context.domains:
+        for number in range(count):
+            name = f'{domain}{number}'
+            mesh.start_host(
+                name,
+                domain,
+                store_address=context.links.address_by_domain[domain],
+            )
+            context.host_names.append(name)
+    for name in context.host_names:
+        cluster.wait_until(lambda n=name: mesh.is_serving(n), f'{name} serves')
+    start_callers(context)
+    time.sleep(SETTLE_S)
+    # Seconds until each daemon served the added route, of each change.
+    context.delays_s_by_host = []
+
+
+def start_callers(context):
+    """Calls each daemon a few times a second until the end of the test."""
+    ended = threading.Event()
+
+    def call(name):
+        while not ended.wait(CALL_INTERVAL_S):
+            context.mesh.call(name, '/shop/x')
+
+    threads = [
+        threading.Thread(target=call, args=(name,))
+        for name in context.host_names
+    ]
+    for thread in threads:
+        thread.start()
+        context.add_cleanup(thread.join)
+    # Cleanups run in reverse order.
+    context.add_cleanup(ended.set)
+
+
+def measure_delays_s(context, path):
+    """Returns when each daemon served a path, by host.
+
+    The times are seconds from now to the request, and infinite for a daemon
+    that did not serve the path.
+    """
+    acknowledged_at = time.monotonic()
+
+    def measure(name):
+        while True:
+            delay_s = time.monotonic() - acknowledged_at
+            if context.mesh.is_serving(name, path):
+                return delay_s
+            if delay_s > MEASURE_S:
+                return math.inf
+            time.sleep(PROBE_INTERVAL_S)
+
+    with futures.ThreadPoolExecutor(len(context.host_names)) as pool:
+        delays_s = pool.map(measure, context.host_names)
+        return dict(zip(context.host_names, delays_s, strict=True))
+
+
+def add_route(context):
+    """Adds a route and records when each daemon served it."""
+    path = context.operator.add_route()
+    context.delays_s_by_host.append(measure_delays_s(context, path))
+
+
+@when('cheap reads of the store are {seconds:g} seconds behind')
+def delay_reads(context, seconds):
+    context.faults = {'lag_s': seconds}
+    context.mesh.set_store_faults(**context.faults)
+
+
+@when('cheap reads of the store are {seconds:g} seconds behind its counter')
+def delay_reads_with_counter(context, seconds):
+    context.faults = {'lag_s': seconds, 'lag_counter': True}
+    context.mesh.set_store_faults(**context.faults)
+
+
+@when('cheap lists of the store are {seconds:g} seconds behind its counter')
+def delay_lists(context, seconds):
+    context.faults = {
+        'lag_s': seconds,
+        'lag_counter': True,
+        'lag_lists_only': True,
+    }
+    context.mesh.set_store_faults(**context.faults)
+
+
+@when('a route is added {times:d} times')
+def add_routes(context, times):
+    for _ in range(times):
+        add_route(context)
+        time.sleep(SETTLE_S)
+
+
+@when(
+    'a route is added {times:d} times, each time as the last of {versions:d} versions within {seconds:g} seconds'
+)
+def add_routes_after_changes(context, times, versions, seconds):
+    for _ in range(times):
+        for _ in range(versions - 1):
+            context.operator.write_version()
+            time.sleep(seconds / (versions - 1))
+        add_route(context)
+        time.sleep(SETTLE_S)
+
+
+@when(
+    'a route is added {times:d} times, each time right after the store has dropped its history'
+)
+def add_routes_after_forgetting(context, times):
+    for _ in range(times):
+        context.mesh.set_store_faults(**context.faults, forget=True)
+        add_route(context)
+        time.sleep(SETTLE_S)
+
+
+@when(
+    'a route is added while the open connections of one failure domain to the store are silent, for each domain in turn'
+)
+def add_routes_beside_silence(context):
+    for domain in context.domains:
+        context.links.silence_open(domain)
+        add_route(context)
+        context.links.reset(domain)
+        time.sleep(SETTLE_S)
+
+
+@then('each daemon served each route within {limit_s:g} seconds')
+def check_delays(context, limit_s):
+    worst = [max(delays.values()) for delays in context.delays_s_by_host]
+    print('seconds of the last daemon:', [round(each, 2) for each in worst])
+    assert max(worst) <= limit_s, [
+        {name: round(delay_s, 2) for name, delay_s in delays.items()}
+        for delays in context.delays_s_by_host
+    ]
+
+
+@attrs.frozen(kw_only=True)
+class Step:
+    """What a store does before it responds to one call.
+
+    Attributes:
+        visible: Number of versions written that every read returns.
+        hidden: Number of versions written after them that the response to a
+            cheap read lacks, although its counter includes them.
+        error: Error in place of the response.
+    """
+
+    visible: int = 0
+    hidden: int = 0
+    error: Exception | None = None
+
+
+@attrs.define(eq=False)
+class LaggingStore:
+    """A store of one object, whose cheap reads lag.
+
+    Each version of the object increases the revision of the store by one.
+
+    Attributes:
+        steps: Steps of the next calls; later responses are current.
+        revision: Revision of the newest version.
+    """
+
+    steps: list[Step]
+    revision: int = 1
+
+    async def list(self, kind, *, may_lag=False):
+        """Returns the object."""
+        visible = self._take_step()
+        return object_store.Listing(
+            items=(self._item(kind, visible if may_lag else self.revision),),
+            revision=self.revision,
+        )
+
+    async def watch(self, kind, revision, wait_s):
+        """Returns the visible versions after a revision."""
+        visible = self._take_step()
+        if visible <= revision:
+            await asyncio.sleep(wait_s)
+        return object_store.Changes(
+            changes=tuple(
+                object_store.ItemChange(
+                    item=self._item(kind, number), deleted=False
+                )
+                for number in range(revision + 1, visible + 1)
+            ),
+            revision=self.revision,
+        )
+
+    def _take_step(self):
+        """Takes the next step and returns the revision of cheap reads."""
+        step = self.steps.pop(0) if self.steps else Step()
+        self.revision += step.visible + step.hidden
+        if step.error is not None:
+            raise step.error
+        return self.revision - step.hidden
+
+    def _item(self, kind, revision):
+        return object_store.StoredItem(
+            kind=kind, name='main', revision=revision
+        )
+
+
+# Steps by the response that lags. The first call of a watcher is a list.
+STEPS_BY_RESPONSE = {
+    'an empty watch response': [Step(), Step(hidden=1)],
+    'a watch response': [Step(), Step(visible=1, hidden=1)],
+    'the list after quick changes': [Step(), Step(visible=2), Step(hidden=1)],
+    'the list after a failure': [
+        Step(),
+        Step(
+            error=exceptions.PlatformUnavailableError(
+                'cut off', remedy='retry later'
+            )
+        ),
+        Step(hidden=1),
+    ],
+    'the list after a lost history': [
+        Step(),
+        Step(
+            error=object_store.HistoryLostError(
+                'the history is lost', remedy='list again'
+            )
+        ),
+        Step(hidden=1),
+    ],
+}
+
+
+@when('{response} of the kind {kind} has a counter that is newer than its data')
+def read_lagging_response(context, response, kind):
+    steps = STEPS_BY_RESPONSE[response]
+    context.newest_revision = 1 + sum(s.visible + s.hidden for s in steps)
+    context.revisions = []
+
+    async def run():
+        has_newest = asyncio.Event()
+
+        def handle(item):
+            context.revisions.append(item.revision)
+            if item.revision == context.newest_revision:
+                has_newest.set()
+
+        store_watcher = watcher.Watcher(
+            store=LaggingStore(list(steps)),
+            kind=kind,
+            wait_s=0.02,
+            on_item=handle,
+            on_deleted=lambda item: None,
+            batch_delay_s=0.01,
+            skips_versions=kind == 'config',
+        )
+        task = asyncio.create_task(store_watcher.run())
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(WATCHER_TIMEOUT_S):
+                await has_newest.wait()
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+    asyncio.run(run())
+
+
+@then('the watcher gets the change between the two')
+def check_revisions(context):
+    assert context.newest_revision in context.revisions, context.revisions
--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -11,6 +11,12 @@
     forget: True to drop the history of changes once.
     replace: Texts that are replaced in the bodies of writes, for example the
         address of a daemon by the address of a relay.
+    lag_s: Age in seconds of the data of reads with `Serializable=1`. Changes
+        younger than that are missing in lists and are not yet returned by
+        watches. Other reads are always current.
+    lag_lists_only: True if watches do not lag.
+    lag_counter: True if `CurrentRev` in lagging responses is the newest
+        revision of the store, instead of that of the data.
 
 `GET /.control/calls` returns the number of calls by method.
 """
@@ -19,11 +25,39 @@
 import collections
 import json
 import sys
+import time
+from typing import Any
 import urllib.parse
 
+import attrs
+
 from standins import http_connection
 
 OBJECTS_PATH = '/-/objects/'
+# Time between two looks of a lagging watch for changes that have become old
+# enough, in seconds.
+LAG_CHECK_INTERVAL_S = 0.02
+
+
+@attrs.frozen(kw_only=True)
+class Change:
+    """A change of one object.
+
+    Attributes:
+        revision: Revision of the store after the change.
+        kind: Kind of the object.
+        name: Name of the object.
+        changed_at: Monotonic time of the change, in seconds.
+        event: Watch event of the change.
+        previous: The object before the change; None if it did not exist.
+    """
+
+    revision: int
+    kind: str
+    name: str
+    changed_at: float
+    event: dict[str, Any]
+    previous: dict[str, Any] | None
 
 
 class Store:
@@ -32,8 +66,8 @@
     Attributes:
         revision: Revision of the last change of any object.
         objects: Objects by kind and name.
-        history: Revision, kind and watch event of each change.
-        forgotten: Revision up to which the history was dropped.
+        history: All changes.
+        forgotten: Revision up to which watches do not get the history.
         changed: Set at the next change, then replaced.
         faults: Active faults by name.
         calls: Number of calls by method.
@@ -88,7 +122,7 @@
         }
         new[section] = data
         self.objects[kind][name] = new
-        self._record_change(kind, new, deleted=False)
+        self._record_change(kind, new, old, deleted=False)
         return 200, new
 
     def delete(self, kind, name, revision):
@@ -111,28 +145,64 @@
         del self.objects[kind][name]
         self.revision += 1
         removed = {**old, 'Metadata': {**old['Metadata'], 'Rev': self.revision}}
-        self._record_change(kind, removed, deleted=True)
+        self._record_change(kind, removed, old, deleted=True)
         return 200, removed
 
     def forget(self):
-        """Drops the history; watches of older revisions have to list again."""
+        """Hides the history; watches of older revisions have to list again."""
         self.forgotten = self.revision
-        self.history.clear()
-        self._notify_watches()
-
-    def events_after(self, kind, revision):
-        """Returns the watch events of a kind after a revision."""
-        return [e for r, k, e in self.history if k == kind and r > revision]
-
-    def _record_change(self, kind, item, *, deleted):
-        event = {'Deleted': deleted, 'Object': item}
-        self.history.append((self.revision, kind, event))
-        self._notify_watches()
+        self.notify_watches()
+
+    def revision_before(self, lag_s):
+        """Returns the revision that the store had some seconds ago."""
+        revision = self.revision
+        newest_at = time.monotonic() - lag_s
+        for change in reversed(self.history):
+            if change.changed_at <= newest_at:
+                break
+            revision = change.revision - 1
+        return revision
+
+    def objects_at(self, kind, revision):
+        """Returns the objects of a kind by name, as of a revision."""
+        objects = dict(self.objects[kind])
+        for change in reversed(self.history):
+            if change.revision <= revision:
+                break
+            if change.kind != kind:
+                continue
+            if change.previous is None:
+                del objects[change.name]
+            else:
+                objects[change.name] = change.previous
+        return objects
+
+    def events_between(self, kind, after, until):
+        """Returns the watch events of a kind after and until a revision."""
+        return [
+            change.event
+            for change in self.history
+            if change.kind == kind and after < change.revision <= until
+        ]
 
-    def _notify_watches(self):
+    def notify_watches(self):
+        """Lets waiting watches look for changes."""
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def _record_change(self, kind, item, previous, *, deleted):
+        self.history.append(
+            Change(
+                revision=self.revision,
+                kind=kind,
+                name=item['Metadata']['Name'],
+                changed_at=time.monotonic(),
+                event={'Deleted': deleted, 'Object': item},
+                previous=previous,
+            )
+        )
+        self.notify_watches()
+
 
 class Connection(http_connection.HttpConnection):
     """Handles the calls of one connection in sequence."""
@@ -156,6 +226,7 @@
             store.faults = json.loads(request.body)
             if store.faults.pop('forget', False):
                 store.forget()
+            store.notify_watches()
             return 200, {}
         if url.path == '/.control/calls':
             return 200, dict(store.calls)
@@ -183,20 +254,21 @@
     async def read(self, path, query):
         """Returns the response to a read, a list or a watch."""
         store, kind = self.store, path[0]
-        if len(path) > 1:
-            item = store.objects[kind].get(path[1])
-            return (200, item) if item else (404, {})
         if 'Watch' in query:
             return await self.watch(kind, query)
-        items = [store.objects[kind][n] for n in sorted(store.objects[kind])]
+        revision = store.revision_before(self._lag_s(query))
+        objects = store.objects_at(kind, revision)
+        if len(path) > 1:
+            item = objects.get(path[1])
+            return (200, item) if item else (404, {})
         after = query.get('after', '')
-        items = [i for i in items if i['Metadata']['Name'] > after]
+        items = [objects[name] for name in sorted(objects) if name > after]
         # Pages of 2 objects make clients request further pages.
         page = items[:2]
         return 200, {
             'items': page,
             'HasMore': len(items) > len(page),
-            'CurrentRev': store.revision,
+            'CurrentRev': self._counter(revision),
         }
 
     async def watch(self, kind, query):
@@ -205,21 +277,42 @@
         Returns:
             An HTTP status and the body of the response.
         """
-        store, revision = self.store, int(query['Watch'])
+        store, after = self.store, int(query['Watch'])
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + int(query['WaitMs']) / 1000
         while True:
-            if revision < store.forgotten:
+            if after < store.forgotten:
                 return 410, {}
-            events = store.events_after(kind, revision)
+            lag_s = self._lag_s(query)
+            revision = store.revision_before(lag_s)
+            events = store.events_between(kind, after, revision)
             if events or loop.time() >= ends_at:
-                return 200, {'events': events, 'CurrentRev': store.revision}
+                return 200, {
+                    'events': events,
+                    'CurrentRev': self._counter(revision),
+                }
+            look_at = loop.time() + LAG_CHECK_INTERVAL_S if lag_s else ends_at
             try:
-                async with asyncio.timeout_at(ends_at):
+                async with asyncio.timeout_at(min(look_at, ends_at)):
                     await store.changed.wait()
             except TimeoutError:
                 continue
 
+    def _lag_s(self, query):
+        """Returns the age of the data that a read gets, in seconds."""
+        faults = self.store.faults
+        if query.get('Serializable') != '1' or (
+            'Watch' in query and faults.get('lag_lists_only')
+        ):
+            return 0.0
+        return faults.get('lag_s', 0.0)
+
+    def _counter(self, revision):
+        """Returns `CurrentRev` of a response with data of a revision."""
+        if self.store.faults.get('lag_counter'):
+            return self.store.revision
+        return revision
+
     def write(self, request, path, query):
         """Performs a write and returns the status and body of the response."""
         store, kind = self.store, path[0]
