Confirm the newest configuration without lagging reads

What callers saw: 404 for an added route, or an answer of its former service, for seconds after the operator's change, at all daemons of a mesh or of one failure domain.

Cause (knowledge without an age): each daemon took the watch for current. The watch may use a replica that is seconds behind, and a connection that has fallen silent while its other end still acknowledges bytes. What peers know comes from the same reads, and a daemon that is told of a newer version waited 0.8 s and forgot what it heard meanwhile.

Change: one daemon of each failure domain reads the changes of the configuration without lag, twice a second; the others ask each other along a tree how long ago their configuration was the newest one, counted from the moment of the request. A daemon whose knowledge is older than 1.2 s, or that hears of a version that its watch doesn't return in 0.25 s, reads the store itself. A read that gets no response on an open connection is tried on a new one; if that works at once, all watches move to new connections. Peers that are heard during a fetch are remembered. The list after a failure and the 404 line say how old the knowledge is.

Calls to the store at rest are bounded by a scenario.

Fake stores and pools of the scenarios take the new arguments; no check changed.

--- a/features/configuration_freshness.feature
+++ b/features/configuration_freshness.feature
@@ -5,7 +5,6 @@
   may return data that is seconds old; the store's page doesn't say whether
   `CurrentRev` in such a response is that of the data or the newest one.
 
-  @known_red
   Scenario: Added routes are in force in time although cheap reads are old
     # Guards against a daemon that knows only what reads with Serializable return.
     Given a mesh with hosts in 3 failure domains, 2 in each
@@ -20,7 +19,6 @@
     And a route is added 2 times, each time as the last of 7 versions within 0.4 seconds
     Then each daemon served each route within 2.0 seconds
 
-  @known_red
   Scenario: A change right after one that a watch returns late is not lost
     # Guards against a watch that continues from a counter newer than its events.
     Given a mesh with hosts in 3 failure domains, 2 in each
@@ -28,7 +26,6 @@
     And a route is added 1 times, each time as the last of 2 versions within 1.0 seconds
     Then each daemon served each route within 2.0 seconds
 
-  @known_red
   Scenario: Silent connections to the store do not delay a failure domain
     # Guards against a failure domain that waits on watches that return nothing.
     Given a mesh with hosts in 3 failure domains, 2 in each
@@ -47,7 +44,7 @@
     When <response> of the kind <kind> has a counter that is newer than its data
     Then the watcher gets the change between the two
 
-    Examples: Responses that lag
+      Examples: Responses that lag
       | kind   | response                     |
       | config | an empty watch response      |
       | config | a watch response             |
@@ -60,3 +57,44 @@
       | kind   | response                      |
       | config | the list after a lost history |
       | mesh   | the list after a lost history |
+
+  Scenario: The first daemon of a failure domain is killed right before a change
+    # Guards against daemons that wait for the one that asks the store for them.
+    Given a mesh with hosts in 3 failure domains, 3 in each
+    When cheap reads of the store are 3 seconds behind
+    And a route is added right after the first daemon of each failure domain is killed
+    Then each running daemon served each route within 2.0 seconds
+
+  Scenario: Few daemons ask the store while nothing changes
+    # Guards against reads of the store that grow with the number of daemons.
+    Given a mesh with hosts in 2 failure domains, 5 in each
+    When nothing changes for 5 seconds
+    Then the store has got at most 14 calls a second
+
+  Scenario Outline: Confirmations reach each daemon in few steps
+    # Guards against one daemon that all others ask, and against long chains.
+    Given a failure domain of <daemons> daemons
+    Then one of them asks the store, and each is asked by at most 16 others
+    And the longest way to the store has <steps> steps
+
+    Examples:
+      | daemons | steps |
+      | 1       | 0     |
+      | 17      | 1     |
+      | 26      | 2     |
+      | 745     | 3     |
+
+  Scenario: A confirmation counts once its version is in force
+    # Guards against a daemon that is confirmed by a peer with a newer version.
+    Given a daemon with version 5 of the configuration
+    When a peer confirms version 6 of 0.2 seconds ago
+    Then the configuration of the daemon is not confirmed
+    When version 6 comes into force
+    Then the configuration of the daemon was confirmed 0.2 seconds ago
+    When a peer confirms version 5 of 0.1 seconds ago
+    Then the configuration of the daemon was confirmed 0.1 seconds ago
+
+  Scenario: The age that a peer states counts from the request
+    # Guards against an old response that is taken for a recent confirmation.
+    When a peer responds after 3 seconds that its configuration is 0.1 seconds old
+    Then the confirmation is at least 3.1 seconds old
--- a/features/steps/configuration_freshness_steps.py
+++ b/features/steps/configuration_freshness_steps.py
@@ -1,6 +1,7 @@
 """Steps for the time until a new configuration is in force."""
 
 import asyncio
+import collections
 from concurrent import futures
 import contextlib
 import itertools
@@ -13,8 +14,12 @@
 from behave import then
 from behave import when
 
+from hemlockgrade import directory
 from hemlockgrade import exceptions
+from hemlockgrade import freshness
+from hemlockgrade import model
 from hemlockgrade import object_store
+from hemlockgrade import peer_protocol
 from hemlockgrade import watcher
 from standins import cluster
 from standins import mesh_cluster
@@ -200,6 +205,33 @@
         time.sleep(SETTLE_S)
 
 
+@when(
+    'a route is added right after the first daemon of each failure domain is killed'
+)
+def add_route_after_kill(context):
+    for domain in context.domains:
+        name = f'{domain}0'
+        context.mesh.daemon_by_name[name].kill()
+        context.host_names.remove(name)
+    add_route(context)
+
+
+@when('nothing changes for {seconds:g} seconds')
+def count_calls(context, seconds):
+    address = context.mesh.store_process.addresses['http']
+    url = f'http://{address}/.control/calls'
+    before = sum(cluster.get_json(url).values())
+    time.sleep(seconds)
+    calls = sum(cluster.get_json(url).values()) - before
+    context.calls_per_s = calls / seconds
+
+
+@then('the store has got at most {most:g} calls a second')
+def check_calls(context, most):
+    assert context.calls_per_s <= most, context.calls_per_s
+
+
+@then('each running daemon served each route within {limit_s:g} seconds')
 @then('each daemon served each route within {limit_s:g} seconds')
 def check_delays(context, limit_s):
     worst = [max(delays.values()) for delays in context.delays_s_by_host]
@@ -342,3 +374,101 @@
 @then('the watcher gets the change between the two')
 def check_revisions(context):
     assert context.newest_revision in context.revisions, context.revisions
+
+
+@given('a failure domain of {count:d} daemons')
+def build_names(context, count):
+    names = [f'h-{number}' for number in range(count)]
+    context.source_by_name = {
+        name: freshness.choose_source(names, name) for name in names
+    }
+
+
+@then(
+    'one of them asks the store, and each is asked by at most {most:d} others'
+)
+def check_sources(context, most):
+    asked = collections.Counter(context.source_by_name.values())
+    assert asked.pop(None) == 1
+    assert all(count <= most for count in asked.values()), asked
+
+
+@then('the longest way to the store has {steps:d} steps')
+def check_steps(context, steps):
+    def count(name):
+        source = context.source_by_name[name]
+        return 0 if source is None else 1 + count(source)
+
+    longest = max(map(count, context.source_by_name))
+    assert longest == steps, longest
+
+
+@given('a daemon with version {version:d} of the configuration')
+def build_freshness(context, version):
+    context.now = 100.0
+    context.directory = directory.Directory('h-1')
+    context.freshness = freshness.Freshness(
+        directory=context.directory, clock=lambda: context.now
+    )
+    context.directory.on_configuration.append(
+        context.freshness.handle_configuration
+    )
+    apply_version(context, version)
+
+
+@when('version {version:d} comes into force')
+def apply_version(context, version):
+    context.directory.apply_configuration(
+        model.MeshConfiguration(
+            version=version,
+            routes=(),
+            check_path_by_service={},
+            limits=model.CallerLimits(),
+            document=None,
+        ),
+        'test',
+    )
+
+
+@when('a peer confirms version {version:d} of {age_s:g} seconds ago')
+def confirm(context, version, age_s):
+    context.freshness.confirm(
+        freshness.Confirmation(
+            version=version, revision=9, confirmed_at=context.now - age_s
+        )
+    )
+
+
+@then('the configuration of the daemon is not confirmed')
+def check_unconfirmed(context):
+    assert context.freshness.age_s == math.inf, context.freshness.age_s
+
+
+@then('the configuration of the daemon was confirmed {age_s:g} seconds ago')
+def check_age(context, age_s):
+    assert math.isclose(context.freshness.age_s, age_s, abs_tol=1e-6), (
+        context.freshness.age_s
+    )
+
+
+@when(
+    'a peer responds after {delay_s:g} seconds that its configuration is {age_s:g} seconds old'
+)
+def respond_late(context, delay_s, age_s):
+    sent_at = 100.0
+    confirmation = peer_protocol.decode_confirmation(
+        [
+            (
+                peer_protocol.CONFIRMED_HEADER,
+                peer_protocol.encode_confirmation(age_s, 9),
+            )
+        ],
+        peer_protocol.Versions(configuration_version=5, table_revision=7),
+        sent_at,
+    )
+    context.age_s = sent_at + delay_s - confirmation.confirmed_at
+
+
+@then('the confirmation is at least {age_s:g} seconds old')
+def check_confirmation_age(context, age_s):
+    assert context.age_s >= age_s - 1e-6, context.age_s
--- a/features/steps/foreign_entries_steps.py
+++ b/features/steps/foreign_entries_steps.py
@@ -15,6 +15,7 @@
 
 from hemlockgrade import directory
 from hemlockgrade import exceptions
+from hemlockgrade import freshness
 from hemlockgrade import http_codec
 from hemlockgrade import model
 from hemlockgrade import object_codec
@@ -128,6 +129,9 @@
         ),
         rollouts=None,
         restore_server=lambda member: None,
+        freshness=freshness.Freshness(
+            directory=context.directory, clock=time.monotonic
+        ),
     )
     sound = attrs.evolve(MEMBER, name='h-1')
     deliver(context, 'member.h-1', encode_as_json(sound), 1)
@@ -243,7 +247,7 @@
 
     body: bytes
 
-    async def fetch(self, address, request, deadline):
+    async def fetch(self, address, request, deadline, *, max_idle_s):
         """Returns the response."""
         return http_codec.Response(status=200, body=self.body)
 
--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -27,7 +27,7 @@
 
     pages: list[dict]
 
-    async def fetch(self, address, request, deadline):
+    async def fetch(self, address, request, deadline, *, max_idle_s):
         """Returns the next page as a response."""
         return http_codec.Response(
             status=200, body=orjson.dumps(self.pages.pop(0))
--- /dev/null
+++ b/hemlockgrade/configuration_check.py
@@ -0,0 +1,262 @@
+"""Keeps this daemon's knowledge of the newest configuration recent.
+
+The watch of the configuration usually returns a change at once, but it may use
+a lagging replica or a connection that has silently failed. So in each failure
+domain one daemon asks the store for changes without lag, several times a
+second, and the others ask each other how recent their knowledge is. A daemon
+that does not hear of a recent answer asks the store itself.
+"""
+
+import asyncio
+import random as random_module
+
+import attrs
+from loguru import logger
+
+from hemlockgrade import exceptions
+from hemlockgrade import freshness as freshness_module
+from hemlockgrade import model
+from hemlockgrade import state_sync
+from hemlockgrade import store_feed
+
+# Mean time between two reads of the store by the daemon that asks for its
+# failure domain, and between two comparisons with a peer, in seconds.
+STORE_INTERVAL_S = 0.5
+PEER_INTERVAL_S = 0.3
+# The same without a path to the store. Each comparison may then be one with
+# another failure domain, whose traffic is billed by the byte.
+CUT_OFF_INTERVAL_S = 1.0
+# Jitter of these times, as a fraction.
+JITTER = 0.2
+# A daemon whose latest confirmation is older asks the store itself, in seconds.
+MAX_AGE_S = 1.2
+# Time for the watch to return a version that a peer has already, before this
+# daemon asks the store for it, in seconds.
+WATCH_GRACE_S = 0.25
+# Longest time for a peer of the same failure domain to send its versions, in
+# seconds.
+PEER_TIMEOUT_S = 0.25
+# A peer that did not respond, or so many times had no recent confirmation, is
+# not asked for this time, in seconds.
+MAX_OLD_RESPONSES = 3
+PEER_COOLDOWN_S = 5.0
+# Longest time for the store to respond on a connection that was open before,
+# which may have failed silently, and on a new one, in seconds.
+OPEN_CONNECTION_TIMEOUT_S = 0.25
+NEW_CONNECTION_TIMEOUT_S = 1.0
+# Time between two reads after failed ones, in seconds.
+MIN_RETRY_INTERVAL_S = 0.5
+MAX_RETRY_INTERVAL_S = 2.0
+# An age that is logged, in seconds: the users ask for each change to be in
+# force after 2 s.
+LOGGED_AGE_S = 2.0
+
+
+@attrs.define(eq=False, kw_only=True)
+class ConfigurationCheck:
+    """Confirms the configuration in force, by the store or by peers.
+
+    Attributes:
+        freshness: How recent the configuration is.
+        feed: Reads the store.
+        sync: Compares versions with peers.
+        zone: Failure domain of this daemon's host.
+        random: Source of the jitter.
+    """
+
+    freshness: freshness_module.Freshness
+    feed: store_feed.StoreFeed
+    sync: state_sync.StateSync
+    zone: str
+    random: random_module.Random = attrs.field(factory=random_module.Random)
+    _not_before_by_peer: dict[str, float] = attrs.field(factory=dict)
+    _old_responses_by_peer: dict[str, int] = attrs.field(factory=dict)
+    _wanted_version: int = 0
+    _wanted_at: float = 0.0
+    _woken: asyncio.Event = attrs.field(factory=asyncio.Event)
+    _next_read_at: float = 0.0
+    _failed_reads: int = 0
+    _logged_old: bool = False
+
+    async def run(self) -> None:
+        """Confirms the configuration again and again until it is cancelled."""
+        while True:
+            await self._wait(self._interval_s())
+            await self._confirm()
+            self._log_age()
+
+    def want(self, version: int) -> None:
+        """Asks the store for a version that a peer has, unless it arrives."""
+        if version <= max(self._wanted_version, self._version):
+            return
+        if not self._is_behind:
+            self._wanted_at = self.freshness.clock() + WATCH_GRACE_S
+        self._wanted_version = version
+        self._woken.set()
+
+    @property
+    def _version(self) -> int:
+        return self.freshness.directory.configuration_version
+
+    @property
+    def _is_behind(self) -> bool:
+        return self._wanted_version > self._version
+
+    @property
+    def _is_recent(self) -> bool:
+        return self.freshness.age_s <= MAX_AGE_S
+
+    def _interval_s(self) -> float:
+        if not self.feed.gets_configurations and not self._is_recent:
+            mean_s = CUT_OFF_INTERVAL_S
+        elif self._source() is None:
+            mean_s = STORE_INTERVAL_S
+        else:
+            mean_s = PEER_INTERVAL_S
+        return mean_s * (1 + JITTER * (2 * self.random.random() - 1))
+
+    async def _wait(self, interval_s: float):
+        """Waits for the interval, or until a wanted version is overdue."""
+        until = self.freshness.clock() + interval_s
+        while True:
+            self._woken.clear()
+            now = self.freshness.clock()
+            ends_at = min(until, self._wanted_at) if self._is_behind else until
+            if now >= ends_at:
+                return
+            try:
+                async with asyncio.timeout(ends_at - now):
+                    await self._woken.wait()
+            except TimeoutError:
+                return
+
+    async def _confirm(self):
+        if self._is_behind and self.freshness.clock() >= self._wanted_at:
+            # Peers send the version later, if the store does not.
+            self._wanted_version = 0
+            await self._read_store()
+            return
+        source = self._source()
+        if source is not None:
+            await self._compare(source)
+            if self._is_recent:
+                return
+        if not await self._read_store() and not self._is_recent:
+            await self.sync.compare_with_random_peer()
+
+    def _source(self) -> model.Member | None:
+        """Returns the peer to ask; None if this daemon asks the store."""
+        directory = self.freshness.directory
+        now = self.freshness.clock()
+        usable = [
+            name
+            for name, member in directory.member_by_name.items()
+            if member.zone == self.zone
+            and not member.leaving
+            and self._not_before_by_peer.get(name, 0.0) <= now
+        ]
+        name = freshness_module.choose_source(usable, directory.name)
+        return None if name is None else directory.member_by_name[name]
+
+    async def _compare(self, source: model.Member):
+        """Compares versions with a peer.
+
+        A peer that does not respond, or that several times had no recent
+        confirmation, is not asked for some time.
+        """
+        before = self.freshness.confirmed_at
+        try:
+            await self.sync.compare(source.address, PEER_TIMEOUT_S)
+        except exceptions.HemlockError as error:
+            logger.debug(
+                'event=peer_not_compared peer={} problem={!r}',
+                source.name,
+                str(error),
+            )
+            self._set_aside(source.name)
+            return
+        if self._is_recent:
+            if self.freshness.confirmed_at > before:
+                self._old_responses_by_peer.pop(source.name, None)
+            return
+        count = self._old_responses_by_peer.get(source.name, 0) + 1
+        self._old_responses_by_peer[source.name] = count
+        if count >= MAX_OLD_RESPONSES and self.feed.gets_configurations:
+            self._set_aside(source.name)
+
+    def _set_aside(self, name: str):
+        self._old_responses_by_peer.pop(name, None)
+        self._not_before_by_peer[name] = (
+            self.freshness.clock() + PEER_COOLDOWN_S
+        )
+
+    async def _read_store(self) -> bool:
+        """Reads the changes of the configuration up to now.
+
+        While the watch of the configuration fails, nothing is read here: the
+        watch tries again by itself and begins with a list.
+
+        Returns:
+            False if the store was not asked or did not respond.
+        """
+        now = self.freshness.clock()
+        if not self.feed.gets_configurations or now < self._next_read_at:
+            return False
+        before = self._version
+        try:
+            await self._read_changes()
+        except exceptions.PlatformUnavailableError as error:
+            self._failed_reads += 1
+            delay_s = min(
+                MIN_RETRY_INTERVAL_S * 2 ** min(self._failed_reads, 8),
+                MAX_RETRY_INTERVAL_S,
+            )
+            self._next_read_at = self.freshness.clock() + delay_s
+            logger.info(
+                'event=configuration_not_confirmed age_s={:.2f} problem={!r}',
+                self.freshness.age_s,
+                str(error),
+            )
+            return False
+        self._failed_reads = 0
+        if self._version != before:
+            logger.info(
+                'event=configuration_read_late version={} before={}',
+                self._version,
+                before,
+            )
+        return True
+
+    async def _read_changes(self):
+        """Reads the changes, on a new connection if the open one is silent.
+
+        Raises:
+            exceptions.PlatformUnavailableError: The store is unavailable.
+        """
+        started_at = self.freshness.clock()
+        try:
+            await self.feed.read_configuration(OPEN_CONNECTION_TIMEOUT_S)
+            return
+        except exceptions.PlatformUnavailableError:
+            if self.freshness.clock() - started_at < OPEN_CONNECTION_TIMEOUT_S:
+                # The store refused the call.
+                raise
+        started_at = self.freshness.clock()
+        await self.feed.read_configuration(
+            NEW_CONNECTION_TIMEOUT_S, new_connection=True
+        )
+        if self.freshness.clock() - started_at < OPEN_CONNECTION_TIMEOUT_S / 2:
+            self.feed.restart_watches()
+
+    def _log_age(self):
+        is_old = self.freshness.age_s > LOGGED_AGE_S
+        if is_old == self._logged_old:
+            return
+        self._logged_old = is_old
+        logger.info(
+            'event=configuration_{} version={} age_s={:.2f} revision={}',
+            'unconfirmed' if is_old else 'confirmed',
+            self._version,
+            self.freshness.age_s,
+            self.freshness.revision,
+        )
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -11,10 +11,12 @@
 from loguru import logger
 
 from hemlockgrade import admission as admission_module
+from hemlockgrade import configuration_check
 from hemlockgrade import definition_store
 from hemlockgrade import directory as directory_module
 from hemlockgrade import drain as drain_module
 from hemlockgrade import evidence
+from hemlockgrade import freshness as freshness_module
 from hemlockgrade import heartbeats
 from hemlockgrade import http_codec
 from hemlockgrade import http_server
@@ -71,6 +73,7 @@
         time_line: Events of this process.
         directory: Configuration, members, shares, labels and selectors that
             this daemon has received.
+        freshness: How recent the configuration in force is.
         store: Client of the platform's metadata store.
         registrar: Current state of the local server.
         admission: Admission of requests to the local server.
@@ -100,6 +103,12 @@
         self.directory = directory_module.Directory(settings.daemon_id)
         for plugin in kernel.get_plugins('events'):
             self.directory.events.register_plugin(plugin(self.time_line))
+        self.freshness = freshness_module.Freshness(
+            directory=self.directory, clock=self._clock
+        )
+        self.directory.on_configuration.append(
+            self.freshness.handle_configuration
+        )
         self.store = store_module.MetadataStore(
             settings.store_address, self._build_pool()
         )
@@ -177,6 +186,10 @@
             address=settings.admission_address,
             zone=settings.failure_domain,
             is_watching=lambda: self._store_feed.gets_configurations,
+            freshness=self.freshness,
+            on_newer_configuration=lambda version: (
+                self._configuration_check.want(version)
+            ),
         )
         sender = sender_module.Sender(
             host_name=settings.daemon_id,
@@ -198,6 +211,7 @@
             retry_slack=settings.retry_slack,
             on_finished=self._record_request,
             on_repeat=self.metrics.repeats.inc,
+            configuration_age_s=lambda: self.freshness.age_s,
         )
 
     def _build_control(self):
@@ -224,6 +238,13 @@
             publisher=self._publisher,
             rollouts=self._rollouts,
             restore_server=self._restore_server,
+            freshness=self.freshness,
+        )
+        self._configuration_check = configuration_check.ConfigurationCheck(
+            freshness=self.freshness,
+            feed=self._store_feed,
+            sync=self._state_sync,
+            zone=settings.failure_domain,
         )
         self._peer_api = peer_api.PeerApi(
             admission=self.admission,
@@ -272,7 +293,7 @@
                 for task in (
                     self._publisher.run(),
                     self._rollouts.run(),
-                    self._state_sync.run(),
+                    self._configuration_check.run(),
                     self._server_check.run(),
                     *self._store_feed.watch_coroutines(),
                     *tasks,
--- /dev/null
+++ b/hemlockgrade/freshness.py
@@ -0,0 +1,100 @@
+"""How recent the configuration of this daemon is, and which peer knows more."""
+
+from collections.abc import Callable
+from collections.abc import Sequence
+import math
+
+import attrs
+
+from hemlockgrade import directory as directory_module
+
+# Number of daemons that ask the same peer. A failure domain of 8,200 / 11 hosts
+# then has three levels below the daemon that asks the store.
+MAX_ASKING_PEERS = 16
+
+
+@attrs.frozen(kw_only=True)
+class Confirmation:
+    """Statement about the newest configuration in the store at some time.
+
+    Attributes:
+        version: Newest version in the store at that time.
+        revision: Revision of the store at that time.
+        confirmed_at: That time, of the monotonic clock of this process, in
+            seconds.
+    """
+
+    version: int
+    revision: int
+    confirmed_at: float
+
+
+@attrs.define(eq=False, kw_only=True)
+class Freshness:
+    """Keeps the latest time at which the configuration in force was the newest.
+
+    Attributes:
+        directory: Has the configuration in force.
+        clock: Returns the monotonic time in seconds.
+        on_confirmed: Called with the revision of the store up to which this
+            daemon has all changes of the configuration.
+        confirmed_at: All versions that the store had accepted by this time are
+            in force here or were replaced by a newer one. Minus infinity
+            before the first confirmation.
+        revision: Revision of the store that belongs to this time.
+    """
+
+    directory: directory_module.Directory
+    clock: Callable[[], float]
+    on_confirmed: Callable[[int], None] = lambda revision: None
+    confirmed_at: float = -math.inf
+    revision: int = 0
+    _pending: Confirmation | None = None
+
+    @property
+    def age_s(self) -> float:
+        """Returns the time since the latest confirmation, in seconds."""
+        return self.clock() - self.confirmed_at
+
+    def confirm(self, new: Confirmation) -> None:
+        """Applies a confirmation of an own read of the store or of a peer.
+
+        One of a version that this daemon does not have yet is kept until the
+        version comes into force.
+        """
+        if new.version > self.directory.configuration_version:
+            if (
+                self._pending is None
+                or new.confirmed_at > self._pending.confirmed_at
+            ):
+                self._pending = new
+            return
+        self.confirmed_at = max(self.confirmed_at, new.confirmed_at)
+        if new.revision > self.revision:
+            self.revision = new.revision
+            self.on_confirmed(new.revision)
+
+    def handle_configuration(self) -> None:
+        """Handles a new version in force."""
+        pending, self._pending = self._pending, None
+        if pending is not None:
+            self.confirm(pending)
+
+
+def choose_source(names: Sequence[str], own_name: str) -> str | None:
+    """Returns the peer whose confirmations a daemon of a failure domain uses.
+
+    The daemons form a tree in the order of their names. The first one asks the
+    store, each other one asks its parent in the tree.
+
+    Args:
+        names: Names of the daemons of the failure domain that can be asked, in
+            any order; the own name may be missing.
+        own_name: Name of the daemon that asks.
+
+    Returns:
+        The name of the peer; None if the daemon has to ask the store itself.
+    """
+    ordered = sorted({*names, own_name})
+    rank = ordered.index(own_name)
+    return None if rank == 0 else ordered[(rank - 1) // MAX_ASKING_PEERS]
--- a/hemlockgrade/metrics.py
+++ b/hemlockgrade/metrics.py
@@ -51,6 +51,11 @@
             'hemlock_configuration_version',
             'Version of the configuration in force.',
         )
+        self.configuration_age_seconds = self._add(
+            aioprometheus.Gauge,
+            'hemlock_configuration_age_seconds',
+            'Time since the configuration was confirmed to be the newest one.',
+        )
         self.table_revision = self._add(
             aioprometheus.Gauge,
             'hemlock_table_revision',
--- a/hemlockgrade/object_store.py
+++ b/hemlockgrade/object_store.py
@@ -134,6 +134,26 @@
             HistoryLostError: The store no longer has all these changes.
         """
 
+    async def changes_since(
+        self,
+        kind: str,
+        revision: int,
+        timeout_s: float,
+        *,
+        new_connection: bool = False,
+    ) -> Changes:
+        """Returns all changes after a revision up to now, without a wait.
+
+        Args:
+            kind: Kind of the objects.
+            revision: Only changes after this revision are returned.
+            timeout_s: Longest time for the response, in seconds.
+            new_connection: True if no connection is used that was open before.
+
+        Raises:
+            HistoryLostError: The store no longer has all these changes.
+        """
+
     async def create(self, kind: str, name: str, spec: Any) -> StoredItem:
         """Creates an object if it does not exist.
 
--- a/hemlockgrade/overview.py
+++ b/hemlockgrade/overview.py
@@ -5,6 +5,7 @@
 
 from hemlockgrade import admission as admission_module
 from hemlockgrade import directory as directory_module
+from hemlockgrade import freshness as freshness_module
 from hemlockgrade import metrics as metrics_module
 from hemlockgrade import model
 from hemlockgrade.config import daemon as daemon_settings
@@ -23,6 +24,7 @@
         boot_id: Identifier of the process.
         metrics: Counters, histograms and gauges.
         directory: State that the daemon has received.
+        freshness: How recent the configuration in force is.
         admission: Admission of requests to the local server.
         store: Client of the platform's metadata store.
     """
@@ -31,6 +33,7 @@
     boot_id: str
     metrics: metrics_module.Metrics
     directory: directory_module.Directory
+    freshness: freshness_module.Freshness
     admission: admission_module.AdmissionController
     store: store_module.MetadataStore
 
@@ -148,6 +151,7 @@
     metrics, directory = daemon.metrics, daemon.directory
     metrics.server_requests.set({}, daemon.admission.load[0])
     metrics.configuration_version.set({}, directory.configuration_version)
+    metrics.configuration_age_seconds.set({}, daemon.freshness.age_s)
     metrics.table_revision.set({}, directory.table_revision)
     count_by_state: dict[str, int] = {
         str(state): 0 for state in model.ServerState
--- a/hemlockgrade/peer_api.py
+++ b/hemlockgrade/peer_api.py
@@ -39,7 +39,11 @@
         self.sync.handle_headers(request.headers)
         if request.path == peer_protocol.VERSIONS_PATH:
             return http_codec.Response(
-                status=200, headers=self.sync.version_headers()
+                status=200,
+                headers=[
+                    *self.sync.version_headers(),
+                    *self.sync.confirmation_headers(),
+                ],
             )
         if request.path == peer_protocol.STATE_PATH:
             known = peer_protocol.decode_versions(request.headers)
--- a/hemlockgrade/peer_protocol.py
+++ b/hemlockgrade/peer_protocol.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from hemlockgrade import freshness
 from hemlockgrade import http_codec
 from hemlockgrade import ledger
 from hemlockgrade.platform import codec as platform_codec
@@ -37,6 +38,9 @@
 # Version of the configuration and table revision that the sender has, as
 # `<version>,<revision>`.
 VERSIONS_HEADER = b'x-hemlock-versions'
+# In a response to a request for the versions: how long ago the configuration
+# was the newest one of the store, as `<milliseconds>,<revision>`.
+CONFIRMED_HEADER = b'x-hemlock-confirmed'
 # Address at which the sender accepts requests of its peers.
 SENDER_HEADER = b'x-hemlock-sender'
 # In a response: why the request was not run, a value of `Refusal`.
@@ -172,6 +176,41 @@
     )
 
 
+def encode_confirmation(age_s: float, revision: int) -> bytes:
+    """Returns the value of `CONFIRMED_HEADER`.
+
+    Args:
+        age_s: Time since the configuration of the sender was the newest one of
+            the store, in seconds.
+        revision: Revision of the store at that time.
+    """
+    return b'%d,%d' % (math.ceil(age_s * 1000), revision)
+
+
+def decode_confirmation(
+    headers: http_codec.Headers, versions: Versions, sent_at: float
+) -> freshness.Confirmation | None:
+    """Decodes how recent the configuration of a peer is.
+
+    Args:
+        headers: Headers of the response of the peer.
+        versions: Versions of the peer.
+        sent_at: Monotonic time at which the request was sent, in seconds. The
+            peer has stated the age after this time.
+
+    Returns:
+        None if the header is missing or malformed.
+    """
+    values = _decode_numbers(headers, CONFIRMED_HEADER, 2)
+    if values is None or values[0] < 0:
+        return None
+    return freshness.Confirmation(
+        version=versions.configuration_version,
+        revision=int(values[1]),
+        confirmed_at=sent_at - values[0] / 1000,
+    )
+
+
 def encode_load(requests: int, service_s: float) -> bytes:
     """Returns the value of `LOAD_HEADER`.
 
--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -21,6 +21,8 @@
 # A watch has failed if there is no response this long after the end of its
 # wait, in seconds.
 WATCH_TIMEOUT_MARGIN_S = 0.5
+# Shortest wait of a watch, in milliseconds.
+MIN_WAIT_MS = 1
 
 _Method = Literal['GET', 'POST', 'PUT', 'DELETE']
 
@@ -92,14 +94,24 @@
             f'{path}&Serializable=1' if may_lag else path,
             timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
         )
-        changes = tuple(
-            object_store.ItemChange(item=item, deleted=bool(event['Deleted']))
-            for event in data['events']
-            for item in _decode_items(kind, [event['Object']])
-        )
-        return object_store.Changes(
-            changes=changes, revision=data['CurrentRev']
+        return _decode_changes(kind, data)
+
+    async def changes_since(
+        self,
+        kind: str,
+        revision: int,
+        timeout_s: float,
+        *,
+        new_connection: bool = False,
+    ) -> object_store.Changes:
+        """Returns all changes after a revision up to now, without a wait."""
+        data = await self._call(
+            'GET',
+            f'{kind}?Watch={revision}&WaitMs={MIN_WAIT_MS}',
+            timeout_s=timeout_s,
+            max_idle_s=0.0 if new_connection else upstream.MAX_IDLE_S,
         )
+        return _decode_changes(kind, data)
 
     async def create(
         self, kind: str, name: str, spec: Any
@@ -136,6 +148,7 @@
         path: str,
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
+        max_idle_s: float = upstream.MAX_IDLE_S,
     ) -> Any:
         self.calls_by_method[method] = self.calls_by_method.get(method, 0) + 1
         request = http_codec.Request(
@@ -146,7 +159,9 @@
             request.body = orjson.dumps(body)
         deadline = asyncio.get_running_loop().time() + timeout_s
         try:
-            response = await self.pool.fetch(self.address, request, deadline)
+            response = await self.pool.fetch(
+                self.address, request, deadline, max_idle_s=max_idle_s
+            )
         except exceptions.RequestNotRunError as error:
             raise _unavailable(method, path, str(error)) from error
         except (
@@ -224,6 +239,15 @@
         return None
 
 
+def _decode_changes(kind: str, data: Any) -> object_store.Changes:
+    changes = tuple(
+        object_store.ItemChange(item=item, deleted=bool(event['Deleted']))
+        for event in data['events']
+        for item in _decode_items(kind, [event['Object']])
+    )
+    return object_store.Changes(changes=changes, revision=data['CurrentRev'])
+
+
 def _decode_items(kind: str, data: list[Any]) -> list[object_store.StoredItem]:
     """Decodes objects; leaves out those that cannot be decoded."""
     items = []
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -6,6 +6,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import uuid
 
 import attrs
@@ -67,6 +68,8 @@
             and its duration in seconds.
         on_repeat: Called when an attempt that counts as a retry has reached a
             server, with its metric labels.
+        configuration_age_s: Returns the time since the configuration in force
+            was confirmed to be the newest one, in seconds.
     """
 
     local_service: Callable[[], str]
@@ -80,6 +83,7 @@
     retry_slack: float
     on_finished: Callable[[dict[str, str], float], None]
     on_repeat: Callable[[dict[str, str]], None] = lambda labels: None
+    configuration_age_s: Callable[[], float] = lambda: math.inf
     _budget_by_service: dict[str, retries.RetryBudget] = attrs.field(
         factory=dict
     )
@@ -320,11 +324,12 @@
         self.on_finished({'outcome': outcome}, self.clock() - started)
         logger.info(
             'event=request_finished request={} route=- status={} outcome={!r} '
-            'configuration={}',
+            'configuration={} confirmed_s={:.2f}',
             request_id,
             status,
             outcome,
             self.directory.configuration_version,
+            self.configuration_age_s(),
         )
 
     def _report_finished(self, call: call_module.Call, status: int):
--- a/hemlockgrade/state_sync.py
+++ b/hemlockgrade/state_sync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import random as random_module
 from typing import Any
 
@@ -11,6 +12,7 @@
 
 from hemlockgrade import directory as directory_module
 from hemlockgrade import exceptions
+from hemlockgrade import freshness as freshness_module
 from hemlockgrade import http_codec
 from hemlockgrade import object_codec
 from hemlockgrade import peer_protocol
@@ -25,8 +27,6 @@
 TABLE_FETCH_DELAY_S = 0.6
 CONFIGURATION_FETCH_DELAY_S = 0.15
 WATCHED_CONFIGURATION_FETCH_DELAY_S = 0.8
-# Mean time between two comparisons of versions with a peer, in seconds.
-COMPARE_INTERVAL_S = 1.0
 # Fraction of the comparisons for which peers of other failure domains are
 # candidates, too, while the store sends new configurations. It is low since
 # traffic between failure domains is billed by the byte. Without the store,
@@ -51,6 +51,10 @@
         random: Source of the random choices.
         is_watching: Returns whether the store sends this daemon new
             configurations.
+        freshness: How recent the configuration of this daemon is; None if it
+            is not known.
+        on_newer_configuration: Called with each newer version of the
+            configuration of which a peer tells.
     """
 
     directory: directory_module.Directory
@@ -59,30 +63,58 @@
     zone: str
     random: random_module.Random = attrs.field(factory=random_module.Random)
     is_watching: Callable[[], bool] = lambda: False
+    freshness: freshness_module.Freshness | None = None
+    on_newer_configuration: Callable[[int], None] = lambda version: None
     _task: asyncio.Task | None = None
+    # Address and versions of the peer that was heard last while a fetch was
+    # scheduled or running.
+    _heard_meanwhile: tuple[str, peer_protocol.Versions] | None = None
     _asked_remote_zone: bool = False
 
-    async def run(self) -> None:
-        """Compares versions with random peers until it is cancelled.
+    async def compare_with_random_peer(self) -> None:
+        """Compares versions with a random peer.
 
         A daemon whose calls the store refuses, or that started while the store
         was unavailable, gets the current state from its peers this way.
         """
-        while True:
-            await asyncio.sleep(
-                COMPARE_INTERVAL_S * (0.5 + self.random.random())
+        address = self._random_peer()
+        if address is None:
+            return
+        try:
+            await self.compare(address, PEER_TIMEOUT_S)
+        except exceptions.HemlockError as error:
+            logger.debug(
+                'event=peer_not_compared peer={} problem={!r}',
+                address,
+                str(error),
             )
-            address = self._random_peer()
-            if address is None:
-                continue
-            try:
-                await self._compare(address)
-            except exceptions.HemlockError as error:
-                logger.debug(
-                    'event=peer_not_compared peer={} problem={!r}',
-                    address,
-                    str(error),
-                )
+
+    async def compare(self, address: str, timeout_s: float) -> None:
+        """Compares versions with a peer, and uses its confirmation.
+
+        Args:
+            address: `ip:port` of the peer.
+            timeout_s: Longest time for the response, in seconds.
+
+        Raises:
+            exceptions.HemlockError: The peer sent no usable response.
+        """
+        sent_at = asyncio.get_running_loop().time()
+        request = http_codec.Request(
+            method='GET',
+            target=peer_protocol.VERSIONS_PATH,
+            headers=self.version_headers(),
+        )
+        response = await self.pool.fetch(address, request, sent_at + timeout_s)
+        versions = peer_protocol.decode_versions(response.headers)
+        if versions is None:
+            return
+        confirmation = peer_protocol.decode_confirmation(
+            response.headers, versions, sent_at
+        )
+        if self.freshness is not None and confirmation is not None:
+            self.freshness.confirm(confirmation)
+        self.handle_versions(address, versions)
 
     def version_headers(self) -> http_codec.Headers:
         """Returns headers with the versions and the address of this daemon."""
@@ -91,6 +123,20 @@
             (peer_protocol.SENDER_HEADER, self.address.encode()),
         ]
 
+    def confirmation_headers(self) -> http_codec.Headers:
+        """Returns a header that says how recent the configuration is.
+
+        Returns:
+            No header if that is not known.
+        """
+        freshness = self.freshness
+        if freshness is None or not math.isfinite(freshness.confirmed_at):
+            return []
+        value = peer_protocol.encode_confirmation(
+            freshness.age_s, freshness.revision
+        )
+        return [(peer_protocol.CONFIRMED_HEADER, value)]
+
     def handle_headers(self, headers: http_codec.Headers) -> None:
         """Handles the versions in the headers of a peer's request."""
         versions = peer_protocol.decode_versions(headers)
@@ -98,18 +144,6 @@
         if versions is not None and address is not None:
             self.handle_versions(address, versions)
 
-    async def _compare(self, address: str):
-        deadline = asyncio.get_running_loop().time() + PEER_TIMEOUT_S
-        request = http_codec.Request(
-            method='GET',
-            target=peer_protocol.VERSIONS_PATH,
-            headers=self.version_headers(),
-        )
-        response = await self.pool.fetch(address, request, deadline)
-        versions = peer_protocol.decode_versions(response.headers)
-        if versions is not None:
-            self.handle_versions(address, versions)
-
     def _random_peer(self) -> str | None:
         """Returns the address of a random peer.
 
@@ -149,13 +183,22 @@
     ) -> None:
         """Schedules a fetch of a peer's state if the peer has newer versions.
 
-        Does nothing while an earlier fetch is scheduled or running.
+        While an earlier fetch is scheduled or running, the peer is only
+        remembered; the next fetch is from the peer that was heard last.
 
         Args:
             address: `ip:port` of the peer.
             versions: Highest versions that the peer has received.
         """
-        if not self._is_newer(versions) or self._task is not None:
+        if not self._is_newer(versions):
+            return
+        if (
+            versions.configuration_version
+            > self.directory.configuration_version
+        ):
+            self.on_newer_configuration(versions.configuration_version)
+        if self._task is not None:
+            self._heard_meanwhile = address, versions
             return
         self._task = asyncio.get_running_loop().create_task(
             self._fetch_if_newer(address, versions)
@@ -273,3 +316,6 @@
             logger.opt(exception=task.exception()).error(
                 'event=state_fetch_failed'
             )
+        heard, self._heard_meanwhile = self._heard_meanwhile, None
+        if heard is not None and not task.cancelled():
+            self.handle_versions(*heard)
--- a/hemlockgrade/store_feed.py
+++ b/hemlockgrade/store_feed.py
@@ -9,6 +9,7 @@
 
 from hemlockgrade import directory as directory_module
 from hemlockgrade import exceptions
+from hemlockgrade import freshness as freshness_module
 from hemlockgrade import model
 from hemlockgrade import object_codec
 from hemlockgrade import object_store
@@ -44,6 +45,8 @@
         rollouts: Gets the operators' rollout orders.
         restore_server: Called with this daemon's member as it is in the store,
             which an earlier process on this host may have written.
+        freshness: Gets the time and the revision of each read of the
+            configuration that does not lag.
     """
 
     store: object_store.ObjectStore
@@ -51,6 +54,8 @@
     publisher: publisher_module.Publisher
     rollouts: rollout_task.RolloutTask
     restore_server: Callable[[model.Member], None]
+    freshness: freshness_module.Freshness
+    _watchers: tuple[watcher.Watcher, ...] = ()
     _configuration_watcher: watcher.Watcher | None = None
 
     @property
@@ -61,6 +66,41 @@
             and self._configuration_watcher.connected
         )
 
+    async def read_configuration(
+        self, timeout_s: float, *, new_connection: bool = False
+    ) -> None:
+        """Reads the changes of the configuration up to now, without lag.
+
+        Args:
+            timeout_s: Longest time for the response, in seconds.
+            new_connection: True if no connection is used that was open before.
+
+        Raises:
+            exceptions.PlatformUnavailableError: The store is unavailable.
+        """
+        if self._configuration_watcher is None:
+            raise exceptions.PlatformUnavailableError(
+                'the store is not watched yet', remedy='retry later'
+            )
+        await self._configuration_watcher.read_changes(
+            timeout_s, new_connection=new_connection
+        )
+
+    def restart_watches(self) -> None:
+        """Sends the waiting watch requests again, on other connections."""
+        logger.info('event=watches_restarted')
+        for each in self._watchers:
+            each.restart()
+
+    def _configuration_current(self, revision: int, started_at: float):
+        self.freshness.confirm(
+            freshness_module.Confirmation(
+                version=self.directory.configuration_version,
+                revision=revision,
+                confirmed_at=started_at,
+            )
+        )
+
     def watch_coroutines(self) -> list[Coroutine[Any, Any, None]]:
         """Returns one coroutine per kind of objects, which watches the kind.
 
@@ -72,10 +112,12 @@
             wait_s=MAX_CONFIGURATION_WATCH_S,
             on_item=self._configuration_changed,
             on_deleted=lambda item: None,
+            on_current=self._configuration_current,
             batch_delay_s=CONFIGURATION_BATCH_DELAY_S,
             skips_versions=True,
         )
-        watchers = (
+        self.freshness.on_confirmed = self._configuration_watcher.advance
+        self._watchers = (
             self._configuration_watcher,
             watcher.Watcher(
                 store=self.store,
@@ -94,7 +136,7 @@
                 on_deleted=self.rollouts.remove_order_object,
             ),
         )
-        return [each.run() for each in watchers]
+        return [each.run() for each in self._watchers]
 
     def _configuration_changed(self, item: object_store.StoredItem):
         if item.name != platform_codec.CONFIGURATION_NAME:
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -358,7 +358,12 @@
             raise
 
     async def fetch(
-        self, address: str, request: http_codec.Request, deadline: float
+        self,
+        address: str,
+        request: http_codec.Request,
+        deadline: float,
+        *,
+        max_idle_s: float = MAX_IDLE_S,
     ) -> http_codec.Response:
         """Sends a request and waits for the whole response.
 
@@ -366,6 +371,9 @@
             address: `host:port` of the server.
             request: The request.
             deadline: Monotonic time in seconds.
+            max_idle_s: Longest idle time of a connection that is reused, in
+                seconds; with 0 a new one is opened and the idle ones are
+                closed.
 
         Returns:
             The response to the request; it has no stream.
@@ -381,6 +389,7 @@
             address,
             request,
             deadline,
+            max_idle_s=max_idle_s,
             max_buffered_bytes=self.max_buffered_bytes,
         )
         if response.stream is not None:
--- a/hemlockgrade/watcher.py
+++ b/hemlockgrade/watcher.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Iterable
 import random as random_module
 
 import attrs
@@ -18,8 +19,11 @@
 MAX_BACKOFF_S = 1.0
 # Longest duration of a watch request that may lag, in seconds. It is half of
 # the time for which the store keeps the changes, so that the next request can
-# still continue from the same revision.
+# still continue from the same revision. The shortest one is a fraction of it:
+# all daemons get a change at the same time, and their next requests without
+# lag must not come all at once.
 MAX_LAGGING_WAIT_S = 10.0
+MIN_LAGGING_WAIT_FRACTION = 0.3
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -42,9 +46,12 @@
         on_item: Called with each object that is new or changed.
         on_deleted: Called with each object that was deleted.
         on_listed: Called with each complete list of the objects.
+        on_current: Called after each read without lag that has returned all
+            changes up to its start, with the revision of the store and the
+            time of the event loop at its start, in seconds.
         random: Source of the jitter of delays.
-        connected: True after a successful watch request, until a list or a
-            watch request fails because the store is unavailable.
+        connected: True after a successful list or watch request, until a list
+            or a watch request fails because the store is unavailable.
     """
 
     store: object_store.ObjectStore
@@ -53,6 +60,7 @@
     on_item: Callable[[object_store.StoredItem], None]
     on_deleted: Callable[[object_store.StoredItem], None]
     on_listed: Callable[[object_store.Listing], None] | None = None
+    on_current: Callable[[int, float], None] = lambda revision, started_at: None
     batch_delay_s: float = 0.0
     skips_versions: bool = False
     random: random_module.Random = attrs.field(factory=random_module.Random)
@@ -61,6 +69,8 @@
     # True after a response that may lag and had no changes: the next request
     # must not lag, so that the watch can continue from a later revision.
     _confirm_next: bool = False
+    _request: asyncio.Task | None = None
+    _restarting: bool = False
 
     async def run(self) -> None:
         """Lists and watches the objects until it is cancelled."""
@@ -68,9 +78,11 @@
             FIRST_BACKOFF_S, MAX_BACKOFF_S, self.random
         )
         while True:
-            started_at = asyncio.get_running_loop().time()
+            loop = asyncio.get_running_loop()
+            started_at = loop.time()
+            self._request = loop.create_task(self._watch_once())
             try:
-                await self._watch_once()
+                await self._request
                 store_backoff.reset()
                 self._set_connected(True, '')
             except object_store.HistoryLostError as error:
@@ -84,18 +96,70 @@
             except exceptions.PlatformUnavailableError as error:
                 self._set_connected(False, str(error))
                 await store_backoff.wait(started_at)
+            except asyncio.CancelledError:
+                task = asyncio.current_task()
+                if not self._restarting or task is None or task.cancelling():
+                    raise
+                self._restarting = False
 
-    async def refresh(self) -> int:
-        """Lists all objects of the kind, without using a lagging replica.
+    def restart(self) -> None:
+        """Ends the request that waits for the store and sends a new one."""
+        if self._request is not None and not self._request.done():
+            self._restarting = True
+            self._request.cancel()
 
-        Returns:
-            The revision of the store.
+    def advance(self, revision: int) -> None:
+        """Continues after a revision up to which all changes were handled.
+
+        The counter of a response that may lag is no such revision, because the
+        response may lack changes before it.
+        """
+        if self._revision is not None:
+            self._revision = max(self._revision, revision)
+
+    async def read_changes(
+        self, timeout_s: float, *, new_connection: bool = False
+    ) -> None:
+        """Reads all changes up to now, without lag, beside the watch.
+
+        Args:
+            timeout_s: Longest time for the response, in seconds.
+            new_connection: True if no connection is used that was open before.
 
         Raises:
-            exceptions.PlatformUnavailableError: The store is unavailable.
+            exceptions.PlatformUnavailableError: The store is unavailable, or
+                the first list has not been read yet.
         """
+        if self._revision is None:
+            raise exceptions.PlatformUnavailableError(
+                f'the first list of {self.kind} is not read yet',
+                remedy='retry later',
+            )
+        started_at = asyncio.get_running_loop().time()
+        try:
+            changes = await self.store.changes_since(
+                self.kind,
+                self._revision,
+                timeout_s,
+                new_connection=new_connection,
+            )
+        except object_store.HistoryLostError:
+            await self._refresh()
+            return
+        if changes.changes:
+            items = [change.item for change in changes.changes]
+            self._log_read('changes', False, items, changes.revision)
+        self._apply(changes)
+        self.advance(changes.revision)
+        self.on_current(changes.revision, started_at)
+
+    async def _refresh(self):
+        """Lists all objects of the kind, without using a lagging replica."""
+        started_at = asyncio.get_running_loop().time()
         listing = await self._list()
-        return listing.revision
+        self._revision = max(self._revision or 0, listing.revision)
+        self._set_connected(True, '')
+        self.on_current(listing.revision, started_at)
 
     async def _list(self, *, may_lag: bool = False) -> object_store.Listing:
         listing = await self.store.list(self.kind, may_lag=may_lag)
@@ -112,10 +176,11 @@
         A list comes first if no revision is known, and after a failure if only
         the newest versions count: the watch would return each version since.
         """
-        if self._revision is None:
-            self._revision = await self.refresh()
-        elif self.skips_versions and not self.connected:
-            self._advance(await self.refresh())
+        if self._revision is None or (
+            self.skips_versions and not self.connected
+        ):
+            await self._refresh()
+        assert self._revision is not None
         may_lag = not self._confirm_next
         wait_s = (
             min(self.wait_s, MAX_LAGGING_WAIT_S) if may_lag else self.wait_s
@@ -127,25 +192,29 @@
         items = [change.item for change in changes.changes]
         if items:
             self._log_read('watch', may_lag, items, changes.revision)
-        for change in changes.changes:
-            self._handle(
-                self.on_deleted if change.deleted else self.on_item, change.item
-            )
+        self._apply(changes)
         newest = _newest_revision(items)
-        self._advance(newest if may_lag else changes.revision)
+        self.advance(newest if may_lag else changes.revision)
         self._confirm_next = may_lag and self._revision == before
         if changes.changes and self.batch_delay_s:
             await self._wait_for_changes()
         if self.skips_versions and len(changes.changes) > 1:
             await self._list_until_unchanged(newest)
 
-    def _advance(self, revision: int):
-        """Continues after a revision up to which all changes were handled.
+    def _apply(self, changes: object_store.Changes):
+        """Handles changes; of several versions of an object, only the newest.
 
-        The counter of a response that may lag is no such revision, because the
-        response may lack changes before it.
+        All are handled unless only the newest versions count.
         """
-        self._revision = max(self._revision or 0, revision)
+        selected: Iterable[object_store.ItemChange] = changes.changes
+        if self.skips_versions:
+            selected = {
+                change.item.name: change for change in changes.changes
+            }.values()
+        for change in selected:
+            self._handle(
+                self.on_deleted if change.deleted else self.on_item, change.item
+            )
 
     async def _list_until_unchanged(self, newest: int):
         """Lists the objects, with pauses, as long as they change.
@@ -156,7 +225,7 @@
         while True:
             listing = await self._list(may_lag=True)
             listed = _newest_revision(listing.items)
-            self._advance(listed)
+            self.advance(listed)
             if listed <= newest:
                 return
             newest = listed
