Add mutations for the guards of the configuration's age

Each of the 6 new mutations is noticed. The one of a read on a new connection was not at first (the first read had closed the only idle connection), so store_client "A read on a new connection uses none of the open ones" is added.

--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -3,8 +3,10 @@
 import asyncio
 import contextlib
 import random
+import time
 
 import attrs
+from behave import given
 from behave import then
 from behave import when
 import orjson
@@ -12,8 +14,12 @@
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
 from hemlockgrade import object_store
+from hemlockgrade import upstream
 from hemlockgrade import watcher
 from hemlockgrade.platform import store
+from standins import cluster
+from standins import http_connection
+from standins import loopback
 
 # Time after which an attempt to connect during a cut fails, in seconds.
 CONNECT_TIMEOUT_S = 1.0
@@ -174,3 +180,88 @@
 def check_reads(context, most):
     reads = [reads for _, reads in context.delays_and_reads]
     assert max(reads) <= most, reads
+
+
+@attrs.define(eq=False)
+class SilencedStore:
+    """Responds on new connections; those open at a moment can be silenced.
+
+    Attributes:
+        connections: The open connections.
+        silent: Connections that get no response any more.
+    """
+
+    connections: set['StoreConnection'] = attrs.field(factory=set)
+    silent: set['StoreConnection'] = attrs.field(factory=set)
+
+
+class StoreConnection(http_connection.HttpConnection):
+    """A connection to the store."""
+
+    def __init__(self, silenced_store):
+        super().__init__()
+        self.store = silenced_store
+
+    def connection_made(self, transport):
+        """Counts the connection."""
+        super().connection_made(transport)
+        self.store.connections.add(self)
+
+    def connection_lost(self, exc):
+        """Counts the connection no more."""
+        super().connection_lost(exc)
+        self.store.connections.discard(self)
+
+    async def handle(self, request):
+        """Responds without changes, at once or to several requests at once."""
+        await asyncio.sleep(0.05)
+        if self not in self.store.silent:
+            self.send(200, b'{"events":[],"CurrentRev":7}')
+
+
+@given('{count:d} connections to the store that were open before are silent')
+def silence_connections(context, count):
+    context.connection_count = count
+
+
+@when('the changes are read on a new connection')
+def read_on_new_connection(context):
+    async def run():
+        from twisted.internet import reactor
+
+        silenced = SilencedStore()
+        address = cluster.free_address()
+        host, _, port = address.partition(':')
+        server = await asyncio.get_running_loop().create_server(
+            lambda: StoreConnection(silenced), host, int(port)
+        )
+        pool = upstream.ConnectionPool(reactor)
+        client = store.MetadataStore(address, pool)
+        try:
+            await asyncio.gather(
+                *(
+                    client.changes_since('config', 1, 1.0)
+                    for _ in range(context.connection_count)
+                )
+            )
+            silenced.silent = set(silenced.connections)
+            assert len(silenced.silent) == context.connection_count
+            started_at = time.monotonic()
+            context.changes = await client.changes_since(
+                'config', 1, 1.0, new_connection=True
+            )
+            context.took_s = time.monotonic() - started_at
+            await asyncio.sleep(0.05)
+            context.kept = silenced.connections & silenced.silent
+        finally:
+            pool.close()
+            server.close()
+
+    loopback.run(run())
+
+
+@then('they come within {limit_s:g} seconds and no open connection is kept')
+def check_new_connection(context, limit_s):
+    assert context.changes.revision == 7, context.changes
+    assert context.took_s < limit_s, context.took_s
+    assert not context.kept, context.kept
--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -11,3 +11,9 @@
     When 20 daemons are cut off for 6 seconds while 20 versions are written
     Then each of them has the newest version within 1.75 seconds of the end
     And none of them has read more than 2 versions since then
+
+  Scenario: A read on a new connection uses none of the open ones
+    # Guards against a read that waits on one silent connection after the other.
+    Given 3 connections to the store that were open before are silent
+    When the changes are read on a new connection
+    Then they come within 0.5 seconds and no open connection is kept
--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -412,6 +412,52 @@
         new="return f'{kind}/{name}'",
         feature='foreign_entries',
     ),
+    Mutation(
+        guard='a lagging watch response moves the watch to its data only',
+        module='watcher.py',
+        old='        self.advance(newest if may_lag else changes.revision)\n',
+        new='        self.advance(changes.revision)\n',
+        feature='configuration_freshness',
+    ),
+    Mutation(
+        guard='a lagging list moves the watch to its data only',
+        module='watcher.py',
+        old='            self.advance(listed)\n',
+        new='            self.advance(listing.revision)\n',
+        feature='configuration_freshness',
+    ),
+    Mutation(
+        guard='a daemon without a recent confirmation reads the store',
+        module='configuration_check.py',
+        old='if not await self._read_store() and not self._is_recent:',
+        new='if not self._is_recent:',
+        feature='configuration_freshness',
+    ),
+    Mutation(
+        guard='a read on a new connection uses no open one',
+        module='platform/store.py',
+        old='max_idle_s=0.0 if new_connection else upstream.MAX_IDLE_S,',
+        new='',
+        feature='store_client',
+    ),
+    Mutation(
+        guard='a confirmation of a version that is not in force does not count',
+        module='freshness.py',
+        old='        if new.version > self.directory.configuration_version:\n',
+        new='        if False:\n',
+        feature='configuration_freshness',
+    ),
+    Mutation(
+        guard='the daemons of a failure domain ask the store through one',
+        module='configuration_check.py',
+        old=(
+            '            await self._compare(source)\n'
+            '            if self._is_recent:\n'
+            '                return\n'
+        ),
+        new='            await self._compare(source)\n',
+        feature='configuration_freshness',
+    ),
 )
 
 
