Count a timeout that a busy daemon notices after its caller has left

Callers saw nothing; the judge of rollouts and the metrics of the host missed timeouts of a server on a busy host.

The caller's daemon closes its connection at the deadline, 5 ms after that of the attempt. An event loop that was busy for longer processes the close first, which cancels the attempt before its deadline is processed: the result was not recorded, and the limiter got no service time.

A cancelled attempt that was written to the server counts as a timeout if its deadline has passed. One that is cancelled before the deadline is still not a result of the server, and neither is one that was never written.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -207,6 +207,18 @@
       | 100 | failed   | 0.1      |
       | 4   | none     | 0.0      |
 
+  Scenario Outline: A request whose caller has left is a failure after its deadline only
+    # Guards against timeouts that are not counted, because a busy daemon
+    # processes the close of the caller's daemon before its own deadline.
+    When a daemon processes the close of a peer <ms> ms after its deadline
+    Then the responses were recorded as <recorded>
+    And the target is free, and <mean> service time was measured
+
+    Examples:
+      | ms   | recorded | mean |
+      | 50   | failed   | a    |
+      | -350 | none     | no   |
+
   Scenario: A target process completes its request and deregisters when it ends
     When a target process gets SIGTERM while it runs a request
     Then it announced itself, completed the request and deregistered
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -337,6 +337,36 @@
     context.failure_fraction = system.balancer.peer('target-0').failure_fraction
 
 
+@when_system_runs(
+    'a daemon processes the close of a peer {ms:d} ms after its deadline'
+)
+async def close_before_deadline_is_processed(context, system, ms):
+    (target,), (server_host,) = system.targets, system.hosts
+    target.faults = [target_server.Fault('late', route='/late', ms=1000)]
+    host, port = server_host.address.split(':')
+    caller = loopback.Caller(*await asyncio.open_connection(host, int(port)))
+    started = time.monotonic()
+    caller.send(
+        'POST',
+        '/late',
+        headers='x-hemlock-server: target-0\r\n'
+        'x-hemlock-attempt: caller.boot-1\r\n'
+        'x-deadline-ms: 405\r\n',
+    )
+    await wait_until(lambda: target.running)
+    caller.close()
+    await asyncio.sleep(0)
+    # The event loop processes the close and the deadline in one iteration.
+    time.sleep(max(0.0, started + 0.4 + ms / 1000 - time.monotonic()))
+    await wait_until(lambda: server_host.limiter_load() == (0, 0))
+    context.measured = server_host.admission._limiter._queue._measured_count
+
+
+@then('the target is free, and {amount} service time was measured')
+def check_service_time_measured(context, amount):
+    assert context.measured == (amount == 'a'), context.measured
+
+
 @then("the balancer's failure fraction is {fraction:f}")
 def check_exact_failure_fraction(context, fraction):
     assert context.failure_fraction == fraction, context.failure_fraction
--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -1,5 +1,6 @@
 """Server side of the request path: admission to the local server."""
 
+import asyncio
 from collections.abc import Callable
 import math
 
@@ -76,6 +77,7 @@
         deadline: Monotonic time until which the caller waits for the response.
         idempotent: True if the request may run more than once.
         started: Monotonic time at which the request got its slot.
+        may_have_run: True once the request is written to the server.
         service_s: Time that the server needed for the request, in seconds;
             None if the time has not been measured.
     """
@@ -86,6 +88,7 @@
     deadline: float
     idempotent: bool
     started: float
+    may_have_run: bool = False
     service_s: float | None = None
 
 
@@ -406,9 +409,14 @@
                 else self._refusal_reason(admitted.server.server_id)
             )
         except exceptions.DeadlineExceededError:
-            admitted.service_s = self.clock() - admitted.started
-            self._report_result(admitted, False)
+            self._report_timeout(admitted)
             return peer_protocol.unknown_outcome_response('timeout')
+        except asyncio.CancelledError:
+            # The daemon of the caller leaves at the deadline. A busy event loop
+            # processes that before the deadline of this attempt.
+            if admitted.may_have_run and self.clock() >= admitted.deadline:
+                self._report_timeout(admitted)
+            raise
         except (
             exceptions.OutcomeUnknownError,
             exceptions.MalformedRequestError,
@@ -470,11 +478,11 @@
         """
         if not self._is_ready(admitted.server):
             raise limits.refusal_error('the server has left')
-        if admitted.idempotent:
-            return
-        now = self.clock()
-        self.ledger.expire(now)
-        self.ledger.admit(admitted.attempt_id, now)
+        if not admitted.idempotent:
+            now = self.clock()
+            self.ledger.expire(now)
+            self.ledger.admit(admitted.attempt_id, now)
+        admitted.may_have_run = True
 
     def fence(self, headers: http_codec.Headers) -> http_codec.Response:
         """Fences an attempt and returns whether it was admitted before.
@@ -592,6 +600,10 @@
             before,
         )
 
+    def _report_timeout(self, admitted: '_AdmittedRequest'):
+        admitted.service_s = self.clock() - admitted.started
+        self._report_result(admitted, False)
+
     def _report_result(self, admitted: '_AdmittedRequest', ok: bool):
         if self.on_response is not None:
             self.on_response(
