Tell callers to return after up to 0.1 s without a configuration

A caller whose request arrived before the first configuration got Retry-After 0.030 whatever its timeout, and came back three times as often as after other refusals. The longest value of the header was passed to the computation as the time left, which takes 0.3 of it.

The header now follows from the time that the caller states, as it does for other refusals. Ruled out: the routes, whose timeouts are not known yet.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -169,6 +169,16 @@
     When requests are sent that no target may run
     Then the responses are 503, 503, 404, 503 and 503 with outcome not-run
 
+  Scenario Outline: Before its first configuration a daemon names when to return
+    # Guards against callers that return several times while a daemon starts.
+    When a daemon without a configuration gets a request with a timeout of <ms> ms
+    Then the caller may return after <seconds> s
+
+    Examples:
+      | ms    | seconds |
+      | 20000 | 0.100   |
+      | 100   | 0.030   |
+
   Scenario: The limits on slots and connections are never exceeded
     When 200 requests arrive at once for a target with 6 slots
     Then at most 6 requests ran at once over at most 130 connections
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -740,6 +740,23 @@
     context.responses.append(await system.send_request('POST', '/a'))
 
 
+@when_system_runs(
+    'a daemon without a configuration gets a request with a timeout of {ms:d} ms'
+)
+async def send_before_configuration(context, system, ms):
+    system.directory.configuration = None
+    context.response = await system.send_request(
+        'POST', '/a', headers=f'x-request-timeout-ms: {ms}\r\n'
+    )
+
+
+@then('the caller may return after {seconds} s')
+def check_retry_after(context, seconds):
+    headers = dict(context.response.headers)
+    assert context.response.status == 503, context.response
+    assert headers[b'retry-after'] == seconds.encode(), headers
+
+
 @then('the responses are 503, 503, 404, 503 and 503 with outcome not-run')
 def check_not_run(context):
     assert [r.status for r in context.responses] == [503, 503, 404, 503, 503]
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -98,7 +98,9 @@
             )
         if not self.directory.configured:
             self._log_unrouted(request_id, 503, 'no-configuration', started)
-            return _refusal_response(_retry_after_s(MAX_RETRY_AFTER_S))
+            return _refusal_response(
+                _retry_after_s(_stated_time_left_s(request))
+            )
         host = http_codec.header(request.headers, b'host') or ''
         entry = self.directory.match(host, request.path)
         if entry is None:
@@ -150,13 +152,7 @@
         entry: directory_module.RouteEntry,
         started: float,
     ) -> call_module.Call:
-        left_s = peer_protocol.decode_time_left_s(request.headers)
-        if left_s is None:
-            left_s = peer_protocol.decode_duration_s(
-                request.headers, CALLER_TIMEOUT_HEADER
-            )
-        if left_s is None:
-            left_s = DEFAULT_TIMEOUT_S
+        left_s = _stated_time_left_s(request)
         headers = [
             item
             for item in http_codec.without_internal_headers(request.headers)
@@ -356,6 +352,16 @@
         self.on_finished(labels, self.clock() - call.started)
 
 
+def _stated_time_left_s(request: http_codec.Request) -> float:
+    """Returns how long the caller waits for the response, in seconds."""
+    left_s = peer_protocol.decode_time_left_s(request.headers)
+    if left_s is None:
+        left_s = peer_protocol.decode_duration_s(
+            request.headers, CALLER_TIMEOUT_HEADER
+        )
+    return DEFAULT_TIMEOUT_S if left_s is None else left_s
+
+
 def _is_idempotent(route: model.Route, request: http_codec.Request) -> bool:
     if route.idempotent is None:
         return retries.is_idempotent(request.method)
