Refuse a folded header on the administration port

Clients of the administration port got 200 for a request whose header goes on in a second line. RFC 9112, section 5.2, asks for 400, because programs on the way may read such a request differently. The cause is the parser of Twisted, which joins the lines; a folded first header already got 400.

The port now has its own connection class, and answers 400 and closes. Ruled out: the parser of the other ports (http_codec), which the administration port does not use.

New feature, which plays the bytes over a socket: 200 before, 400 now; the sound requests beside it get 200 as before.

--- a/hemlockgrade/admin.py
+++ b/hemlockgrade/admin.py
@@ -273,6 +273,17 @@
     return orjson.dumps(value)
 
 
+class _Channel(http.HTTPChannel):
+    """A connection that answers malformed requests with 400 and closes."""
+
+    def lineReceived(self, line):  # noqa: N802
+        """Refuses a folded header (RFC 9112, section 5.2)."""
+        if line.startswith((b' ', b'\t')):
+            self._respondToBadRequestAndDisconnect()
+            return
+        super().lineReceived(line)
+
+
 class SizeLimitedSite(server.Site):
     """A web site that closes connections whose request body is too large.
 
@@ -282,6 +293,7 @@
     """
 
     noisy = False
+    protocol = _Channel
 
     def __init__(self, resource):
         super().__init__(resource, requestFactory=_SizeLimitedRequest)
