Refuse a request without one Host on the administration port

Clients of the administration port got 200 for a request of HTTP/1.1 without a Host header, and for one with two. RFC 9112, section 3.2, asks for 400. The parser of Twisted does not look at the header.

The connection class of the port now answers 400 and closes, before the request runs. Ruled out: HTTP/1.0, where the header may be missing; such a request gets 200 as before.

New rows of the feature: 200 before and 400 now, for no Host and for two.

--- a/features/administration.feature
+++ b/features/administration.feature
@@ -17,3 +17,5 @@
       | bytes                                 | status | end    |
       | a folded header                       | 400    | closes |
       | a first header that is folded         | 400    | closes |
+      | no Host                               | 400    | closes |
+      | two Hosts                             | 400    | closes |
--- a/hemlockgrade/admin.py
+++ b/hemlockgrade/admin.py
@@ -283,6 +283,17 @@
             return
         super().lineReceived(line)
 
+    def allHeadersReceived(self):  # noqa: N802
+        """Refuses a request without one Host (RFC 9112, section 3.2)."""
+        request = self.requests[-1]
+        hosts = request.requestHeaders.getRawHeaders(b'host') or []
+        if len(hosts) > 1 or (not hosts and self._version == b'HTTP/1.1'):
+            # With an unknown length the request is not run.
+            self.length = None
+            self._respondToBadRequestAndDisconnect()
+            return
+        super().allHeadersReceived()
+
 
 class SizeLimitedSite(server.Site):
     """A web site that closes connections whose request body is too large.
