Refuse a chunk that is too large on the administration port

A client that announced a chunk of 2 to the power of 68 bytes got no response, and its connection stayed open until the time limit of 60 s. The parser of Twisted takes a size of any length and waits for the bytes; the limit on bodies of 64 KiB was checked only once the whole body had arrived.

A chunk above that limit is now answered with 400 as soon as its size is read. Ruled out: chunks that are longer than they announced, which got 400 before.

--- a/features/administration.feature
+++ b/features/administration.feature
@@ -11,6 +11,7 @@
       | a sound request                     | 200    | keeps  |
       | a sound request in two pieces       | 200    | keeps  |
       | a sound chunked body                | 200    | keeps  |
+      | a sound chunked body in pieces      | 200    | keeps  |
       | HTTP/1.0 without a Host             | 200    | closes |
 
     Examples: Malformed requests
@@ -18,4 +19,6 @@
       | a folded header                       | 400    | closes |
       | a first header that is folded         | 400    | closes |
       | no Host                               | 400    | closes |
+      | no Host and a chunked body            | 400    | closes |
       | two Hosts                             | 400    | closes |
+      | a chunk of 2 to the power of 68 bytes | 400    | closes |
--- a/features/steps/administration_steps.py
+++ b/features/steps/administration_steps.py
@@ -16,10 +16,20 @@
     'a sound request': [SOUND],
     'a sound request in two pieces': [SOUND[:6], SOUND[6:]],
     'a sound chunked body': [CHUNKED + b'4\r\nbody\r\n0\r\n\r\n'],
+    'a sound chunked body in pieces': [
+        CHUNKED,
+        b'1',
+        b'0\r\n01234567',
+        b'89abcdef\r\n0\r\n\r\n',
+    ],
     'HTTP/1.0 without a Host': [b'GET /v1/health HTTP/1.0\r\n\r\n'],
     'a folded header': [LINE + b'Host: x\r\nX-A: b\r\n c\r\n\r\n'],
     'a first header that is folded': [LINE + b' Host: x\r\n\r\n'],
     'no Host': [LINE + b'\r\n'],
+    'no Host and a chunked body': [
+        LINE + b'Transfer-Encoding: chunked\r\n\r\n',
+        b'4\r\nbody\r\n0\r\n\r\n',
+    ],
     'two Hosts': [LINE + b'Host: x\r\nHost: y\r\n\r\n'],
     'a chunk of 2 to the power of 68 bytes': [
         CHUNKED + b'1%b\r\nbody\r\n' % (b'0' * 17)
--- a/hemlockgrade/admin.py
+++ b/hemlockgrade/admin.py
@@ -294,6 +294,17 @@
             return
         super().allHeadersReceived()
 
+    def rawDataReceived(self, data):  # noqa: N802
+        """Refuses a chunk that is too large for any call."""
+        super().rawDataReceived(data)
+        # Only a decoder of chunks whose size line has been read has a length.
+        chunk_bytes = getattr(self._transferDecoder, 'length', 0)
+        if (
+            chunk_bytes > MAX_REQUEST_BODY_BYTES
+            and not self.transport.disconnecting
+        ):
+            self._respondToBadRequestAndDisconnect()
+
 
 class SizeLimitedSite(server.Site):
     """A web site that closes connections whose request body is too large.
