Refuse binary bytes on the administration port at once

A client that sent binary bytes, for example the start of a TLS handshake, or lines that end with LF alone, got no response, and its connection stayed open until the time limit of 60 s. The parser of Twisted waits for the end of the request line before it looks at it.

The port now looks at an unfinished request line after each piece of data, and answers 400 if it cannot become one. Ruled out: an unfinished header, which is not looked at and stays within the time limit as before.

--- a/features/administration.feature
+++ b/features/administration.feature
@@ -22,3 +22,7 @@
       | no Host and a chunked body            | 400    | closes |
       | two Hosts                             | 400    | closes |
       | a chunk of 2 to the power of 68 bytes | 400    | closes |
+      | binary bytes                          | 400    | closes |
+      | binary bytes in two pieces            | 400    | closes |
+      | binary bytes after a sound request    | 400    | closes |
+      | lines that end with LF                | 400    | closes |
--- a/hemlockgrade/admin.py
+++ b/hemlockgrade/admin.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Coroutine
 import hmac
+import re
 from typing import Any
 from typing import Protocol
 
@@ -25,6 +26,11 @@
 from hemlockgrade import timeline
 
 MAX_REQUEST_BODY_BYTES = 64 * 1024
+# Start of a request line: a method, a space and what follows. The method is a
+# token (RFC 9110, section 5.6.2).
+_START_OF_REQUEST_LINE = re.compile(
+    rb"[-!#$%&'*+.^_`|~0-9A-Za-z]*(?: [^\x00-\x1f\x7f]*)?\r?"
+)
 _STATUS_BY_ERROR_CLASS = {
     exceptions.InvalidChangeError: http.BAD_REQUEST,
     exceptions.InvalidFieldError: http.BAD_REQUEST,
@@ -276,6 +282,20 @@
 class _Channel(http.HTTPChannel):
     """A connection that answers malformed requests with 400 and closes."""
 
+    def dataReceived(self, data):  # noqa: N802
+        """Refuses bytes that cannot be the start of a request line.
+
+        Without that, they would wait for the end of the line.
+        """
+        super().dataReceived(data)
+        if self.requests or self.transport.disconnecting:
+            return
+        start_of_line = self.clearLineBuffer()
+        if not _START_OF_REQUEST_LINE.fullmatch(start_of_line):
+            self._respondToBadRequestAndDisconnect()
+        elif start_of_line:
+            super().dataReceived(start_of_line)
+
     def lineReceived(self, line):  # noqa: N802
         """Refuses a folded header (RFC 9112, section 5.2)."""
         if line.startswith((b' ', b'\t')):
