Keep the settings that need a restart when a daemon reloads its file

After a change of daemon_id or of an address in its settings file, a running daemon stored a member with the new value, although it did not listen there: other daemons got refused connections, or took it for another host, until its restart. The settings page says that these take effect at the next start.

`Daemon.reload` took the whole new settings, from which the member and the overview are built. It takes only the five reloadable ones now, and logs the names of the others (event=settings_need_restart), never their values. Ruled out: the components that get their settings at the start, which kept them.

--- a/features/product.feature
+++ b/features/product.feature
@@ -12,6 +12,21 @@
     When the settings are loaded
     Then the settings are refused with errors in the keys daemon_id
 
+  Scenario Outline: A setting that needs a restart keeps its value after a reload
+    # Guards against a member that is stored with a name or an address to which
+    # the running process does not listen.
+    Given a daemon with a drain timeout of 6 seconds
+    When its settings are reloaded with <key> "<value>" and a drain timeout of 9 seconds
+    Then its member is unchanged and the log names <key>
+    And its drain timeout is 9 seconds
+
+    Examples:
+      | key                    | value       |
+      | daemon_id              | host-2      |
+      | failure_domain         | b           |
+      | admission_address      | 127.0.0.1:9 |
+      | administration_address | 127.0.0.1:9 |
+
   Scenario: The settings page documents each key in the order of the code
     When the settings page is read
     Then it lists the keys of the daemon and of the client with their defaults
--- a/features/steps/product_steps.py
+++ b/features/steps/product_steps.py
@@ -14,6 +14,7 @@
 from behave import when
 from loguru import logger
 
+from features.steps import foreign_entries_steps
 from hemlockgrade import exceptions
 from hemlockgrade import kernel
 from hemlockgrade import logs
@@ -22,6 +23,7 @@
 from hemlockgrade.config import base
 from hemlockgrade.config import client as client_settings
 from hemlockgrade.config import daemon as daemon_settings
+from standins import loopback
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 SECRET = 'short'
@@ -56,6 +58,56 @@
     }
 
 
+@given('a daemon with a drain timeout of {seconds:d} seconds')
+def build_daemon(context, seconds):
+    build_invalid_settings(context)
+    del context.settings['color']
+    context.settings |= {
+        'failure_domain': 'a',
+        'proxy_address': '127.0.0.1:1',
+        'administration_token': TOKEN,
+        'drain_timeout_s': seconds,
+    }
+
+    async def build():
+        # The import needs the reactor that `loopback` has installed.
+        from twisted.internet import reactor
+
+        from hemlockgrade import daemon
+
+        settings = base.structure(
+            context.settings, daemon_settings.DaemonSettings
+        )
+        return daemon.Daemon(settings, reactor)
+
+    context.daemon = loopback.run(build())
+
+
+@when(
+    'its settings are reloaded with {key} "{value}" and a drain timeout of {seconds:d} seconds'
+)
+def reload_settings(context, key, value, seconds):
+    context.member_before = context.daemon._build_member()
+    changed = {**context.settings, key: value, 'drain_timeout_s': seconds}
+    foreign_entries_steps.capture_log(context)
+    context.daemon.reload(
+        base.structure(changed, daemon_settings.DaemonSettings)
+    )
+
+
+@then('its member is unchanged and the log names {key}')
+def check_member_unchanged(context, key):
+    member = context.daemon._build_member()
+    assert member == context.member_before, member
+    expected = f'event=settings_need_restart keys={key}\n'
+    assert expected in context.log_lines, context.log_lines
+
+
+@then('its drain timeout is {seconds:d} seconds')
+def check_drain_timeout(context, seconds):
+    assert context.daemon.settings.drain_timeout_s == seconds
+
+
 @when('the settings are loaded')
 def load_settings(context):
     try:
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -8,6 +8,7 @@
 from typing import Any
 import uuid
 
+import attrs
 from loguru import logger
 
 from hemlockgrade import admission as admission_module
@@ -60,6 +61,15 @@
 # Bytes a second of a link with a rate of one megabit a second.
 BYTES_PER_S_PER_MBPS = 1_000_000 / 8
 
+# Settings that take effect when they are reloaded.
+RELOADABLE_SETTINGS = (
+    'retry_ratio',
+    'retry_slack',
+    'exposed_share',
+    'signed_answers',
+    'drain_timeout_s',
+)
+
 
 class Daemon:
     """One daemon: proxy, admission, configuration and administration API.
@@ -365,13 +375,25 @@
     def reload(self, new: daemon_settings.DaemonSettings) -> None:
         """Applies changed settings, of which only some have an effect.
 
-        These are retry_ratio, retry_slack, exposed_share, signed_answers and
-        drain_timeout_s. A change of any other setting needs a restart.
+        These are `RELOADABLE_SETTINGS`. The others keep the values with which
+        this process was started; the log names those that are to change.
 
         Args:
             new: The settings to apply, already checked.
         """
-        self.settings = new
+        value_by_name = {
+            name: getattr(new, name) for name in RELOADABLE_SETTINGS
+        }
+        self.settings = attrs.evolve(self.settings, **value_by_name)
+        unchanged = [
+            field.name
+            for field in attrs.fields(daemon_settings.DaemonSettings)
+            if getattr(new, field.name) != getattr(self.settings, field.name)
+        ]
+        if unchanged:
+            logger.warning(
+                'event=settings_need_restart keys={}', ','.join(unchanged)
+            )
         self._proxy.retry_ratio = new.retry_ratio
         self._proxy.retry_slack = new.retry_slack
         self._rollouts.exposed_share = new.exposed_share
