Give a new version no more than its share beside an unserved stable one

With several stable versions of a selector, one of them without a server, the new version of a rollout got more than its share: 14% instead of 10% beside stable shares of 60% and 30%. A faulty version thus reached more callers than the operator had allowed.

The balancer left the version without a server out of the round robin, which divided its weight among all others. The other stable versions take it now. Ruled out: the shares themselves (`traffic_fractions`), which were right; and the case of one stable version, whose rows stay as they are.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -205,6 +205,21 @@
       | v2    | v2    | 0   | 10 | 90   |
       | v3    | v3    | 0   | 0  | 100  |
 
+  Scenario Outline: The requests of a stable version without a server go to the stable ones
+    # Guards against a new version that gets more than its traffic share.
+    Given a balancer and servers in one failure domain
+      | name | version | born | service_ms |
+      | a    | <of_a>  | 100  | 10         |
+      | b    | <of_b>  | 200  | 10         |
+    When a selector gives the stable versions v1 60 and v3 30 and the new one v2 10 percent
+    Then of 100 choices for its route <v1> are v1, <v2> are v2, <none> find no server
+
+    Examples:
+      | of_a | of_b | v1  | v2 | none |
+      | v1   | v2   | 90  | 10 | 0    |
+      | v1   | v1   | 100 | 0  | 0    |
+      | v2   | v2   | 0   | 10 | 90   |
+
   Scenario: A selector uses only the targets of its label
     Given a balancer and servers in one failure domain
       | name | version | born | service_ms |
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -433,6 +433,20 @@
     )
 
 
+@when(
+    'a selector gives the stable versions v1 {first:d} and v3 {second:d} '
+    'and the new one v2 {new:d} percent'
+)
+def set_selector_with_two_stable(context, first, second, new):
+    set_selector(
+        context,
+        '*',
+        model.VersionWeight(version='v1', weight=first / 100),
+        model.VersionWeight(version='v2', weight=new / 100, stable=False),
+        model.VersionWeight(version='v3', weight=second / 100),
+    )
+
+
 @when("a selector's target label has the member {pattern}")
 def set_selector_targets(context, pattern):
     weight = model.VersionWeight(version='v1', weight=1.0)
--- a/hemlockgrade/plugins/zone_balancer.py
+++ b/hemlockgrade/plugins/zone_balancer.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable
 from collections.abc import Collection
+from collections.abc import Container
 import random as random_module
 
 import attrs
@@ -252,9 +253,11 @@
         """Returns the labelled peers of the version that is chosen next.
 
         While a stable version has a labelled server, versions without one are
-        left out. If no stable version has one, all versions keep their weights:
-        the requests of the stable versions get no peer, and none of them goes
-        to the version that a rollout introduces.
+        left out, and the requests of the stable ones among them go to the other
+        stable versions. If no stable version has a labelled server, all
+        versions keep their weights: the requests of the stable versions get no
+        peer. In neither case does one of them go to the version that a rollout
+        introduces.
 
         Args:
             peers: Peers of the route's service.
@@ -266,20 +269,11 @@
             server = peer.member.required_server
             if targets.matches(server.server_id):
                 labelled_by_version.setdefault(server.version, []).append(peer)
-        served_versions = [
-            v for v in route.versions if v.version in labelled_by_version
-        ]
-        candidates = (
-            served_versions
-            if any(v.stable for v in served_versions)
-            else route.versions
-        )
+        weight_by_version = _weights(route.versions, labelled_by_version)
         round_robin = self._round_robin_by_selector.setdefault(
             route.selector, weighted_round_robin.WeightedRoundRobin()
         )
-        version = round_robin.next(
-            {candidate.version: candidate.weight for candidate in candidates}
-        )
+        version = round_robin.next(weight_by_version)
         return [] if version is None else labelled_by_version.get(version, [])
 
     def _chooses_new_version(self, service: str, permille: int) -> bool:
@@ -336,6 +330,29 @@
             del self._leaving_servers[next(iter(self._leaving_servers))]
 
 
+def _weights(
+    versions: Collection[model.VersionWeight], served: Container[str]
+) -> dict[str, float]:
+    """Returns the weights of the versions to choose from.
+
+    Args:
+        versions: Versions of a selector.
+        served: Names of the versions that have a server.
+    """
+    stable_weight = sum(v.weight for v in versions if v.stable)
+    served_weight = sum(
+        v.weight for v in versions if v.stable and v.version in served
+    )
+    if not served_weight:
+        return {v.version: v.weight for v in versions}
+    factor = stable_weight / served_weight
+    return {
+        v.version: v.weight * factor if v.stable else v.weight
+        for v in versions
+        if v.version in served
+    }
+
+
 def _incarnation(member: model.Member) -> tuple[str, int] | None:
     """Returns identifier and start of a member's server, if it has one."""
     if member.server is None:
