Report a removal whose response is lost as done

An operator who removed a label or selector while the store lost the response got exit code 3 and "unknown selector 'booking' (create the selector first)", although the removal had taken effect; and the daemon that sent it learned of the removal from its watch only.

Each attempt of the removal begins with a check that the object exists. After a deletion whose response was lost it does not, and the change was refused. The attempts now remember that the object may be gone because of them. Ruled out: changes other than removals, which find their result in the store.

--- a/features/system_tool.feature
+++ b/features/system_tool.feature
@@ -13,6 +13,16 @@
     Then hemlockctl ends with exit code 0
     And no proxy serves /booking/12
 
+  Scenario: A removal whose response is lost is reported as done
+    # Guards against an operator who is told that the label is unknown.
+    Given a system of 1 failure domains with 1 daemons each
+    When the responses of the store to the next 2 writes are lost
+    And the selector booking is removed with hemlockctl
+    Then hemlockctl ends with exit code 0
+    And no proxy serves /booking/12
+    When the selector booking is removed with hemlockctl
+    Then hemlockctl ends with exit code 3 and names the field name
+
   Scenario Outline: Invalid input is refused by field and nothing is applied
     Given a system of 1 failure domains with 1 daemons each
     When a selector is applied with <fault>
--- a/hemlockgrade/definition_store.py
+++ b/hemlockgrade/definition_store.py
@@ -109,12 +109,11 @@
         """Removes a label or a selector; see `put`.
 
         Returns:
-            The highest revision that was read before the removal, plus one.
-            The store does not return the revision of the deletion.
+            A revision that is not lower than that of any state read before the
+            removal. The store does not return the revision of the deletion.
         """
-        return await self._retry(
-            lambda: self._remove(kind, name, base_revision), base_revision
-        )
+        removal = _Removal(kind=kind, name=name, base_revision=base_revision)
+        return await self._retry(lambda: self._remove(removal), base_revision)
 
     async def _retry(self, attempt, base_revision: int | None) -> int:
         """Retries an attempt if the store fails or the object has changed.
@@ -163,21 +162,54 @@
         self.on_written(attrs.evolve(new, revision=item.revision))
         return item.revision
 
-    async def _remove(
-        self, kind: str, name: str, base_revision: int | None
-    ) -> int:
+    async def _remove(self, removal: '_Removal') -> int:
         definitions, revision = await self.load()
-        selectors.check_removal(definitions, kind, name)
-        key = f'{kind}.{name}'
-        current = _current(definitions, key)
-        _check_precondition(current, base_revision)
+        current = _current(definitions, removal.key)
+        if current is None and removal.may_be_done:
+            self.on_removed(removal.key, revision)
+            return revision
+        selectors.check_removal(definitions, removal.kind, removal.name)
+        _check_precondition(current, removal.base_revision)
         assert current is not None
-        await self.store.delete(object_codec.MESH_KIND, key, current.revision)
+        try:
+            await self.store.delete(
+                object_codec.MESH_KIND, removal.key, current.revision
+            )
+        except exceptions.PlatformUnavailableError as error:
+            removal.may_be_done |= not error.outcome_known
+            raise
+        except exceptions.NotFoundError:
+            if not removal.may_be_done:
+                raise
         deletion_revision = max(revision, current.revision) + 1
-        self.on_removed(key, deletion_revision)
+        self.on_removed(removal.key, deletion_revision)
         return deletion_revision
 
 
+@attrs.define(kw_only=True)
+class _Removal:
+    """A removal, which may take several attempts.
+
+    Attributes:
+        kind: `label` or `selector`.
+        name: Name of the label or selector.
+        base_revision: Revision that the removal was prepared on; None if any
+            revision is removed.
+        may_be_done: True once the response to a deletion was lost, so that the
+            object may be gone because of it.
+    """
+
+    kind: str
+    name: str
+    base_revision: int | None
+    may_be_done: bool = False
+
+    @property
+    def key(self) -> str:
+        """Returns the key of the object."""
+        return f'{self.kind}.{self.name}'
+
+
 def _build_definition(
     definitions: selectors.Definitions,
     kind: str,
