--- a/features/steps/tool_steps.py
+++ b/features/steps/tool_steps.py
@@ -62,6 +62,13 @@
     assert applied == set(context.system.daemon_by_name), events
 
 
+@then('its time line about "{known}" has events, and about "{unknown}" none')
+def check_filtered_timeline(context, known, unknown):
+    assert ctl_json(context, 'timeline', '--about', known)
+    found = ctl_json(context, 'timeline', '--about', unknown)
+    assert not found, found
+
+
 @when('the {kind} {name} is removed with hemlockctl')
 def remove(context, kind, name):
     context.result = context.system.ctl(f'{kind}s', 'remove', name)
--- a/features/system_tool.feature
+++ b/features/system_tool.feature
@@ -7,6 +7,7 @@
     And it explains that /nothing has no route
     And its status shows 2 daemons with one version and 2 ready targets
     And its time line shows the change of selector booking on every daemon in order
+    And its time line about "booking" has events, and about "booking&x" none
     When the label edge is removed with hemlockctl
     Then hemlockctl ends with exit code 3 and names the field name
     When the selector booking is removed with hemlockctl
--- a/hemlockgrade/commands/client.py
+++ b/hemlockgrade/commands/client.py
@@ -64,9 +64,9 @@
             exceptions.DaemonUnavailableError: No daemon responded.
             exceptions.HemlockError: The daemon refused the call.
         """
-        if query:
-            path = f'{path}?{parse.urlencode(query)}'
-        return await self._call_first_available('GET', path, None, {})
+        return await self._call_first_available(
+            'GET', _with_query(path, query), None, {}
+        )
 
     async def put(
         self,
@@ -108,7 +108,7 @@
         return await self._call_first_available('DELETE', path, None, {})
 
     async def get_from_all(
-        self, path: str
+        self, path: str, query: dict[str, str] | None = None
     ) -> dict[str, dict[str, Any] | exceptions.HemlockError]:
         """Reads from every daemon with an administration address.
 
@@ -117,6 +117,7 @@
 
         Args:
             path: Path of the resource.
+            query: Query parameters.
 
         Returns:
             The response or the error of each daemon by its address.
@@ -131,12 +132,13 @@
         }
         addresses.update(self.settings.daemon_addresses)
         addresses.discard('')
+        target = _with_query(path, query)
         concurrency_limit = asyncio.Semaphore(MAX_CONCURRENT_CALLS)
 
         async def read(address: str):
             async with concurrency_limit:
                 try:
-                    return await self._call('GET', address, path, None, {})
+                    return await self._call('GET', address, target, None, {})
                 except exceptions.HemlockError as error:
                     return error
 
@@ -187,6 +189,10 @@
         return result
 
 
+def _with_query(path: str, query: dict[str, str] | None) -> str:
+    return f'{path}?{parse.urlencode(query)}' if query else path
+
+
 def _error_from(result: dict[str, Any]) -> exceptions.HemlockError:
     problems = result['problems']
     name = result['error']
--- a/hemlockgrade/commands/overview.py
+++ b/hemlockgrade/commands/overview.py
@@ -44,8 +44,8 @@
         api: Client of the administration API.
         about: If given, only events with this value in a field.
     """
-    path = '/v1/events' if about is None else f'/v1/events?about={about}'
-    results = await api.get_from_all(path)
+    query = None if about is None else {'about': about}
+    results = await api.get_from_all('/v1/events', query)
     events = [
         serialization.from_plain(event, timeline.Event)
         for result in results.values()
