Encode the names of labels and selectors in the URLs of hemlockctl

`hemlockctl selectors remove 'booking?x'` removed the selector booking, and so did `bookin%67`; a name with a slash ended hemlockctl with a traceback. Such a name is not allowed, and the daemon has to say so.

hemlockctl put the name into the path as it was. It is encoded now, and the daemon takes a name with a slash as one. Ruled out: `apply`, where the daemon compared the name with the body; it is encoded as well.

New scenario, 4 names: booking was removed for 2 and a traceback came for one; now each is refused with exit code 3 and the field name.

--- a/features/system_tool.feature
+++ b/features/system_tool.feature
@@ -24,6 +24,20 @@
     When the selector booking is removed with hemlockctl
     Then hemlockctl ends with exit code 3 and names the field name
 
+  Scenario Outline: The name of an object is not read as a part of a URL
+    # Guards against the removal of another object than the one that is named.
+    Given a system of 1 failure domains with 1 daemons each
+    When the selector <name> is removed with hemlockctl
+    Then hemlockctl ends with exit code 3 and names the field name
+    And the store has only the 3 objects of the operator, all unchanged
+
+    Examples:
+      | name       |
+      | booking?x  |
+      | bookin%67  |
+      | x/booking  |
+      | łódź       |
+
   Scenario Outline: Invalid input is refused by field and nothing is applied
     Given a system of 1 failure domains with 1 daemons each
     When a selector is applied with <fault>
--- a/hemlockgrade/admin.py
+++ b/hemlockgrade/admin.py
@@ -159,19 +159,19 @@
         version = self._daemon.directory.table_revision
         return _json_response(request, {'version': version, name: listed})
 
-    @app.route('/v1/labels/<name>', methods=['PUT'])
+    @app.route('/v1/labels/<path:name>', methods=['PUT'])
     def _put_label(self, request, name):
         return self._put_definition(request, 'label', name)
 
-    @app.route('/v1/labels/<name>', methods=['DELETE'])
+    @app.route('/v1/labels/<path:name>', methods=['DELETE'])
     def _delete_label(self, request, name):
         return self._remove_definition(request, 'label', name)
 
-    @app.route('/v1/selectors/<name>', methods=['PUT'])
+    @app.route('/v1/selectors/<path:name>', methods=['PUT'])
     def _put_selector(self, request, name):
         return self._put_definition(request, 'selector', name)
 
-    @app.route('/v1/selectors/<name>', methods=['DELETE'])
+    @app.route('/v1/selectors/<path:name>', methods=['DELETE'])
     def _delete_selector(self, request, name):
         return self._remove_definition(request, 'selector', name)
 
--- a/hemlockgrade/commands/client.py
+++ b/hemlockgrade/commands/client.py
@@ -16,6 +16,7 @@
 from twisted.web import client as web_client
 
 from hemlockgrade import exceptions
+from hemlockgrade import http_codec
 from hemlockgrade.config import client as client_settings
 
 # Concurrent calls of one command that calls all daemons; bounds the sockets and
@@ -189,6 +190,16 @@
         return result
 
 
+def object_path(collection: str, name: str) -> str:
+    """Returns the path of a label or selector, whatever its name.
+
+    Args:
+        collection: `labels` or `selectors`.
+        name: Name of the object, which the daemon has not checked yet.
+    """
+    return f'/v1/{collection}/{http_codec.quote(name)}'
+
+
 def _with_query(path: str, query: dict[str, str] | None) -> str:
     return f'{path}?{parse.urlencode(query)}' if query else path
 
--- a/hemlockgrade/commands/labels.py
+++ b/hemlockgrade/commands/labels.py
@@ -17,14 +17,14 @@
         members: Patterns of identifiers.
     """
     body = {'name': name, 'kind': kind, 'members': members}
-    return await api.put(f'/v1/labels/{name}', body)
+    return await api.put(client.object_path('labels', name), body)
 
 
 async def remove_label(
     api: client.AdministrationClient, name: str
 ) -> dict[str, Any]:
     """Removes a label; no selector may use the label."""
-    return await api.delete(f'/v1/labels/{name}')
+    return await api.delete(client.object_path('labels', name))
 
 
 async def list_labels(
--- a/hemlockgrade/commands/selectors.py
+++ b/hemlockgrade/commands/selectors.py
@@ -38,7 +38,7 @@
     ):
         for body in objects:
             name = str(body.get('name', ''))
-            response = await api.put(f'/v1/{collection}/{name}', body)
+            response = await api.put(client.object_path(collection, name), body)
             results.append(
                 {
                     'object': f'{collection}/{name}',
@@ -67,7 +67,7 @@
     body['shares_by_version'] = parse_shares(shares)
     body['agreed_by'] = None if agreed_by is None else parse_time(agreed_by)
     return await api.put(
-        f'/v1/selectors/{name}', body, expected_version=version
+        client.object_path('selectors', name), body, expected_version=version
     )
 
 
@@ -82,7 +82,7 @@
     api: client.AdministrationClient, name: str
 ) -> dict[str, Any]:
     """Removes a selector and its routes."""
-    return await api.delete(f'/v1/selectors/{name}')
+    return await api.delete(client.object_path('selectors', name))
 
 
 async def list_selectors(
