Take the arguments of hemlockctl as they are written

`hemlockctl labels set 1.10` set the label 1.1, and `hemlockctl selectors remove 'booking#x'` removed the selector booking: fire reads arguments as Python, where these are a number and a name with a comment. `--agreed-by 90` would have ended with a traceback (by reading).

All commands take texts now.

--- a/features/steps/tool_steps.py
+++ b/features/steps/tool_steps.py
@@ -69,6 +69,21 @@
     assert not found, found
 
 
+@when('the label {name} is set with hemlockctl to the members {members}')
+def set_label(context, name, members):
+    text = members.replace(' and ', ',')
+    context.system.ctl_json(
+        'labels', 'set', name, '--kind', 'proxy', '--members', text
+    )
+
+
+@then('hemlockctl lists the label {name} with the members {members}')
+def check_label_members(context, name, members):
+    listed = ctl_json(context, 'labels', 'list')
+    members_by_name = {each['name']: each['members'] for each in listed}
+    assert members_by_name.get(name) == members.split(' and '), listed
+
+
 @when('the {kind} {name} is removed with hemlockctl')
 def remove(context, kind, name):
     context.result = context.system.ctl(f'{kind}s', 'remove', name)
--- a/features/system_tool.feature
+++ b/features/system_tool.feature
@@ -34,10 +34,18 @@
     Examples:
       | name       |
       | booking?x  |
+      | booking#x  |
       | bookin%67  |
       | x/booking  |
       | łódź       |
 
+  Scenario: Names and patterns that look like numbers stay as they are
+    Given a system of 1 failure domains with 1 daemons each
+    When the label 1.10 is set with hemlockctl to the members 007 and 1e3
+    Then hemlockctl lists the label 1.10 with the members 007 and 1e3
+    When the label 1.10 is set with hemlockctl to the members 2.50
+    Then hemlockctl lists the label 1.10 with the members 2.50
+
   Scenario Outline: Invalid input is refused by field and nothing is applied
     Given a system of 1 failure domains with 1 daemons each
     When a selector is applied with <fault>
--- a/hemlockgrade/ctl.py
+++ b/hemlockgrade/ctl.py
@@ -7,6 +7,7 @@
 
 import attrs
 import fire
+from fire import decorators
 from loguru import logger
 import tabulate
 
@@ -21,6 +22,10 @@
 DEFAULT_SETTINGS_PATH = 'hemlockctl.json'
 SETTINGS_VARIABLE = 'HEMLOCKCTL_SETTINGS'
 
+# Without it, fire reads arguments as Python: `1.10` would be a number, and
+# `booking#x` the name booking with a comment.
+_TAKES_TEXTS = decorators.SetParseFn(str)
+
 
 @attrs.define
 class _Context:
@@ -70,6 +75,7 @@
     def __init__(self, context: _Context):
         self._context = context
 
+    @_TAKES_TEXTS
     def set(self, name, kind, members):
         """Creates or replaces a label.
 
@@ -84,14 +90,13 @@
         from hemlockgrade.commands import labels
 
         response = self._context.run(
-            lambda api: labels.set_label(
-                api, str(name), kind, _text_list(members)
-            )
+            lambda api: labels.set_label(api, name, kind, members.split(','))
         )
         self._context.show(
             response, f'label {name} set by version {response["accepted"]}'
         )
 
+    @_TAKES_TEXTS
     def remove(self, name):
         """Removes a label; no selector may use the label.
 
@@ -99,9 +104,7 @@
         """
         from hemlockgrade.commands import labels
 
-        response = self._context.run(
-            lambda api: labels.remove_label(api, str(name))
-        )
+        response = self._context.run(lambda api: labels.remove_label(api, name))
         self._context.show(
             response, f'label {name} removed by version {response["accepted"]}'
         )
@@ -129,6 +132,7 @@
     def __init__(self, context: _Context):
         self._context = context
 
+    @_TAKES_TEXTS
     def apply(self, file):
         """Creates or replaces the labels and selectors of a JSON file.
 
@@ -136,12 +140,11 @@
         """
         from hemlockgrade.commands import selectors
 
-        results = self._context.run(
-            lambda api: selectors.apply_file(api, str(file))
-        )
+        results = self._context.run(lambda api: selectors.apply_file(api, file))
         rows = [(result['object'], result['version']) for result in results]
         self._context.show(results, _table(rows, 'object', 'version'))
 
+    @_TAKES_TEXTS
     def shares(self, name, shares, agreed_by=None):
         """Sets the traffic shares of versions; starts a rollout of a new one.
 
@@ -155,14 +158,14 @@
         """
         from hemlockgrade.commands import selectors
 
-        text = ','.join(_text_list(shares))
         response = self._context.run(
-            lambda api: selectors.set_shares(api, str(name), text, agreed_by)
+            lambda api: selectors.set_shares(api, name, shares, agreed_by)
         )
         self._context.show(
             response, f'selector {name} set by version {response["accepted"]}'
         )
 
+    @_TAKES_TEXTS
     def show(self, name):
         """Shows one selector.
 
@@ -171,7 +174,7 @@
         from hemlockgrade.commands import selectors
 
         selector = self._context.run(
-            lambda api: selectors.show_selector(api, str(name))
+            lambda api: selectors.show_selector(api, name)
         )
         self._context.show(selector, _table(selector.items(), 'field', 'value'))
 
@@ -197,6 +200,7 @@
             _table(rows, 'selector', 'service', 'routes', 'shares'),
         )
 
+    @_TAKES_TEXTS
     def remove(self, name):
         """Removes a selector and its routes.
 
@@ -205,7 +209,7 @@
         from hemlockgrade.commands import selectors
 
         response = self._context.run(
-            lambda api: selectors.remove_selector(api, str(name))
+            lambda api: selectors.remove_selector(api, name)
         )
         self._context.show(
             response,
@@ -242,6 +246,7 @@
             _table(rows, 'selector', 'version', 'state', 'progress', 'reason'),
         )
 
+    @_TAKES_TEXTS
     def watch(self, selector):
         """Prints the progress of a rollout until the rollout ends.
 
@@ -252,7 +257,7 @@
         from hemlockgrade.commands import rollouts
 
         async def print_progress(api):
-            async for rollout in rollouts.watch_rollout(api, str(selector)):
+            async for rollout in rollouts.watch_rollout(api, selector):
                 self._context.show(
                     rollout,
                     f'{_format_time()} {rollout["selector"]} '
@@ -328,6 +333,7 @@
         )
         self._context.show(system_status, text)
 
+    @_TAKES_TEXTS
     def explain(self, path):
         """Shows which route, selector and versions match a request.
 
@@ -335,13 +341,12 @@
         """
         from hemlockgrade.commands import overview
 
-        explanation = self._context.run(
-            lambda api: overview.explain(api, str(path))
-        )
+        explanation = self._context.run(lambda api: overview.explain(api, path))
         self._context.show(
             explanation, _table(explanation.items(), 'field', 'value')
         )
 
+    @_TAKES_TEXTS
     def timeline(self, about=None):
         """Shows the events of all daemons in causal order.
 
@@ -353,9 +358,7 @@
         from hemlockgrade.commands import overview
 
         events = self._context.run(
-            lambda api: overview.merged_timeline(
-                api, None if about is None else str(about)
-            )
+            lambda api: overview.merged_timeline(api, about)
         )
         rows = [
             (
@@ -372,12 +375,13 @@
             events, _table(rows, 'time', 'process', 'event', 'fields')
         )
 
+    @_TAKES_TEXTS
     def check(self, file):
         """Lists all errors in a file of labels and selectors; sends nothing.
 
         Example: hemlockctl check booking.json
         """
-        count = files.check_file(str(file))
+        count = files.check_file(file)
         self._context.show({'objects': count}, f'{count} objects, no errors')
 
 
@@ -435,13 +439,6 @@
         print(f'  {single_error}', file=sys.stderr)
 
 
-def _text_list(value: Any) -> list[str]:
-    """Returns a list of texts; fire has already parsed `a,b` into a tuple."""
-    if isinstance(value, tuple | list):
-        return [str(item) for item in value]
-    return str(value).split(',')
-
-
 def _table(rows, *headers: str) -> str:
     return tabulate.tabulate(list(rows), headers=headers)
 
