Name the header of a malformed attempt

The answer to a fence request with a malformed identifier named x-hemlock-request-id, which the peer protocol does not have; the header is x-hemlock-attempt. Its form is now called <prefix>-<number>, as in the ledger's documentation. Callers never see the message; it is for who reads the log.

--- a/features/retries.feature
+++ b/features/retries.feature
@@ -65,6 +65,16 @@
       | POST   | 3     | 502    | 1    |
       | GET    | 1     | 200    | 2    |
 
+  Scenario Outline: The refusal of a malformed attempt names its header
+    When a daemon is asked to fence the attempt <id>
+    Then it is refused as malformed with the header x-hemlock-attempt
+
+    Examples:
+      | id      |
+      | 7       |
+      | p.1-x   |
+      | p.1-²   |
+
   Scenario: The size of the attempt ledger is limited
     When 30000 requests are admitted in 300 seconds
     Then the ledger holds at most the requests of its retention time
--- a/features/steps/retries_steps.py
+++ b/features/steps/retries_steps.py
@@ -150,6 +150,20 @@
     context.ledger.admit('p.1-1', 0.0)
 
 
+@when('a daemon is asked to fence the attempt {attempt_id}')
+def fence_malformed(context, attempt_id):
+    context.ledger = ledger.AttemptLedger('boot')
+    try:
+        context.ledger.fence(attempt_id, 'boot', 0.0)
+    except exceptions.MalformedRequestError as error:
+        context.error = error
+
+
+@then('it is refused as malformed with the header x-hemlock-attempt')
+def check_header_named(context):
+    assert 'x-hemlock-attempt ' in str(context.error), context.error
+
+
 @when('{count:d} requests are admitted in {seconds:d} seconds')
 def admit_many(context, count, seconds):
     context.ledger = ledger.AttemptLedger('boot')
--- a/hemlockgrade/ledger.py
+++ b/hemlockgrade/ledger.py
@@ -59,7 +59,7 @@
     prefix, _, number = attempt_id.rpartition('-')
     if not prefix or not number.isascii() or not number.isdecimal():
         raise exceptions.MalformedRequestError(
-            f'x-hemlock-request-id {attempt_id[:64]!r} is not <proxy>-<number>'
+            f'x-hemlock-attempt {attempt_id[:64]!r} is not <prefix>-<number>'
         )
     return prefix, int(number)
 
