Make the simulation of the limits run again, and test that it does

bench/decisions_limits.py ended in a TypeError after 0.1 s, so that its figures could not be made again: `RetryState` and `SlotQueue._displace` have other arguments now. Behind the error, the variant "no early refusal" overrode a method that is gone, and showed the results of the package.

The simulation counts refusals and attempts as the proxy does, and the variant overrides `_wait_s` and `latest_start`.

New scenario, which runs it at 3 times the capacity and asks that each variant of the queue differs.

--- a/bench/decisions_limits.py
+++ b/bench/decisions_limits.py
@@ -1,6 +1,7 @@
 """Compares policies of the limiter and the retry budget under overload.
 
-Usage: `python bench/decisions_limits.py [--seconds 20] [--seed 1]`.
+Usage: `python bench/decisions_limits.py [--seconds 20] [--seed 1]
+[--loads 0.5 1 1.5 3]`.
 
 Simulates in virtual time, with a seed: three targets of 18 slots, six proxies,
 service times with a mean of 50 ms (log-normal), time limits of 80, 150, 500
@@ -9,7 +10,9 @@
 After a failure, a caller sends the request again once with a probability of
 0.5, which causes a retry storm. One proxy sends 40 percent of the load. In the
 scenario `greedy` this proxy retries without a budget; in `slow target` one
-target is five times slower. Prints goodput and latency as one line of JSON per
+target is five times slower. Only refused attempts are retried here, and they
+take nothing from the budget, so that the results without a budget are those of
+the package. Prints goodput and latency as one line of JSON per
 policy, scenario and load.
 """
 
@@ -27,6 +30,7 @@
 from hemlockgrade import exceptions
 from hemlockgrade import limits
 from hemlockgrade import retries
+from hemlockgrade import selectors
 
 TARGET_COUNT = 3
 SLOTS = 18
@@ -90,8 +94,11 @@
 class QueueWithoutEarlyRefusal(limits.SlotQueue):
     """Variant: the queue of the package without early refusals."""
 
-    def _can_finish(self, request, now, position):
-        return True
+    def _wait_s(self, position):
+        return -math.inf
+
+    def latest_start(self, request):
+        return request.deadline
 
 
 class FixedQueueBound(limits.QueueBound):
@@ -112,7 +119,7 @@
 class QueueWithoutDisplacement(limits.SlotQueue):
     """Variant: a full queue refuses every new request."""
 
-    def _displace(self, caller):
+    def _displace(self, new, now):
         raise limits.refusal_error('the queue is full')
 
 
@@ -148,7 +155,8 @@
         deadline: Time at which the caller stops waiting, in seconds.
         idempotent: True if the request may run more than once.
         resent: True if the caller sent the request again after a failure.
-        attempts: Number of attempts.
+        attempts: Number of attempts that a server ran.
+        refusals: Number of attempts that a daemon refused.
         tried: Indexes of the targets of the attempts.
     """
 
@@ -158,6 +166,7 @@
     idempotent: bool
     resent: bool = False
     attempts: int = 0
+    refusals: int = 0
     tried: list[int] = attrs.field(factory=list)
 
 
@@ -236,7 +245,6 @@
 
     def send(self, now, call):
         """Sends an attempt to a target, if possible to one not tried yet."""
-        call.attempts += 1
         self.attempts += self.is_measured(now)
         untried = [t for t in range(TARGET_COUNT) if t not in call.tried]
         index = self.random.choice(untried or range(TARGET_COUNT))
@@ -316,10 +324,16 @@
 
     def handle_failure(self, now, call, failure):
         """Retries a failed attempt, sends the request again, or gives up."""
+        if failure is retries.Failure.NOT_RUN:
+            call.refusals += 1
+        else:
+            call.attempts += 1
         retry_state = retries.RetryState(
             idempotent=call.idempotent,
-            count=call.attempts,
-            may_have_run=False,
+            sent_attempts=call.attempts,
+            max_sent_attempts=selectors.MAX_ATTEMPTS,
+            refusals=call.refusals,
+            may_have_run=call.attempts > 0,
             deadline=call.deadline,
         )
         budget = self.budgets[call.caller]
@@ -393,8 +407,9 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seconds', type=float, default=20)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--loads', type=float, nargs='+', default=LOADS)
     chosen = parser.parse_args()
-    for offered_load in LOADS:
+    for offered_load in chosen.loads:
         for scenario, policies in SCENARIOS.items():
             for policy in policies:
                 report(policy, offered_load, scenario, chosen)
--- a/features/limits.feature
+++ b/features/limits.feature
@@ -40,6 +40,13 @@
     When caller a sends another request
     Then the slot request is refused
 
+  Scenario: The simulation of the limits compares all policies
+    # Guards against a simulation that no longer fits the package, and against
+    # variants that override nothing and thus show the results of the package.
+    When the simulation of the limits is run at 3 times the capacity
+    Then it has a result for each of its 14 cases
+    And each variant of the queue differs from the package
+
   Scenario: A draining limiter refuses new and waiting requests
     Given a queue of 2 slots with a mean service time of 0.05 seconds
     And its slots are in use
--- a/features/steps/limits_steps.py
+++ b/features/steps/limits_steps.py
@@ -1,7 +1,11 @@
 """Steps for the slot queue and the limiter."""
 
 import asyncio
+import json
 import os
+import pathlib
+import subprocess
+import sys
 
 from behave import given
 from behave import then
@@ -14,6 +18,7 @@
 from hemlockgrade.plugins import slot_limiter
 from standins import loopback
 
+ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 # A quarter of the number of generated histories that each property runs.
 SEEDS = int(os.environ.get('HEMLOCK_SEEDS', '25'))
 HISTORIES = hypothesis.settings(
@@ -382,3 +387,36 @@
     assert least <= context.waited_s <= context.allowed_s - 0.1, (
         context.waited_s
     )
+
+
+@when('the simulation of the limits is run at {load} times the capacity')
+def run_simulation(context, load):
+    options = ['--seconds', '2.5', '--loads', load]
+    process = subprocess.run(
+        [sys.executable, 'bench/decisions_limits.py', *options],
+        cwd=ROOT,
+        env={**os.environ, 'PYTHONPATH': str(ROOT)},
+        capture_output=True,
+        text=True,
+    )
+    assert process.returncode == 0, process.stderr
+    context.results = [json.loads(line) for line in process.stdout.splitlines()]
+
+
+@then('it has a result for each of its {count:d} cases')
+def check_results_complete(context, count):
+    cases = {(each['scenario'], each['policy']) for each in context.results}
+    assert len(cases) == len(context.results) == count, context.results
+
+
+@then('each variant of the queue differs from the package')
+def check_variants_differ(context):
+    figures_by_policy = {
+        each.pop('policy'): each
+        for each in context.results
+        if each['scenario'] == 'plain'
+    }
+    package = figures_by_policy.pop('shipped')
+    del figures_by_policy['retries without budget']
+    same = [n for n, found in figures_by_policy.items() if found == package]
+    assert not same, same
