Test that the parent of a call is the nearest running request

The finding that a call two levels deep gets the priority of the root no longer stands: `RunningRequests.find_parent` takes the longest prefix, but no scenario asked for it. The new one passes on this code; with a lookup under the first part of the identifier, as the finding describes, it fails for a.1.2.

--- a/features/nested_requests.feature
+++ b/features/nested_requests.feature
@@ -13,3 +13,16 @@
     And they refuse 0% of the requests, and permit servers 100%
     When callers send 20 requests a second for 2 seconds
     Then no request ran twice
+
+  Scenario Outline: The parent of a request is the nearest one that runs
+    # Guards against calls two levels deep that get the priority of the first
+    # request.
+    Given a server that runs the requests a and a.1
+    Then the parent of the request <id> is <parent>
+
+    Examples:
+      | id    | parent |
+      | a.1.2 | a.1    |
+      | a.2   | a      |
+      | a.1   | a.1    |
+      | ab.1  | none   |
--- a/features/steps/nested_requests_steps.py
+++ b/features/steps/nested_requests_steps.py
@@ -8,6 +8,7 @@
 from behave import then
 from behave import when
 
+from hemlockgrade import running_requests
 from standins import cluster
 from standins import mesh_cluster
 
@@ -141,3 +142,22 @@
     ]
     assert runs
     assert len(runs) == len(set(runs)), (len(runs), len(set(runs)))
+
+
+@given('a server that runs the requests {first} and {second}')
+def build_running_requests(context, first, second):
+    context.running = running_requests.RunningRequests()
+    context.request_by_id = {
+        request_id: running_requests.RunningRequest(
+            priority=priority, is_repeat=False, ends_by=1.0
+        )
+        for priority, request_id in enumerate((first, second))
+    }
+    for request_id, running in context.request_by_id.items():
+        context.running.add(request_id, running)
+
+
+@then('the parent of the request {request_id} is {parent}')
+def check_parent(context, request_id, parent):
+    found = context.running.find_parent(request_id)
+    assert found is context.request_by_id.get(parent), found
