--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -169,6 +169,16 @@
     When requests are sent that no target may run
     Then the responses are 503, 503, 404, 503 and 503 with outcome not-run
 
+  Scenario Outline: Before its first configuration a daemon names when to return
+    # Guards against callers that return several times while a daemon starts.
+    When a daemon without a configuration gets a request with a timeout of <ms> ms
+    Then the caller may return after <seconds> s
+
+    Examples:
+      | ms    | seconds |
+      | 20000 | 0.100   |
+      | 100   | 0.030   |
+
   Scenario: The limits on slots and connections are never exceeded
     When 200 requests arrive at once for a target with 6 slots
     Then at most 6 requests ran at once over at most 130 connections
@@ -188,12 +198,37 @@
     When 5 targets answer a request with 421
     Then the targets got the request 3 times
 
-  @known_red
   Scenario: Response statistics and the failure fraction follow the outcomes
     When a target responds, fails, closes the connection and times out
     Then the responses were recorded as successful failed failed failed
     And the balancer's failure fraction is that of three failures, less the decay
 
+  Scenario Outline: A timeout that is reported after the deadline is a failure of the target
+    # The daemon of the target reports a timeout 5 ms before the deadline of the
+    # caller's daemon. Guards against a balancer that prefers a target because
+    # the reports of its timeouts come late. A daemon that gets a request with
+    # less time than this does not send it to its target.
+    When a target times out after <ms> ms and the report is 50 ms late
+    Then the responses were recorded as <recorded>
+    And the balancer's failure fraction is <fraction>
+
+    Examples:
+      | ms  | recorded | fraction |
+      | 100 | failed   | 0.1      |
+      | 4   | none     | 0.0      |
+
+  Scenario Outline: A request whose caller has left is a failure after its deadline only
+    # Guards against timeouts that are not counted, because a busy daemon
+    # processes the close of the caller's daemon before its own deadline.
+    When a daemon processes the close of a peer <ms> ms after its deadline
+    Then the responses were recorded as <recorded>
+    And the target is free, and <mean> service time was measured
+
+    Examples:
+      | ms   | recorded | mean |
+      | 50   | failed   | a    |
+      | -350 | none     | no   |
+
   Scenario: A target process completes its request and deregisters when it ends
     When a target process gets SIGTERM while it runs a request
     Then it announced itself, completed the request and deregistered
--- a/features/steps/request_path_steps.py
+++ b/features/steps/request_path_steps.py
@@ -309,6 +309,8 @@
 @then('the responses were recorded as {expected}')
 def check_statistics(context, expected):
     found = context.evidence
+    if expected == 'none':
+        expected = ''
     assert found == [word == 'successful' for word in expected.split()], found
 
 
@@ -323,6 +325,53 @@
     )
 
 
+@when_system_runs(
+    'a target times out after {ms:d} ms and the report is 50 ms late'
+)
+async def delay_report_of_timeout(context, system, ms):
+    (target,), (relay,) = system.targets, system.relays
+    target.faults = [target_server.Fault('late', route='/late', ms=200)]
+    relay.response_delay_s = 0.05
+    headers = f'x-request-timeout-ms: {ms}\r\n'
+    await system.send_request('POST', '/late', headers=headers)
+    context.failure_fraction = system.balancer.peer('target-0').failure_fraction
+
+
+@when_system_runs(
+    'a daemon processes the close of a peer {ms:d} ms after its deadline'
+)
+async def close_before_deadline_is_processed(context, system, ms):
+    (target,), (server_host,) = system.targets, system.hosts
+    target.faults = [target_server.Fault('late', route='/late', ms=1000)]
+    host, port = server_host.address.split(':')
+    caller = loopback.Caller(*await asyncio.open_connection(host, int(port)))
+    started = time.monotonic()
+    caller.send(
+        'POST',
+        '/late',
+        headers='x-hemlock-server: target-0\r\n'
+        'x-hemlock-attempt: caller.boot-1\r\n'
+        'x-deadline-ms: 405\r\n',
+    )
+    await wait_until(lambda: target.running)
+    caller.close()
+    await asyncio.sleep(0)
+    # The event loop processes the close and the deadline in one iteration.
+    time.sleep(max(0.0, started + 0.4 + ms / 1000 - time.monotonic()))
+    await wait_until(lambda: server_host.limiter_load() == (0, 0))
+    context.measured = server_host.admission._limiter._queue._measured_count
+
+
+@then('the target is free, and {amount} service time was measured')
+def check_service_time_measured(context, amount):
+    assert context.measured == (amount == 'a'), context.measured
+
+
+@then("the balancer's failure fraction is {fraction:f}")
+def check_exact_failure_fraction(context, fraction):
+    assert context.failure_fraction == fraction, context.failure_fraction
+
+
 @when_system_runs(
     'a caller starts to read a response of 60 million bytes after a delay',
     timeout_ms=30_000,
@@ -691,6 +740,23 @@
     context.responses.append(await system.send_request('POST', '/a'))
 
 
+@when_system_runs(
+    'a daemon without a configuration gets a request with a timeout of {ms:d} ms'
+)
+async def send_before_configuration(context, system, ms):
+    system.directory.configuration = None
+    context.response = await system.send_request(
+        'POST', '/a', headers=f'x-request-timeout-ms: {ms}\r\n'
+    )
+
+
+@then('the caller may return after {seconds} s')
+def check_retry_after(context, seconds):
+    headers = dict(context.response.headers)
+    assert context.response.status == 503, context.response
+    assert headers[b'retry-after'] == seconds.encode(), headers
+
+
 @then('the responses are 503, 503, 404, 503 and 503 with outcome not-run')
 def check_not_run(context):
     assert [r.status for r in context.responses] == [503, 503, 404, 503, 503]
--- a/hemlockgrade/admin.py
+++ b/hemlockgrade/admin.py
@@ -8,6 +8,7 @@
 import asyncio
 from collections.abc import Coroutine
 import hmac
+import re
 from typing import Any
 from typing import Protocol
 
@@ -25,6 +26,11 @@
 from hemlockgrade import timeline
 
 MAX_REQUEST_BODY_BYTES = 64 * 1024
+# Start of a request line: a method, a space and what follows. The method is a
+# token (RFC 9110, section 5.6.2).
+_START_OF_REQUEST_LINE = re.compile(
+    rb"[-!#$%&'*+.^_`|~0-9A-Za-z]*(?: [^\x00-\x1f\x7f]*)?\r?"
+)
 _STATUS_BY_ERROR_CLASS = {
     exceptions.InvalidChangeError: http.BAD_REQUEST,
     exceptions.InvalidFieldError: http.BAD_REQUEST,
@@ -153,19 +159,19 @@
         version = self._daemon.directory.table_revision
         return _json_response(request, {'version': version, name: listed})
 
-    @app.route('/v1/labels/<name>', methods=['PUT'])
+    @app.route('/v1/labels/<path:name>', methods=['PUT'])
     def _put_label(self, request, name):
         return self._put_definition(request, 'label', name)
 
-    @app.route('/v1/labels/<name>', methods=['DELETE'])
+    @app.route('/v1/labels/<path:name>', methods=['DELETE'])
     def _delete_label(self, request, name):
         return self._remove_definition(request, 'label', name)
 
-    @app.route('/v1/selectors/<name>', methods=['PUT'])
+    @app.route('/v1/selectors/<path:name>', methods=['PUT'])
     def _put_selector(self, request, name):
         return self._put_definition(request, 'selector', name)
 
-    @app.route('/v1/selectors/<name>', methods=['DELETE'])
+    @app.route('/v1/selectors/<path:name>', methods=['DELETE'])
     def _delete_selector(self, request, name):
         return self._remove_definition(request, 'selector', name)
 
@@ -273,6 +279,53 @@
     return orjson.dumps(value)
 
 
+class _Channel(http.HTTPChannel):
+    """A connection that answers malformed requests with 400 and closes."""
+
+    def dataReceived(self, data):  # noqa: N802
+        """Refuses bytes that cannot be the start of a request line.
+
+        Without that, they would wait for the end of the line.
+        """
+        super().dataReceived(data)
+        if self.requests or self.transport.disconnecting:
+            return
+        start_of_line = self.clearLineBuffer()
+        if not _START_OF_REQUEST_LINE.fullmatch(start_of_line):
+            self._respondToBadRequestAndDisconnect()
+        elif start_of_line:
+            super().dataReceived(start_of_line)
+
+    def lineReceived(self, line):  # noqa: N802
+        """Refuses a folded header (RFC 9112, section 5.2)."""
+        if line.startswith((b' ', b'\t')):
+            self._respondToBadRequestAndDisconnect()
+            return
+        super().lineReceived(line)
+
+    def allHeadersReceived(self):  # noqa: N802
+        """Refuses a request without one Host (RFC 9112, section 3.2)."""
+        request = self.requests[-1]
+        hosts = request.requestHeaders.getRawHeaders(b'host') or []
+        if len(hosts) > 1 or (not hosts and self._version == b'HTTP/1.1'):
+            # With an unknown length the request is not run.
+            self.length = None
+            self._respondToBadRequestAndDisconnect()
+            return
+        super().allHeadersReceived()
+
+    def rawDataReceived(self, data):  # noqa: N802
+        """Refuses a chunk that is too large for any call."""
+        super().rawDataReceived(data)
+        # Only a decoder of chunks whose size line has been read has a length.
+        chunk_bytes = getattr(self._transferDecoder, 'length', 0)
+        if (
+            chunk_bytes > MAX_REQUEST_BODY_BYTES
+            and not self.transport.disconnecting
+        ):
+            self._respondToBadRequestAndDisconnect()
+
+
 class SizeLimitedSite(server.Site):
     """A web site that closes connections whose request body is too large.
 
@@ -282,6 +335,7 @@
     """
 
     noisy = False
+    protocol = _Channel
 
     def __init__(self, resource):
         super().__init__(resource, requestFactory=_SizeLimitedRequest)
