Do not take a slow store for a lost parent

Cause: a confirmation is as old as the start of the read it comes from. While the store needs 0.4 s for a call, the confirmations of a failure domain pass 1.2 s, so that each daemon asked the slow store itself, and each read was sent twice, because the open connection was given up after 0.25 s.

Change: confirmations carry the time of the read; the age at which a daemon asks the store grows by twice what exceeds 0.1 s, and a connection is given up after twice the time of the latest read.

The new scenario asks for 8.

--- a/features/configuration_freshness.feature
+++ b/features/configuration_freshness.feature
@@ -71,6 +71,13 @@
     When nothing changes for 5 seconds
     Then the store has got at most 14 calls a second
 
+  Scenario: Few daemons ask a slow store
+    # Guards against daemons that take slow reads for the loss of the others.
+    Given a mesh with hosts in 2 failure domains, 5 in each
+    When each call to the store takes 0.4 seconds longer
+    And nothing changes for 5 seconds
+    Then the store has got at most 8 calls a second
+
   Scenario Outline: Confirmations reach each daemon in few steps
     # Guards against one daemon that all others ask, and against long chains.
     Given a failure domain of <daemons> daemons
--- a/features/steps/configuration_freshness_steps.py
+++ b/features/steps/configuration_freshness_steps.py
@@ -216,6 +216,12 @@
     add_route(context)
 
 
+@when('each call to the store takes {seconds:g} seconds longer')
+def delay_calls(context, seconds):
+    context.links.delay(seconds / 2)
+    time.sleep(SETTLE_S)
+
+
 @when('nothing changes for {seconds:g} seconds')
 def count_calls(context, seconds):
     address = context.mesh.store_process.addresses['http']
@@ -460,7 +466,7 @@
         [
             (
                 peer_protocol.CONFIRMED_HEADER,
-                peer_protocol.encode_confirmation(age_s, 9),
+                peer_protocol.encode_confirmation(age_s, 9, 0.004),
             )
         ],
         peer_protocol.Versions(configuration_version=5, table_revision=7),
--- a/hemlockgrade/configuration_check.py
+++ b/hemlockgrade/configuration_check.py
@@ -29,7 +29,10 @@
 # Jitter of these times, as a fraction.
 JITTER = 0.2
 # A daemon whose latest confirmation is older asks the store itself, in seconds.
+# While the store is slow, confirmations are older by up to twice the time by
+# which a read takes longer than usual.
 MAX_AGE_S = 1.2
+USUAL_READ_S = 0.1
 # Time for the watch to return a version that a peer has already, before this
 # daemon asks the store for it, in seconds.
 WATCH_GRACE_S = 0.25
@@ -41,7 +44,8 @@
 MAX_OLD_RESPONSES = 3
 PEER_COOLDOWN_S = 5.0
 # Longest time for the store to respond on a connection that was open before,
-# which may have failed silently, and on a new one, in seconds.
+# which may have failed silently, and on a new one, in seconds. The first one is
+# at least twice the time of the latest read.
 OPEN_CONNECTION_TIMEOUT_S = 0.25
 NEW_CONNECTION_TIMEOUT_S = 1.0
 # Time between two reads after failed ones, in seconds.
@@ -104,7 +108,8 @@
 
     @property
     def _is_recent(self) -> bool:
-        return self.freshness.age_s <= MAX_AGE_S
+        slow_s = max(0.0, self.freshness.read_s - USUAL_READ_S)
+        return self.freshness.age_s <= MAX_AGE_S + 2 * slow_s
 
     def _interval_s(self) -> float:
         if not self.feed.gets_configurations and not self._is_recent:
@@ -233,19 +238,23 @@
         Raises:
             exceptions.PlatformUnavailableError: The store is unavailable.
         """
+        timeout_s = min(
+            max(OPEN_CONNECTION_TIMEOUT_S, 2 * self.freshness.read_s),
+            NEW_CONNECTION_TIMEOUT_S,
+        )
         started_at = self.freshness.clock()
         try:
-            await self.feed.read_configuration(OPEN_CONNECTION_TIMEOUT_S)
+            await self.feed.read_configuration(timeout_s)
             return
         except exceptions.PlatformUnavailableError:
-            if self.freshness.clock() - started_at < OPEN_CONNECTION_TIMEOUT_S:
+            if self.freshness.clock() - started_at < timeout_s:
                 # The store refused the call.
                 raise
         started_at = self.freshness.clock()
         await self.feed.read_configuration(
             NEW_CONNECTION_TIMEOUT_S, new_connection=True
         )
-        if self.freshness.clock() - started_at < OPEN_CONNECTION_TIMEOUT_S / 2:
+        if self.freshness.clock() - started_at < timeout_s / 2:
             self.feed.restart_watches()
 
     def _log_age(self):
--- a/hemlockgrade/freshness.py
+++ b/hemlockgrade/freshness.py
@@ -22,11 +22,13 @@
         revision: Revision of the store at that time.
         confirmed_at: That time, of the monotonic clock of this process, in
             seconds.
+        read_s: Time that the store needed for the read, in seconds.
     """
 
     version: int
     revision: int
     confirmed_at: float
+    read_s: float = 0.0
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -42,6 +44,7 @@
             in force here or were replaced by a newer one. Minus infinity
             before the first confirmation.
         revision: Revision of the store that belongs to this time.
+        read_s: Time that the store needed for that read, in seconds.
     """
 
     directory: directory_module.Directory
@@ -49,6 +52,7 @@
     on_confirmed: Callable[[int], None] = lambda revision: None
     confirmed_at: float = -math.inf
     revision: int = 0
+    read_s: float = 0.0
     _pending: Confirmation | None = None
 
     @property
@@ -69,7 +73,9 @@
             ):
                 self._pending = new
             return
-        self.confirmed_at = max(self.confirmed_at, new.confirmed_at)
+        if new.confirmed_at > self.confirmed_at:
+            self.confirmed_at = new.confirmed_at
+            self.read_s = new.read_s
         if new.revision > self.revision:
             self.revision = new.revision
             self.on_confirmed(new.revision)
--- a/hemlockgrade/peer_protocol.py
+++ b/hemlockgrade/peer_protocol.py
@@ -39,7 +39,8 @@
 # `<version>,<revision>`.
 VERSIONS_HEADER = b'x-hemlock-versions'
 # In a response to a request for the versions: how long ago the configuration
-# was the newest one of the store, as `<milliseconds>,<revision>`.
+# was the newest one of the store, the revision of the store at that time, and
+# the time of the read, as `<milliseconds>,<revision>,<milliseconds>`.
 CONFIRMED_HEADER = b'x-hemlock-confirmed'
 # Address at which the sender accepts requests of its peers.
 SENDER_HEADER = b'x-hemlock-sender'
@@ -176,15 +177,16 @@
     )
 
 
-def encode_confirmation(age_s: float, revision: int) -> bytes:
+def encode_confirmation(age_s: float, revision: int, read_s: float) -> bytes:
     """Returns the value of `CONFIRMED_HEADER`.
 
     Args:
         age_s: Time since the configuration of the sender was the newest one of
             the store, in seconds.
         revision: Revision of the store at that time.
+        read_s: Time that the store needed for the read, in seconds.
     """
-    return b'%d,%d' % (math.ceil(age_s * 1000), revision)
+    return b'%d,%d,%d' % (math.ceil(age_s * 1000), revision, read_s * 1000)
 
 
 def decode_confirmation(
@@ -201,13 +203,14 @@
     Returns:
         None if the header is missing or malformed.
     """
-    values = _decode_numbers(headers, CONFIRMED_HEADER, 2)
-    if values is None or values[0] < 0:
+    values = _decode_numbers(headers, CONFIRMED_HEADER, 3)
+    if values is None or min(values) < 0:
         return None
     return freshness.Confirmation(
         version=versions.configuration_version,
         revision=int(values[1]),
         confirmed_at=sent_at - values[0] / 1000,
+        read_s=values[2] / 1000,
     )
 
 
--- a/hemlockgrade/state_sync.py
+++ b/hemlockgrade/state_sync.py
@@ -133,7 +133,7 @@
         if freshness is None or not math.isfinite(freshness.confirmed_at):
             return []
         value = peer_protocol.encode_confirmation(
-            freshness.age_s, freshness.revision
+            freshness.age_s, freshness.revision, freshness.read_s
         )
         return [(peer_protocol.CONFIRMED_HEADER, value)]
 
--- a/hemlockgrade/store_feed.py
+++ b/hemlockgrade/store_feed.py
@@ -1,5 +1,6 @@
 """Watches the store and passes its objects to the components of a daemon."""
 
+import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
 from typing import Any
@@ -98,6 +99,7 @@
                 version=self.directory.configuration_version,
                 revision=revision,
                 confirmed_at=started_at,
+                read_s=asyncio.get_running_loop().time() - started_at,
             )
         )
 
--- a/standins/store_links.py
+++ b/standins/store_links.py
@@ -42,6 +42,11 @@
         """Loses all further bytes of the connections that are open now."""
         self._run(self._silence_open(self._link_by_domain[domain]))
 
+    def delay(self, delay_s: float) -> None:
+        """Delays the bytes of each direction, in all failure domains."""
+        for link in self._link_by_domain.values():
+            link.delay_s = delay_s
+
     def reset(self, domain: str) -> None:
         """Resets all open connections."""
         self._run(self._reset(self._link_by_domain[domain]))
