Read the configuration beside a silent store, and only its newest version

A daemon that knows of a newer version reads the newest one only, and only the start of a response has the short limit. A parent with an old confirmation is set aside for longer each time, a response without versions counts as none. - All daemons sent their next read without lag in the same second after a change; the spread was a constant that nothing used. There are two fetches now, and the newest version heard is kept. - The highest known revision hid changes before an own write. Mesh objects are fetched by the revision up to which the watch is complete. - A response of the store without its fields ended the daemon; it is a failed read now. - A watch that did not return a version that the store has is sent again.

Ruled out by the reviewer's probes: restarts of a watch against cancellation and a lost history, paused daemons, cycles in the tree.

--- a/features/configuration_freshness.feature
+++ b/features/configuration_freshness.feature
@@ -32,6 +32,17 @@
     When a route is added while the open connections of one failure domain to the store are silent, for each domain in turn
     Then each daemon served each route within 2.0 seconds
 
+  Scenario: A failure domain that the store no longer answers follows the others
+    # Guards against daemons that wait for the store before they ask a peer.
+    Given a mesh with hosts in 3 failure domains, 2 in each
+    When a route is added 3 seconds after the store has fallen silent for one failure domain, for each domain in turn
+    Then each daemon served each route within 6.0 seconds
+
+  Scenario: Quick versions of a large configuration reach a daemon as one
+    # Guards against a read that returns each version that a lagging watch lacks.
+    When a daemon with a lagging watch hears of the last of 5 quick versions
+    Then it reads the newest one only, within 0.5 seconds
+
   Scenario: A change right after the store has dropped its history is not lost
     # Guards against an old list in place of the current one after a 410.
     Given a mesh with hosts in 3 failure domains, 2 in each
@@ -105,3 +116,34 @@
     # Guards against an old response that is taken for a recent confirmation.
     When a peer responds after 3 seconds that its configuration is 0.1 seconds old
     Then the confirmation is at least 3.1 seconds old
+
+  Scenario: Daemons do not ask the store all at once after a change
+    # Guards against reads without lag of all daemons in the same second.
+    When 200 watchers have got the same change
+    Then at most a quarter of their next reads without lag fall into one second
+
+  Scenario: A version that was heard beside another fetch is not forgotten
+    # Guards against a message that is dropped while another one is under way.
+    Given a daemon that fetches mesh objects from a silent peer
+    When it hears of version 3 of the configuration and then of version 2
+    Then it has version 3 within 1.0 seconds
+
+  Scenario: An own write does not hide an older change
+    # Guards against the highest known revision taken for a complete state.
+    Given a daemon whose watch is at revision 449 and that has written revision 451
+    When a peer with revision 451 of the mesh objects is heard
+    Then the daemon fetches the state of that peer
+
+  Scenario Outline: A malformed response of the store is a failed read
+    # Guards against a daemon that ends because of one response.
+    When the store responds to a <call> with <response>
+    Then the read has failed as unavailable
+
+    Examples:
+      | call    | response                   |
+      | list    | 200 and no body            |
+      | watch   | 200 and no body            |
+      | changes | 200 and no body            |
+      | changes | 200 and a list             |
+      | watch   | 200 and no counter         |
+      | changes | 404 and no body            |
--- a/features/steps/configuration_freshness_steps.py
+++ b/features/steps/configuration_freshness_steps.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import math
+import random
 import threading
 import time
 
@@ -14,19 +15,23 @@
 from behave import then
 from behave import when
 
+from hemlockgrade import configuration_check
 from hemlockgrade import directory
 from hemlockgrade import exceptions
 from hemlockgrade import freshness
+from hemlockgrade import http_codec
 from hemlockgrade import model
 from hemlockgrade import object_store
 from hemlockgrade import peer_protocol
+from hemlockgrade import state_sync
 from hemlockgrade import watcher
+from hemlockgrade.platform import store
 from standins import cluster
 from standins import mesh_cluster
 from standins import store_links
 
 # Longest time for which a route is requested, in seconds.
-MEASURE_S = 5.0
+MEASURE_S = 7.0
 # Time between two requests for a new route to a daemon, in seconds.
 PROBE_INTERVAL_S = 0.1
 # Time between two other requests to a daemon, in seconds.
@@ -237,6 +242,18 @@
     assert context.calls_per_s <= most, context.calls_per_s
 
 
+@when(
+    'a route is added {seconds:g} seconds after the store has fallen silent for one failure domain, for each domain in turn'
+)
+def add_routes_without_store(context, seconds):
+    for domain in context.domains:
+        context.links.silence(domain)
+        time.sleep(seconds)
+        add_route(context)
+        context.links.heal(domain)
+        time.sleep(SETTLE_S)
+
+
 @then('each running daemon served each route within {limit_s:g} seconds')
 @then('each daemon served each route within {limit_s:g} seconds')
 def check_delays(context, limit_s):
@@ -278,7 +295,7 @@
     steps: list[Step]
     revision: int = 1
 
-    async def list(self, kind, *, may_lag=False):
+    async def list(self, kind, *, may_lag=False, limits=None):
         """Returns the object."""
         visible = self._take_step()
         return object_store.Listing(
@@ -424,16 +441,7 @@
 
 @when('version {version:d} comes into force')
 def apply_version(context, version):
-    context.directory.apply_configuration(
-        model.MeshConfiguration(
-            version=version,
-            routes=(),
-            check_path_by_service={},
-            limits=model.CallerLimits(),
-            document=None,
-        ),
-        'test',
-    )
+    context.directory.apply_configuration(build_configuration(version), 'test')
 
 
 @when('a peer confirms version {version:d} of {age_s:g} seconds ago')
@@ -478,3 +486,267 @@
 @then('the confirmation is at least {age_s:g} seconds old')
 def check_confirmation_age(context, age_s):
     assert context.age_s >= age_s - 1e-6, context.age_s
+
+
+def build_configuration(version):
+    return model.MeshConfiguration(
+        version=version,
+        routes=(),
+        check_path_by_service={},
+        limits=model.CallerLimits(),
+        document=None,
+    )
+
+
+@attrs.define(eq=False)
+class CheckedFeed:
+    """The store as a configuration check reads it, with a lagging watch.
+
+    Attributes:
+        directory: Gets the newest version by each read.
+        newest: Newest version in the store.
+        reads: Whether each read was one of the newest version only.
+    """
+
+    directory: directory.Directory
+    newest: int
+    gets_configurations: bool = True
+    reads: list[bool] = attrs.field(factory=list)
+
+    async def read_configuration(self, limits, *, newest_only):
+        """Returns the newest version."""
+        self.reads.append(newest_only)
+        self.directory.apply_configuration(
+            build_configuration(self.newest), 'store'
+        )
+
+    def restart_watches(self):
+        """Ignores the call."""
+
+
+@when(
+    'a daemon with a lagging watch hears of the last of {count:d} quick versions'
+)
+def hear_of_last_version(context, count):
+    async def run():
+        loop = asyncio.get_running_loop()
+        own = directory.Directory('h-1')
+        own.apply_configuration(build_configuration(1), 'store')
+        own_freshness = freshness.Freshness(directory=own, clock=loop.time)
+        own_freshness.confirmed_at = loop.time()
+        context.feed = CheckedFeed(own, 1 + count)
+        check = configuration_check.ConfigurationCheck(
+            freshness=own_freshness,
+            feed=context.feed,
+            sync=None,
+            zone='a',
+            random=random.Random(1),
+        )
+        check.want(1 + count)
+        started_at = loop.time()
+        task = asyncio.create_task(check.run())
+        while own.configuration_version <= count:
+            await asyncio.sleep(0.01)
+        context.took_s = loop.time() - started_at
+        task.cancel()
+        with contextlib.suppress(asyncio.CancelledError):
+            await task
+
+    asyncio.run(run())
+
+
+@then('it reads the newest one only, within {limit_s:g} seconds')
+def check_newest_read(context, limit_s):
+    assert context.feed.reads == [True], context.feed.reads
+    assert context.took_s <= limit_s, context.took_s
+
+
+@when('{count:d} watchers have got the same change')
+def run_watchers(context, count):
+    """Adds up the waits of each watcher until its next read without lag."""
+    context.reads_at = []
+
+    class Store:
+        def __init__(self):
+            self.waited_s = 0.0
+
+        async def list(self, kind, *, may_lag=False, limits=None):
+            return object_store.Listing(items=(), revision=1)
+
+        async def watch(self, kind, revision, wait_s, *, may_lag=True):
+            if not may_lag:
+                context.reads_at.append(self.waited_s)
+                await asyncio.sleep(60)
+            self.waited_s += wait_s
+            return object_store.Changes(changes=(), revision=revision)
+
+    async def run():
+        async with asyncio.TaskGroup() as group:
+            tasks = [
+                group.create_task(
+                    watcher.Watcher(
+                        store=Store(),
+                        kind='mesh',
+                        wait_s=20.0,
+                        on_item=lambda item: None,
+                        on_deleted=lambda item: None,
+                        random=random.Random(seed),
+                    ).run()
+                )
+                for seed in range(count)
+            ]
+            while len(context.reads_at) < count:
+                await asyncio.sleep(0.01)
+            for task in tasks:
+                task.cancel()
+
+    asyncio.run(run())
+
+
+@then('at most a quarter of their next reads without lag fall into one second')
+def check_spread(context):
+    reads_at = sorted(context.reads_at)
+    most = max(
+        sum(at <= other < at + 1 for other in reads_at) for at in reads_at
+    )
+    assert most <= len(reads_at) / 4, most
+
+
+@attrs.define(eq=False, kw_only=True)
+class RecordingSync(state_sync.StateSync):
+    """Has peers whose state is the configuration of their number.
+
+    Attributes:
+        fetched: Addresses of the peers whose state was asked for.
+    """
+
+    fetched: list[str] = attrs.field(factory=list)
+
+    async def fetch_state(self, address):
+        """Applies the version that the address names; `silent` fails."""
+        self.fetched.append(address)
+        if address == 'silent':
+            await asyncio.sleep(state_sync.STATE_TIMEOUT_S)
+            raise exceptions.DeadlineExceededError('silent', remedy='wait')
+        self.directory.apply_configuration(
+            build_configuration(int(address)), address
+        )
+
+
+def hear(sync, address, configuration_version, table_revision):
+    sync.handle_versions(
+        address,
+        peer_protocol.Versions(
+            configuration_version=configuration_version,
+            table_revision=table_revision,
+        ),
+    )
+
+
+@given('a daemon that fetches mesh objects from a silent peer')
+def build_fetching_daemon(context):
+    own = directory.Directory('h-1')
+    own.apply_configuration(build_configuration(1), 'store')
+    context.sync = RecordingSync(
+        directory=own, pool=None, address='10.0.0.1:80', zone='a'
+    )
+
+
+@when(
+    'it hears of version {first:d} of the configuration and then of version {second:d}'
+)
+def hear_versions(context, first, second):
+    async def run():
+        sync = context.sync
+        hear(sync, 'silent', 1, 9)
+        hear(sync, str(first), first, 0)
+        hear(sync, str(second), second, 0)
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        while (
+            sync.directory.configuration_version < first
+            and loop.time() < started_at + MEASURE_S
+        ):
+            await asyncio.sleep(0.01)
+        context.took_s = loop.time() - started_at
+
+    asyncio.run(run())
+
+
+@then('it has version {version:d} within {limit_s:g} seconds')
+def check_heard_version(context, version, limit_s):
+    assert context.sync.directory.configuration_version == version
+    assert context.took_s <= limit_s, context.took_s
+
+
+@given(
+    'a daemon whose watch is at revision {watched:d} and that has written revision {written:d}'
+)
+def build_writing_daemon(context, watched, written):
+    own = directory.Directory('h-1')
+    own.apply_configuration(build_configuration(1), 'store')
+    own.apply_member(
+        model.Member(
+            name='h-1',
+            address='10.0.0.1:80',
+            zone='a',
+            boot_id='boot',
+            revision=written,
+        ),
+        'own',
+    )
+    context.sync = RecordingSync(
+        directory=own,
+        pool=None,
+        address='10.0.0.1:80',
+        zone='a',
+        complete_revision=lambda: watched,
+    )
+
+
+@when('a peer with revision {revision:d} of the mesh objects is heard')
+def hear_of_objects(context, revision):
+    async def run():
+        hear(context.sync, '1', 1, revision)
+        await asyncio.sleep(1.5 * state_sync.TABLE_FETCH_DELAY_S)
+
+    asyncio.run(run())
+
+
+@then('the daemon fetches the state of that peer')
+def check_fetched(context):
+    assert context.sync.fetched == ['1'], context.sync.fetched
+
+
+BODY_BY_NAME = {
+    'no body': b'',
+    'a list': b'[]',
+    'no counter': b'{"events":[]}',
+}
+
+
+@when('the store responds to a {call} with {status:d} and {body}')
+def read_malformed_response(context, call, status, body):
+    class Pool:
+        async def fetch(self, address, request, deadline, **limits):
+            return http_codec.Response(status=status, body=BODY_BY_NAME[body])
+
+    client = store.MetadataStore('10.0.0.1:1', Pool())
+    limits = object_store.ReadLimits(deadline=time.monotonic() + 1.0)
+    read = {
+        'list': lambda: client.list('mesh'),
+        'watch': lambda: client.watch('mesh', 1, 1.0),
+        'changes': lambda: client.changes_since('mesh', 1, limits),
+    }[call]
+    context.error = None
+    try:
+        asyncio.run(read())
+    except Exception as error:
+        context.error = error
+
+
+@then('the read has failed as unavailable')
+def check_unavailable(context):
+    assert isinstance(context.error, exceptions.PlatformUnavailableError), repr(
+        context.error
+    )
--- a/features/steps/foreign_entries_steps.py
+++ b/features/steps/foreign_entries_steps.py
@@ -247,7 +247,7 @@
 
     body: bytes
 
-    async def fetch(self, address, request, deadline, *, max_idle_s):
+    async def fetch(self, address, request, deadline, **limits):
         """Returns the response."""
         return http_codec.Response(status=200, body=self.body)
 
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -707,7 +707,7 @@
             kind='mesh', name='x', revision=self.revision()
         )
 
-    async def list(self, kind, *, may_lag=False):
+    async def list(self, kind, *, may_lag=False, limits=None):
         self.calls += 1
         return object_store.Listing(
             items=(self.item(),), revision=self.revision()
@@ -769,7 +769,7 @@
         super().__init__(interval_s)
         self.documents = 0
 
-    async def list(self, kind, *, may_lag=False):
+    async def list(self, kind, *, may_lag=False, limits=None):
         self.documents += 1
         return await super().list(kind)
 
--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -33,7 +33,7 @@
 
     pages: list[dict]
 
-    async def fetch(self, address, request, deadline, *, max_idle_s):
+    async def fetch(self, address, request, deadline, **limits):
         """Returns the next page as a response."""
         return http_codec.Response(
             status=200, body=orjson.dumps(self.pages.pop(0))
@@ -80,7 +80,7 @@
     versions: int
     reads: int = 0
 
-    async def list(self, kind, *, may_lag=False):
+    async def list(self, kind, *, may_lag=False, limits=None):
         """Returns the newest version."""
         revision = await self._reach(1)
         return object_store.Listing(
@@ -219,6 +219,10 @@
             self.send(200, b'{"events":[],"CurrentRev":7}')
 
 
+def build_limits(**options):
+    return object_store.ReadLimits(deadline=time.monotonic() + 1.0, **options)
+
+
 @given('{count:d} connections to the store that were open before are silent')
 def silence_connections(context, count):
     context.connection_count = count
@@ -240,7 +244,7 @@
         try:
             await asyncio.gather(
                 *(
-                    client.changes_since('config', 1, 1.0)
+                    client.changes_since('config', 1, build_limits())
                     for _ in range(context.connection_count)
                 )
             )
@@ -248,7 +252,7 @@
             assert len(silenced.silent) == context.connection_count
             started_at = time.monotonic()
             context.changes = await client.changes_since(
-                'config', 1, 1.0, new_connection=True
+                'config', 1, build_limits(new_connection=True)
             )
             context.took_s = time.monotonic() - started_at
             await asyncio.sleep(0.05)
--- a/hemlockgrade/configuration_check.py
+++ b/hemlockgrade/configuration_check.py
@@ -13,9 +13,11 @@
 import attrs
 from loguru import logger
 
+from hemlockgrade import backoff
 from hemlockgrade import exceptions
 from hemlockgrade import freshness as freshness_module
 from hemlockgrade import model
+from hemlockgrade import object_store
 from hemlockgrade import state_sync
 from hemlockgrade import store_feed
 
@@ -39,18 +41,24 @@
 # Longest time for a peer of the same failure domain to send its versions, in
 # seconds.
 PEER_TIMEOUT_S = 0.25
-# A peer that did not respond, or so many times had no recent confirmation, is
-# not asked for this time, in seconds.
-MAX_OLD_RESPONSES = 3
+# A peer that did not respond, or so many times had an old confirmation while
+# the store responds, is not asked for this time, in seconds. It doubles with
+# each further failure, up to the longest one.
+MAX_OLD_RESPONSES = 2
 PEER_COOLDOWN_S = 5.0
-# Longest time for the store to respond on a connection that was open before,
-# which may have failed silently, and on a new one, in seconds. The first one is
-# at least twice the time of the latest read.
+MAX_PEER_COOLDOWN_S = 60.0
+# Longest time until the store begins to respond on a connection that was open
+# before, which may have failed silently, in seconds. It is at least twice the
+# time of the latest read.
 OPEN_CONNECTION_TIMEOUT_S = 0.25
-NEW_CONNECTION_TIMEOUT_S = 1.0
-# Time between two reads after failed ones, in seconds.
+# Longest time of one read, in seconds.
+READ_TIMEOUT_S = 1.5
+# Mean time between two reads after failed ones, in seconds. It doubles with
+# each failure in a row, up to the longest one.
 MIN_RETRY_INTERVAL_S = 0.5
 MAX_RETRY_INTERVAL_S = 2.0
+# Time between two restarts of the watches, in seconds.
+MIN_RESTART_INTERVAL_S = 5.0
 # An age that is logged, in seconds: the users ask for each change to be in
 # force after 2 s.
 LOGGED_AGE_S = 2.0
@@ -74,11 +82,13 @@
     zone: str
     random: random_module.Random = attrs.field(factory=random_module.Random)
     _not_before_by_peer: dict[str, float] = attrs.field(factory=dict)
-    _old_responses_by_peer: dict[str, int] = attrs.field(factory=dict)
+    _failures_by_peer: dict[str, int] = attrs.field(factory=dict)
     _wanted_version: int = 0
     _wanted_at: float = 0.0
     _woken: asyncio.Event = attrs.field(factory=asyncio.Event)
     _next_read_at: float = 0.0
+    _next_random_at: float = 0.0
+    _next_restart_at: float = 0.0
     _failed_reads: int = 0
     _logged_old: bool = False
 
@@ -108,8 +118,17 @@
 
     @property
     def _is_recent(self) -> bool:
+        return self.freshness.age_s < self._max_age_s
+
+    @property
+    def _max_age_s(self) -> float:
         slow_s = max(0.0, self.freshness.read_s - USUAL_READ_S)
-        return self.freshness.age_s <= MAX_AGE_S + 2 * slow_s
+        return MAX_AGE_S + 2 * slow_s
+
+    @property
+    def reaches_store(self) -> bool:
+        """Returns whether this daemon gets new configurations in time."""
+        return self.feed.gets_configurations and self._is_recent
 
     def _interval_s(self) -> float:
         if not self.feed.gets_configurations and not self._is_recent:
@@ -118,11 +137,22 @@
             mean_s = STORE_INTERVAL_S
         else:
             mean_s = PEER_INTERVAL_S
-        return mean_s * (1 + JITTER * (2 * self.random.random() - 1))
+        return mean_s * self._jitter()
+
+    def _jitter(self) -> float:
+        return self.random.uniform(1 - JITTER, 1 + JITTER)
 
     async def _wait(self, interval_s: float):
-        """Waits for the interval, or until a wanted version is overdue."""
-        until = self.freshness.clock() + interval_s
+        """Waits for the interval, at most until an action is due.
+
+        That is when the latest confirmation is no longer recent, and when a
+        wanted version is overdue.
+        """
+        now = self.freshness.clock()
+        until = now + interval_s
+        recent_until = self.freshness.confirmed_at + self._max_age_s
+        if recent_until > now:
+            until = min(until, recent_until)
         while True:
             self._woken.clear()
             now = self.freshness.clock()
@@ -137,17 +167,30 @@
 
     async def _confirm(self):
         if self._is_behind and self.freshness.clock() >= self._wanted_at:
-            # Peers send the version later, if the store does not.
+            # If the store does not send the version, a peer does later.
             self._wanted_version = 0
-            await self._read_store()
-            return
+            if await self._read_store(newest_only=True):
+                return
         source = self._source()
         if source is not None:
             await self._compare(source)
             if self._is_recent:
                 return
-        if not await self._read_store() and not self._is_recent:
-            await self.sync.compare_with_random_peer()
+        had_recent = self._is_recent
+        async with asyncio.TaskGroup() as group:
+            read = group.create_task(self._read_store(newest_only=False))
+            if not had_recent:
+                # The store may not respond.
+                group.create_task(self._compare_with_random_peer())
+        if source is not None and read.result():
+            self._count_old_response(source.name)
+
+    async def _compare_with_random_peer(self):
+        now = self.freshness.clock()
+        if now < self._next_random_at:
+            return
+        self._next_random_at = now + CUT_OFF_INTERVAL_S * (1 - JITTER)
+        await self.sync.compare_with_random_peer()
 
     def _source(self) -> model.Member | None:
         """Returns the peer to ask; None if this daemon asks the store."""
@@ -166,8 +209,7 @@
     async def _compare(self, source: model.Member):
         """Compares versions with a peer.
 
-        A peer that does not respond, or that several times had no recent
-        confirmation, is not asked for some time.
+        A peer that does not respond is not asked for some time.
         """
         before = self.freshness.confirmed_at
         try:
@@ -180,27 +222,32 @@
             )
             self._set_aside(source.name)
             return
-        if self._is_recent:
-            if self.freshness.confirmed_at > before:
-                self._old_responses_by_peer.pop(source.name, None)
-            return
-        count = self._old_responses_by_peer.get(source.name, 0) + 1
-        self._old_responses_by_peer[source.name] = count
-        if count >= MAX_OLD_RESPONSES and self.feed.gets_configurations:
-            self._set_aside(source.name)
+        if self._is_recent and self.freshness.confirmed_at > before:
+            self._failures_by_peer.pop(source.name, None)
+
+    def _count_old_response(self, name: str):
+        """Counts a confirmation that is too old although the store responds."""
+        failures = self._failures_by_peer.get(name, 0) + 1
+        self._failures_by_peer[name] = failures
+        if failures >= MAX_OLD_RESPONSES:
+            self._set_aside(name)
 
     def _set_aside(self, name: str):
-        self._old_responses_by_peer.pop(name, None)
-        self._not_before_by_peer[name] = (
-            self.freshness.clock() + PEER_COOLDOWN_S
+        failures = self._failures_by_peer.get(name, 0) + 1
+        self._failures_by_peer[name] = failures
+        self._not_before_by_peer[name] = self.freshness.clock() + (
+            backoff.delay_s(failures, PEER_COOLDOWN_S, MAX_PEER_COOLDOWN_S)
         )
 
-    async def _read_store(self) -> bool:
-        """Reads the changes of the configuration up to now.
+    async def _read_store(self, *, newest_only: bool) -> bool:
+        """Reads the configuration without lag.
 
         While the watch of the configuration fails, nothing is read here: the
         watch tries again by itself and begins with a list.
 
+        Args:
+            newest_only: True if a newer version is known to exist.
+
         Returns:
             False if the store was not asked or did not respond.
         """
@@ -209,14 +256,15 @@
             return False
         before = self._version
         try:
-            await self._read_changes()
+            await self._read_configuration(newest_only)
         except exceptions.PlatformUnavailableError as error:
             self._failed_reads += 1
-            delay_s = min(
-                MIN_RETRY_INTERVAL_S * 2 ** min(self._failed_reads, 8),
-                MAX_RETRY_INTERVAL_S,
+            delay_s = backoff.delay_s(
+                self._failed_reads, MIN_RETRY_INTERVAL_S, MAX_RETRY_INTERVAL_S
+            )
+            self._next_read_at = self.freshness.clock() + delay_s * (
+                self._jitter()
             )
-            self._next_read_at = self.freshness.clock() + delay_s
             logger.info(
                 'event=configuration_not_confirmed age_s={:.2f} problem={!r}',
                 self.freshness.age_s,
@@ -230,31 +278,49 @@
                 self._version,
                 before,
             )
+            self._restart_watches()
         return True
 
-    async def _read_changes(self):
-        """Reads the changes, on a new connection if the open one is silent.
+    async def _read_configuration(self, newest_only: bool):
+        """Reads the configuration, if need be on a new connection.
 
         Raises:
             exceptions.PlatformUnavailableError: The store is unavailable.
         """
-        timeout_s = min(
+        started_at = self.freshness.clock()
+        starts_by = started_at + min(
             max(OPEN_CONNECTION_TIMEOUT_S, 2 * self.freshness.read_s),
-            NEW_CONNECTION_TIMEOUT_S,
+            READ_TIMEOUT_S,
         )
-        started_at = self.freshness.clock()
         try:
-            await self.feed.read_configuration(timeout_s)
+            await self.feed.read_configuration(
+                object_store.ReadLimits(
+                    deadline=started_at + READ_TIMEOUT_S, starts_by=starts_by
+                ),
+                newest_only=newest_only,
+            )
             return
         except exceptions.PlatformUnavailableError:
-            if self.freshness.clock() - started_at < timeout_s:
+            if self.freshness.clock() < starts_by:
                 # The store refused the call.
                 raise
+        # The connection is silent, or the response has too many versions.
         started_at = self.freshness.clock()
         await self.feed.read_configuration(
-            NEW_CONNECTION_TIMEOUT_S, new_connection=True
+            object_store.ReadLimits(
+                deadline=started_at + READ_TIMEOUT_S, new_connection=True
+            ),
+            newest_only=True,
         )
-        if self.freshness.clock() - started_at < timeout_s / 2:
+        if self.freshness.clock() - started_at < 2 * OPEN_CONNECTION_TIMEOUT_S:
+            # Otherwise the store may be slow, not the connection silent.
+            self._restart_watches()
+
+    def _restart_watches(self):
+        """Sends the watches again, which may wait on silent connections."""
+        now = self.freshness.clock()
+        if now >= self._next_restart_at:
+            self._next_restart_at = now + MIN_RESTART_INTERVAL_S
             self.feed.restart_watches()
 
     def _log_age(self):
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -195,8 +195,9 @@
             pool=self._peer_pool,
             address=settings.admission_address,
             zone=settings.failure_domain,
-            is_watching=lambda: self._store_feed.gets_configurations,
+            is_watching=lambda: self._configuration_check.reaches_store,
             freshness=self.freshness,
+            complete_revision=lambda: self._store_feed.mesh_revision,
             on_newer_configuration=lambda version: (
                 self._configuration_check.want(version)
             ),
--- a/hemlockgrade/object_store.py
+++ b/hemlockgrade/object_store.py
@@ -75,6 +75,22 @@
     revision: int
 
 
+@attrs.frozen(kw_only=True)
+class ReadLimits:
+    """Limits on the time and the connection of a read.
+
+    Attributes:
+        deadline: Monotonic time in seconds by which the response is complete.
+        starts_by: Monotonic time in seconds by which the response begins; None
+            for no such limit.
+        new_connection: True if no connection is used that was open before.
+    """
+
+    deadline: float
+    starts_by: float | None = None
+    new_connection: bool = False
+
+
 class HistoryLostError(exceptions.HemlockError):
     """The store no longer has the changes after the requested revision."""
 
@@ -104,13 +120,20 @@
     async def get(self, kind: str, name: str) -> StoredItem | None:
         """Returns one object, or None if it does not exist."""
 
-    async def list(self, kind: str, *, may_lag: bool = False) -> Listing:
+    async def list(
+        self,
+        kind: str,
+        *,
+        may_lag: bool = False,
+        limits: ReadLimits | None = None,
+    ) -> Listing:
         """Returns all objects of a kind.
 
         Args:
             kind: Kind of the objects.
             may_lag: True if a cheaper response that lacks the latest changes
                 will do.
+            limits: Limits on the read; None for those of the store.
         """
 
     async def watch(
@@ -135,20 +158,14 @@
         """
 
     async def changes_since(
-        self,
-        kind: str,
-        revision: int,
-        timeout_s: float,
-        *,
-        new_connection: bool = False,
+        self, kind: str, revision: int, limits: ReadLimits
     ) -> Changes:
         """Returns all changes after a revision up to now, without a wait.
 
         Args:
             kind: Kind of the objects.
             revision: Only changes after this revision are returned.
-            timeout_s: Longest time for the response, in seconds.
-            new_connection: True if no connection is used that was open before.
+            limits: Limits on the read.
 
         Raises:
             HistoryLostError: The store no longer has all these changes.
--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -50,7 +50,11 @@
         return _decode_item(kind, data)
 
     async def list(
-        self, kind: str, *, may_lag: bool = False
+        self,
+        kind: str,
+        *,
+        may_lag: bool = False,
+        limits: object_store.ReadLimits | None = None,
     ) -> object_store.Listing:
         """Returns all objects of a kind, which are read page by page.
 
@@ -62,7 +66,7 @@
         first = f'{kind}?Serializable=1' if may_lag else kind
         path = first
         while True:
-            data = await self._call('GET', path)
+            data = await self._read(path, limits=limits)
             items.extend(_decode_items(kind, data['items']))
             if revision is None:
                 revision = data['CurrentRev']
@@ -89,29 +93,18 @@
         wait_ms = int(wait_s * 1000)
         # `Watch` is the revision after which changes are returned.
         path = f'{kind}?Watch={revision}&WaitMs={wait_ms}'
-        data = await self._call(
-            'GET',
+        data = await self._read(
             f'{path}&Serializable=1' if may_lag else path,
             timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
         )
         return _decode_changes(kind, data)
 
     async def changes_since(
-        self,
-        kind: str,
-        revision: int,
-        timeout_s: float,
-        *,
-        new_connection: bool = False,
+        self, kind: str, revision: int, limits: object_store.ReadLimits
     ) -> object_store.Changes:
         """Returns all changes after a revision up to now, without a wait."""
-        data = await self._call(
-            'GET',
-            f'{kind}?Watch={revision}&WaitMs={MIN_WAIT_MS}',
-            timeout_s=timeout_s,
-            max_idle_s=0.0 if new_connection else upstream.MAX_IDLE_S,
-        )
-        return _decode_changes(kind, data)
+        path = f'{kind}?Watch={revision}&WaitMs={MIN_WAIT_MS}'
+        return _decode_changes(kind, await self._read(path, limits=limits))
 
     async def create(
         self, kind: str, name: str, spec: Any
@@ -142,13 +135,27 @@
         path = f'{_object_path(kind, name)}?Rev={revision}'
         await self._call('DELETE', path)
 
+    async def _read(self, path: str, **options: Any) -> dict[str, Any]:
+        """Reads a list or a watch; a malformed response is a failed read."""
+        try:
+            data = await self._call('GET', path, **options)
+        except exceptions.NotFoundError as error:
+            raise _unavailable('GET', path, str(error)) from error
+        if (
+            not isinstance(data, dict)
+            or not isinstance(data.get('CurrentRev'), int)
+            or not isinstance(data.get('items', data.get('events')), list)
+        ):
+            raise _unavailable('GET', path, 'malformed response')
+        return data
+
     async def _call(
         self,
         method: _Method,
         path: str,
         body: Any = None,
         timeout_s: float = CALL_TIMEOUT_S,
-        max_idle_s: float = upstream.MAX_IDLE_S,
+        limits: object_store.ReadLimits | None = None,
     ) -> Any:
         self.calls_by_method[method] = self.calls_by_method.get(method, 0) + 1
         request = http_codec.Request(
@@ -157,10 +164,19 @@
         if body is not None:
             request.headers.append((b'content-type', b'application/json'))
             request.body = orjson.dumps(body)
-        deadline = asyncio.get_running_loop().time() + timeout_s
+        if limits is None:
+            limits = object_store.ReadLimits(
+                deadline=asyncio.get_running_loop().time() + timeout_s
+            )
         try:
             response = await self.pool.fetch(
-                self.address, request, deadline, max_idle_s=max_idle_s
+                self.address,
+                request,
+                limits.deadline,
+                starts_by=limits.starts_by,
+                max_idle_s=0.0
+                if limits.new_connection
+                else upstream.MAX_IDLE_S,
             )
         except exceptions.RequestNotRunError as error:
             raise _unavailable(method, path, str(error)) from error
@@ -239,11 +255,12 @@
         return None
 
 
-def _decode_changes(kind: str, data: Any) -> object_store.Changes:
+def _decode_changes(kind: str, data: dict[str, Any]) -> object_store.Changes:
     changes = tuple(
-        object_store.ItemChange(item=item, deleted=bool(event['Deleted']))
+        object_store.ItemChange(item=item, deleted=bool(event.get('Deleted')))
         for event in data['events']
-        for item in _decode_items(kind, [event['Object']])
+        if isinstance(event, dict)
+        for item in _decode_items(kind, [event.get('Object')])
     )
     return object_store.Changes(changes=changes, revision=data['CurrentRev'])
 
--- a/hemlockgrade/state_sync.py
+++ b/hemlockgrade/state_sync.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import enum
 import math
 import random as random_module
 from typing import Any
@@ -55,6 +56,9 @@
             is not known.
         on_newer_configuration: Called with each newer version of the
             configuration of which a peer tells.
+        complete_revision: Returns the revision of the store up to which this
+            daemon has all mesh objects. The highest known revision says less:
+            this daemon's own writes raise it.
     """
 
     directory: directory_module.Directory
@@ -65,10 +69,10 @@
     is_watching: Callable[[], bool] = lambda: False
     freshness: freshness_module.Freshness | None = None
     on_newer_configuration: Callable[[int], None] = lambda version: None
-    _task: asyncio.Task | None = None
-    # Address and versions of the peer that was heard last while a fetch was
-    # scheduled or running.
-    _heard_meanwhile: tuple[str, peer_protocol.Versions] | None = None
+    complete_revision: Callable[[], int] = lambda: 0
+    _fetch_by_need: dict['_Need', '_Fetch'] = attrs.field(factory=dict)
+    # Highest table revision of the peers whose state was fetched.
+    _fetched_revision: int = 0
     _asked_remote_zone: bool = False
 
     async def compare_with_random_peer(self) -> None:
@@ -108,7 +112,10 @@
         response = await self.pool.fetch(address, request, sent_at + timeout_s)
         versions = peer_protocol.decode_versions(response.headers)
         if versions is None:
-            return
+            raise exceptions.MalformedRequestError(
+                f'{address} responded with status {response.status} and '
+                'without its versions'
+            )
         confirmation = peer_protocol.decode_confirmation(
             response.headers, versions, sent_at
         )
@@ -183,27 +190,33 @@
     ) -> None:
         """Schedules a fetch of a peer's state if the peer has newer versions.
 
-        While an earlier fetch is scheduled or running, the peer is only
-        remembered; the next fetch is from the peer that was heard last.
+        There is one fetch at a time for a newer configuration and one for newer
+        mesh objects. The next one is from the peer with the newest of which
+        this daemon has heard meanwhile.
 
         Args:
             address: `ip:port` of the peer.
             versions: Highest versions that the peer has received.
         """
-        if not self._is_newer(versions):
-            return
-        if (
-            versions.configuration_version
-            > self.directory.configuration_version
-        ):
+        if self._needs(_Need.CONFIGURATION, versions):
             self.on_newer_configuration(versions.configuration_version)
-        if self._task is not None:
-            self._heard_meanwhile = address, versions
-            return
-        self._task = asyncio.get_running_loop().create_task(
-            self._fetch_if_newer(address, versions)
+        for need in _Need:
+            if not self._needs(need, versions):
+                continue
+            fetch = self._fetch_by_need.get(need)
+            if fetch is None:
+                self._start_fetch(need, address, versions)
+            elif fetch.next is None or need.is_higher(versions, fetch.next[1]):
+                fetch.next = address, versions
+
+    def _start_fetch(
+        self, need: '_Need', address: str, versions: peer_protocol.Versions
+    ):
+        task = asyncio.get_running_loop().create_task(
+            self._fetch_if_needed(need, address, versions)
         )
-        self._task.add_done_callback(self._fetch_done)
+        self._fetch_by_need[need] = _Fetch(task)
+        task.add_done_callback(lambda task: self._fetch_done(need, task))
 
     def encode_state(
         self, known: peer_protocol.Versions | None = None
@@ -275,15 +288,23 @@
         for name, revision in data['removed'].items():
             self.directory.remove(name, revision)
 
-    def _is_newer(self, versions: peer_protocol.Versions) -> bool:
-        return (
-            versions.configuration_version
-            > self.directory.configuration_version
-            or versions.table_revision > self.directory.table_revision
-        )
-
-    async def _fetch_if_newer(
-        self, address: str, versions: peer_protocol.Versions
+    def _needs(self, need: '_Need', versions: peer_protocol.Versions) -> bool:
+        """Returns whether a peer with these versions has something newer."""
+        if need is _Need.CONFIGURATION:
+            return (
+                versions.configuration_version
+                > self.directory.configuration_version
+            )
+        complete = max(self.complete_revision(), self._fetched_revision)
+        if not complete:
+            complete = self.directory.table_revision
+        return versions.table_revision > complete
+
+    async def _fetch_if_needed(
+        self,
+        need: '_Need',
+        address: str,
+        versions: peer_protocol.Versions,
     ):
         """Fetches a peer's state if it is still newer after a delay.
 
@@ -291,7 +312,7 @@
         """
         if self.directory.configured:
             await asyncio.sleep(self._fetch_delay_s(versions))
-        if not self._is_newer(versions):
+        if not self._needs(need, versions):
             return
         try:
             await self.fetch_state(address)
@@ -301,6 +322,10 @@
                 address,
                 str(error),
             )
+            return
+        self._fetched_revision = max(
+            self._fetched_revision, versions.table_revision
+        )
 
     def _fetch_delay_s(self, versions: peer_protocol.Versions) -> float:
         current = self.directory.configuration_version
@@ -310,12 +335,42 @@
             return WATCHED_CONFIGURATION_FETCH_DELAY_S
         return CONFIGURATION_FETCH_DELAY_S
 
-    def _fetch_done(self, task: asyncio.Task):
-        self._task = None
-        if not task.cancelled() and task.exception() is not None:
+    def _fetch_done(self, need: '_Need', task: asyncio.Task):
+        fetch = self._fetch_by_need.pop(need)
+        if task.cancelled():
+            return
+        if task.exception() is not None:
             logger.opt(exception=task.exception()).error(
                 'event=state_fetch_failed'
             )
-        heard, self._heard_meanwhile = self._heard_meanwhile, None
-        if heard is not None and not task.cancelled():
-            self.handle_versions(*heard)
+        if fetch.next is not None:
+            self.handle_versions(*fetch.next)
+
+
+class _Need(enum.Enum):
+    """What a daemon fetches from a peer."""
+
+    CONFIGURATION = enum.auto()
+    OBJECTS = enum.auto()
+
+    def is_higher(
+        self, new: peer_protocol.Versions, old: peer_protocol.Versions
+    ) -> bool:
+        """Returns whether versions are higher than others in what is needed."""
+        if self is _Need.CONFIGURATION:
+            return new.configuration_version > old.configuration_version
+        return new.table_revision > old.table_revision
+
+
+@attrs.define(eq=False)
+class _Fetch:
+    """A scheduled or running fetch.
+
+    Attributes:
+        task: The fetch.
+        next: Address and versions of the peer with the newest versions that was
+            heard meanwhile.
+    """
+
+    task: asyncio.Task
+    next: tuple[str, peer_protocol.Versions] | None = None
--- a/hemlockgrade/store_feed.py
+++ b/hemlockgrade/store_feed.py
@@ -58,6 +58,7 @@
     freshness: freshness_module.Freshness
     _watchers: tuple[watcher.Watcher, ...] = ()
     _configuration_watcher: watcher.Watcher | None = None
+    _mesh_watcher: watcher.Watcher | None = None
 
     @property
     def gets_configurations(self) -> bool:
@@ -67,14 +68,20 @@
             and self._configuration_watcher.connected
         )
 
+    @property
+    def mesh_revision(self) -> int:
+        """Returns the revision up to which all mesh objects were received."""
+        return 0 if self._mesh_watcher is None else self._mesh_watcher.revision
+
     async def read_configuration(
-        self, timeout_s: float, *, new_connection: bool = False
+        self, limits: object_store.ReadLimits, *, newest_only: bool
     ) -> None:
-        """Reads the changes of the configuration up to now, without lag.
+        """Reads the configuration without lag.
 
         Args:
-            timeout_s: Longest time for the response, in seconds.
-            new_connection: True if no connection is used that was open before.
+            limits: Limits on the read.
+            newest_only: True to read the newest version, False to read each
+                version since the latest read. That is less if there is none.
 
         Raises:
             exceptions.PlatformUnavailableError: The store is unavailable.
@@ -83,9 +90,10 @@
             raise exceptions.PlatformUnavailableError(
                 'the store is not watched yet', remedy='retry later'
             )
-        await self._configuration_watcher.read_changes(
-            timeout_s, new_connection=new_connection
-        )
+        if newest_only:
+            await self._configuration_watcher.read_list(limits)
+        else:
+            await self._configuration_watcher.read_changes(limits)
 
     def restart_watches(self) -> None:
         """Sends the waiting watch requests again, on other connections."""
@@ -119,17 +127,18 @@
             skips_versions=True,
         )
         self.freshness.on_confirmed = self._configuration_watcher.advance
+        self._mesh_watcher = watcher.Watcher(
+            store=self.store,
+            kind=object_codec.MESH_KIND,
+            wait_s=MAX_MESH_WATCH_S,
+            on_item=self._object_changed,
+            on_deleted=self._object_deleted,
+            on_listed=self._objects_listed,
+            batch_delay_s=MESH_BATCH_DELAY_S,
+        )
         self._watchers = (
             self._configuration_watcher,
-            watcher.Watcher(
-                store=self.store,
-                kind=object_codec.MESH_KIND,
-                wait_s=MAX_MESH_WATCH_S,
-                on_item=self._object_changed,
-                on_deleted=self._object_deleted,
-                on_listed=self._objects_listed,
-                batch_delay_s=MESH_BATCH_DELAY_S,
-            ),
+            self._mesh_watcher,
             watcher.Watcher(
                 store=self.store,
                 kind=platform_codec.ROLLOUT_KIND,
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -42,6 +42,7 @@
         self._parser = http_codec.ResponseParser(self)
         self._response_future: asyncio.Future | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._start_timer: asyncio.TimerHandle | None = None
         self._response_keeps_alive = True
         self._request_id = ''
         self.opened: asyncio.Future = self._loop.create_future()
@@ -77,9 +78,14 @@
         self._writer.write(data)
         return self._response_future
 
+    def limit_start(self, starts_by: float) -> None:
+        """Fails the request unless its response begins in time."""
+        self._start_timer = self._loop.call_at(starts_by, self._deadline_passed)
+
     def dataReceived(self, data: bytes):  # noqa: N802
         if not self.usable:
             return
+        self._cancel_start_timer()
         try:
             response = self._parser.feed(data)
         except exceptions.MalformedRequestError as error:
@@ -188,7 +194,13 @@
             )
         )
 
+    def _cancel_start_timer(self):
+        if self._start_timer is not None:
+            self._start_timer.cancel()
+            self._start_timer = None
+
     def _end_response(self):
+        self._cancel_start_timer()
         if self._timer is not None:
             self._timer.cancel()
         self._parser.connection_lost()
@@ -298,6 +310,7 @@
         request: http_codec.Request,
         deadline: float,
         *,
+        starts_by: float | None = None,
         max_idle_s: float = MAX_IDLE_S,
         before_write: Callable[[], None] | None = None,
         request_id: str = '',
@@ -312,6 +325,8 @@
             address: `host:port` of the server.
             request: The request.
             deadline: Monotonic time in seconds.
+            starts_by: Monotonic time in seconds by which the response begins;
+                None for no such limit.
             max_idle_s: Longest idle time of a connection that is reused, in
                 seconds.
             before_write: Called when the connection is open, before the first
@@ -351,6 +366,8 @@
         except BaseException:
             connection.abort()
             raise
+        if starts_by is not None:
+            connection.limit_start(starts_by)
         try:
             return await response_future
         except BaseException:
@@ -363,6 +380,7 @@
         request: http_codec.Request,
         deadline: float,
         *,
+        starts_by: float | None = None,
         max_idle_s: float = MAX_IDLE_S,
     ) -> http_codec.Response:
         """Sends a request and waits for the whole response.
@@ -371,6 +389,8 @@
             address: `host:port` of the server.
             request: The request.
             deadline: Monotonic time in seconds.
+            starts_by: Monotonic time in seconds by which the response begins;
+                None for no such limit.
             max_idle_s: Longest idle time of a connection that is reused, in
                 seconds; with 0 a new one is opened and the idle ones are
                 closed.
@@ -389,6 +409,7 @@
             address,
             request,
             deadline,
+            starts_by=starts_by,
             max_idle_s=max_idle_s,
             max_buffered_bytes=self.max_buffered_bytes,
         )
--- a/hemlockgrade/watcher.py
+++ b/hemlockgrade/watcher.py
@@ -69,6 +69,9 @@
     # True after a response that may lag and had no changes: the next request
     # must not lag, so that the watch can continue from a later revision.
     _confirm_next: bool = False
+    # True if the watch was moved, or its place confirmed, since the latest
+    # request was sent.
+    _advanced: bool = False
     _request: asyncio.Task | None = None
     _restarting: bool = False
 
@@ -108,6 +111,11 @@
             self._restarting = True
             self._request.cancel()
 
+    @property
+    def revision(self) -> int:
+        """Returns the revision up to which all changes were handled."""
+        return self._revision or 0
+
     def advance(self, revision: int) -> None:
         """Continues after a revision up to which all changes were handled.
 
@@ -116,15 +124,13 @@
         """
         if self._revision is not None:
             self._revision = max(self._revision, revision)
+            self._advanced = True
 
-    async def read_changes(
-        self, timeout_s: float, *, new_connection: bool = False
-    ) -> None:
+    async def read_changes(self, limits: object_store.ReadLimits) -> None:
         """Reads all changes up to now, without lag, beside the watch.
 
         Args:
-            timeout_s: Longest time for the response, in seconds.
-            new_connection: True if no connection is used that was open before.
+            limits: Limits on the read.
 
         Raises:
             exceptions.PlatformUnavailableError: The store is unavailable, or
@@ -138,13 +144,10 @@
         started_at = asyncio.get_running_loop().time()
         try:
             changes = await self.store.changes_since(
-                self.kind,
-                self._revision,
-                timeout_s,
-                new_connection=new_connection,
+                self.kind, self._revision, limits
             )
         except object_store.HistoryLostError:
-            await self._refresh()
+            await self.read_list(limits)
             return
         if changes.changes:
             items = [change.item for change in changes.changes]
@@ -153,16 +156,32 @@
         self.advance(changes.revision)
         self.on_current(changes.revision, started_at)
 
-    async def _refresh(self):
-        """Lists all objects of the kind, without using a lagging replica."""
+    async def read_list(
+        self, limits: object_store.ReadLimits | None = None
+    ) -> None:
+        """Lists all objects of the kind, without lag.
+
+        Args:
+            limits: Limits on the read; None for those of the store.
+
+        Raises:
+            exceptions.PlatformUnavailableError: The store is unavailable.
+        """
         started_at = asyncio.get_running_loop().time()
-        listing = await self._list()
+        listing = await self._list(limits=limits)
         self._revision = max(self._revision or 0, listing.revision)
         self._set_connected(True, '')
         self.on_current(listing.revision, started_at)
 
-    async def _list(self, *, may_lag: bool = False) -> object_store.Listing:
-        listing = await self.store.list(self.kind, may_lag=may_lag)
+    async def _list(
+        self,
+        *,
+        may_lag: bool = False,
+        limits: object_store.ReadLimits | None = None,
+    ) -> object_store.Listing:
+        listing = await self.store.list(
+            self.kind, may_lag=may_lag, limits=limits
+        )
         self._log_read('list', may_lag, listing.items, listing.revision)
         for item in listing.items:
             self._handle(self.on_item, item)
@@ -179,23 +198,25 @@
         if self._revision is None or (
             self.skips_versions and not self.connected
         ):
-            await self._refresh()
+            await self.read_list()
         assert self._revision is not None
         may_lag = not self._confirm_next
-        wait_s = (
-            min(self.wait_s, MAX_LAGGING_WAIT_S) if may_lag else self.wait_s
-        )
-        before = self._revision
+        wait_s = self.wait_s
+        if may_lag:
+            fraction = self.random.uniform(MIN_LAGGING_WAIT_FRACTION, 1.0)
+            wait_s = min(wait_s, MAX_LAGGING_WAIT_S * fraction)
+        self._advanced = False
         changes = await self.store.watch(
-            self.kind, before, wait_s, may_lag=may_lag
+            self.kind, self._revision, wait_s, may_lag=may_lag
         )
         items = [change.item for change in changes.changes]
         if items:
             self._log_read('watch', may_lag, items, changes.revision)
         self._apply(changes)
         newest = _newest_revision(items)
-        self.advance(newest if may_lag else changes.revision)
-        self._confirm_next = may_lag and self._revision == before
+        if items or not may_lag:
+            self.advance(newest if may_lag else changes.revision)
+        self._confirm_next = may_lag and not self._advanced
         if changes.changes and self.batch_delay_s:
             await self._wait_for_changes()
         if self.skips_versions and len(changes.changes) > 1:
--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -436,8 +436,8 @@
     Mutation(
         guard='a read on a new connection uses no open one',
         module='platform/store.py',
-        old='max_idle_s=0.0 if new_connection else upstream.MAX_IDLE_S,',
-        new='',
+        old='0.0 if limits.new_connection else upstream.MAX_IDLE_S',
+        new='upstream.MAX_IDLE_S',
         feature='store_client',
     ),
     Mutation(
--- a/standins/store_links.py
+++ b/standins/store_links.py
@@ -1,6 +1,7 @@
 """Relays between the daemons of each failure domain and the store."""
 
 import asyncio
+from collections.abc import Callable
 from collections.abc import Coroutine
 import threading
 
@@ -42,6 +43,17 @@
         """Loses all further bytes of the connections that are open now."""
         self._run(self._silence_open(self._link_by_domain[domain]))
 
+    def silence(self, domain: str) -> None:
+        """Loses all further bytes of the open and of new connections."""
+        link = self._link_by_domain[domain]
+        self._run(_call(link.silence, 'request', 'response'))
+
+    def heal(self, domain: str) -> None:
+        """Ends the faults of a failure domain and resets its connections."""
+        link = self._link_by_domain[domain]
+        self._run(_call(link.heal))
+        self._run(_call(link.reset))
+
     def delay(self, delay_s: float) -> None:
         """Delays the bytes of each direction, in all failure domains."""
         for link in self._link_by_domain.values():
@@ -81,3 +93,7 @@
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
         if tasks:
             await asyncio.wait(tasks, timeout=STOP_TIMEOUT_S)
+
+
+async def _call(function: Callable[..., None], *arguments: str) -> None:
+    function(*arguments)
