Limit the rate at which chunks of responses are read

Cause: the processor time of a read depends on its number of chunks (64 KiB of two-byte chunks: 1.5 to 1.7 ms; of 1 KiB chunks: 0.02 ms), and nothing limited it. The daemon read 7.7 million chunks in the second of one request. Two such streams at 3.2 MB/s took 0.12 to 0.25 of a core, about the share that a process gets at that load, so the daemon waited for the processor.

Ruled out: the second daemon on the way (it gets one chunk a read), slots (six for four endless responses), bodies without length (their runs were as late as the runs without an endless response).

Change: a pool counts the chunks of reads with more than 256 of them and pauses the connection of the read while the rate is above 200,000 a second, with a burst of 50,000. The count is of all connections, so that the limit holds for any number of slots. A connection that still pauses is not reused.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -243,6 +243,18 @@
       | chunks                              | byte by byte   | an unknown outcome   | by the deadline |
       | trailer line                        | byte by byte   | an unknown outcome   | by the deadline |
 
+  Scenario: Small chunks without end take little processor time
+    # Guards against daemons that spend their time on the chunks of one response
+    # while other requests wait.
+    When a server sends small chunks without end (full speed)
+    Then the caller gets a truncated response in time
+    And the daemon has read at most 200000 chunks a second
+
+  Scenario: A response of many small chunks arrives whole, and the next one, too
+    When a server sends two responses of 150000 chunks on a connection
+    Then the caller gets all bytes of both
+    And reading them took as long as the rate of chunks demands
+
   Scenario Outline: Bytes on an idle connection belong to no request
     When a server sends <bytes> on an idle connection and a request is sent <when>
     Then each request gets its own response
--- a/features/steps/endless_response_steps.py
+++ b/features/steps/endless_response_steps.py
@@ -64,6 +64,7 @@
         status: Status of the response; 0 without one.
         headers: Headers of the response.
         body: The first 1000 bytes of the body.
+        body_bytes: Size of the body that was read, in bytes.
         is_complete: True if the response ended as its headers state.
     """
 
@@ -72,6 +73,7 @@
     status: int = 0
     headers: http_codec.Headers = attrs.field(factory=list)
     body: bytes = b''
+    body_bytes: int = 0
     is_complete: bool = False
 
 
@@ -134,6 +136,7 @@
         if not data:
             raise asyncio.IncompleteReadError(b'', size)
         size -= len(data)
+        answer.body_bytes += len(data)
         answer.body += data[: 1000 - len(answer.body)]
 
 
--- a/hemlockgrade/http_codec.py
+++ b/hemlockgrade/http_codec.py
@@ -590,6 +590,8 @@
             the connection must not be used again.
         skipped_response: True if a response to another request arrived before
             the expected one; the connection must not be used again.
+        body_parts: Number of pieces of bodies that the parser has reported:
+            one for each chunk, and one for each read of other bodies.
         stream: The body that is being passed on; None if there is none.
     """
 
@@ -608,6 +610,7 @@
         self._expects_response = False
         self._response: Response | None = None
         self.unexpected_bytes = False
+        self.body_parts = 0
         self.stream: BodyStream | None = None
         self._parser = httptools.HttpResponseParser(self)
 
@@ -702,6 +705,7 @@
     def on_body(self, body: bytes):
         """Stores a piece of the body, or passes it on."""
         self._has_reported = True
+        self.body_parts += 1
         if self._is_delivered:
             self.unexpected_bytes = True
             return
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -14,6 +14,7 @@
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
 from hemlockgrade import sockets
+from hemlockgrade import token_bucket
 
 # Default of the response header that holds the identifier of the request.
 REQUEST_ID_HEADER = b'x-hemlock-request-id'
@@ -30,6 +31,13 @@
 TCP_USER_TIMEOUT_MS = 2000
 KEEP_ALIVE_PROBE_INTERVAL_S = 1
 KEEP_ALIVE_PROBES = 2
+# Rate at which the pieces of response bodies are read over all connections of a
+# pool, and the number that is read without a wait. Each chunk is a piece; the
+# processor time of a read depends on their number more than on their size.
+BODY_PARTS_PER_S = 200_000
+BURST_BODY_PARTS = 50_000
+# A read with at most this many pieces is not counted.
+FREE_BODY_PARTS = 256
 
 
 class _Connection(protocol.Protocol):
@@ -44,6 +52,8 @@
         self._timer: asyncio.TimerHandle | None = None
         self._response_keeps_alive = True
         self._request_id = ''
+        self._is_paused = False
+        self._pause_timer: asyncio.TimerHandle | None = None
         self.opened: asyncio.Future = self._loop.create_future()
         self.usable = True
         self.idle_since = 0.0
@@ -84,6 +94,7 @@
             self._fail_request(f'malformed answer: {error}')
             self.abort()
             return
+        self._limit_body_parts()
         if self._parser.unexpected_bytes:
             # The bytes belong to no request and must not be taken for the
             # response to a later one.
@@ -103,11 +114,30 @@
         self._pool.remove(self)
 
     def pause(self) -> None:
+        self._is_paused = True
         if self.usable:
             self.transport.pauseProducing()
 
     def resume(self) -> None:
-        if self.usable:
+        self._is_paused = False
+        if self.usable and self._pause_timer is None:
+            self.transport.resumeProducing()
+
+    def _limit_body_parts(self):
+        """Pauses reading after a read of too many pieces of a body."""
+        parts, self._parser.body_parts = self._parser.body_parts, 0
+        if parts <= FREE_BODY_PARTS or not self.usable:
+            return
+        wait_s = self._pool.count_body_parts(parts)
+        # A connection whose response is complete may be in use again.
+        if wait_s <= 0 or self._response_future is None:
+            return
+        self.transport.pauseProducing()
+        self._pause_timer = self._loop.call_later(wait_s, self._end_pause)
+
+    def _end_pause(self):
+        self._pause_timer = None
+        if self.usable and not self._is_paused:
             self.transport.resumeProducing()
 
     def abort(self) -> None:
@@ -152,7 +182,10 @@
         if self._timer is not None:
             self._timer.cancel()
         reusable = (
-            self._response_keeps_alive and not self._parser.skipped_response
+            self._response_keeps_alive
+            and not self._parser.skipped_response
+            # The next response must not wait for the pause of this one.
+            and self._pause_timer is None
         )
         if self.usable and reusable and not self._parser.in_message:
             self.resume()
@@ -187,8 +220,9 @@
         )
 
     def _end_response(self):
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._pause_timer):
+            if timer is not None:
+                timer.cancel()
         self._parser.connection_lost()
 
     def connect_failed(self, message: str):
@@ -289,6 +323,11 @@
     _open: set[_Connection] = attrs.field(factory=set)
     _idle_checked_at: float = 0.0
     _closed: bool = False
+    _body_parts: token_bucket.TokenBucket = attrs.field(
+        factory=lambda: token_bucket.TokenBucket(
+            BODY_PARTS_PER_S, BURST_BODY_PARTS
+        )
+    )
 
     async def send(
         self,
@@ -433,6 +472,19 @@
             raise
         return connection
 
+    def count_body_parts(self, parts: int) -> float:
+        """Counts the pieces of response bodies that a connection has read.
+
+        Args:
+            parts: Number of pieces.
+
+        Returns:
+            Time for which the connection must not read, in seconds.
+        """
+        now = asyncio.get_running_loop().time()
+        self._body_parts.spend(parts, now)
+        return -self._body_parts.available(now) / BODY_PARTS_PER_S
+
     def put_back(self, connection: Any) -> None:
         """Keeps a connection whose response is complete for later requests."""
         now = asyncio.get_running_loop().time()
