--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -255,6 +255,10 @@
     Then the caller gets all bytes of both
     And reading them took as long as the rate of chunks demands
 
+  Scenario: A body of small chunks stays paused while its reader waits
+    When the reader of a body of small chunks stops reading for 0.3 s
+    Then it gets nothing in that time, and more after it
+
   Scenario: A request that the daemon of its caller gives up first frees its slot
     When a server sends header line without end to a request that arrives late
     Then the caller gets an unknown outcome in time
--- a/features/steps/small_chunks_steps.py
+++ b/features/steps/small_chunks_steps.py
@@ -8,6 +8,7 @@
 from behave import then
 from behave import when
 
+from hemlockgrade import http_codec
 from hemlockgrade import upstream
 from standins import loopback
 
@@ -82,3 +83,55 @@
     chunks = 2 * len(context.expected_body) // CHUNK_BYTES
     shortest_s = (chunks - MAX_EXTRA_CHUNKS) / upstream.BODY_PARTS_PER_S
     assert context.took_s > shortest_s, (context.took_s, shortest_s)
+
+
+@attrs.define
+class CountingSink:
+    """Counts the bytes of a body."""
+
+    body_bytes: int = 0
+
+    def body_received(self, data):
+        """Counts a piece of the body."""
+        self.body_bytes += len(data)
+
+    def body_ended(self, complete):
+        """Ignores the end of the body."""
+
+
+async def record_paused_body(context):
+    """Pauses a body of small chunks while its reading waits for the rate."""
+    body = bytes(10 * CHUNK_BYTES * upstream.BURST_BODY_PARTS)
+    listener = await asyncio.start_server(
+        lambda *streams: serve_chunks(body, *streams), '127.0.0.1'
+    )
+    port = listener.sockets[0].getsockname()[1]
+    async with loopback.LoopbackSystem() as system, listener:
+        response = await system.pool.send(
+            f'127.0.0.1:{port}',
+            http_codec.Request(method='GET', target='/chunks'),
+            time.monotonic() + 10,
+        )
+        sink = CountingSink()
+        response.stream.attach(sink)
+        while sink.body_bytes < CHUNK_BYTES * upstream.BURST_BODY_PARTS:
+            await asyncio.sleep(0.001)
+        response.stream.pause()
+        context.bytes_at_pause = sink.body_bytes
+        await asyncio.sleep(0.3)
+        context.bytes_after_pause = sink.body_bytes
+        response.stream.resume()
+        await asyncio.sleep(0.3)
+        context.bytes_after_resume = sink.body_bytes
+        response.stream.abort()
+
+
+@when('the reader of a body of small chunks stops reading for 0.3 s')
+def pause_body(context):
+    loopback.run(record_paused_body(context))
+
+
+@then('it gets nothing in that time, and more after it')
+def check_paused_body(context):
+    assert context.bytes_after_pause == context.bytes_at_pause
+    assert context.bytes_after_resume > context.bytes_after_pause
--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -197,6 +197,20 @@
         new='True',
         feature='mesh_processes',
     ),
+    Mutation(
+        guard='the chunks of responses are read at a limited rate',
+        module='upstream.py',
+        old='if parts <= FREE_BODY_PARTS or not self.usable:',
+        new='if parts:',
+        feature='request_path',
+    ),
+    Mutation(
+        guard='a stream of small chunks stays paused while its reader waits',
+        module='upstream.py',
+        old='if self.usable and not self._is_paused:',
+        new='if self.usable:',
+        feature='request_path',
+    ),
     Mutation(
         guard='a connection is closed after a failed request',
         module='upstream.py',
