State the time left of a request when it is written, not before connecting

Seen: if opening the connection takes 0.3 s, the server is told 0.296 s more than the caller still waits, on the way to another daemon and on the way to the server (2 of 2 rows, 2 of 2 runs). The server and the daemon beside it then work on for a caller that has left, and the daemon of the caller gives up first. It was found while looking for the cause of two slots in use: a daemon that learns of a request late gives it up after its caller.

Cause: the headers with the time left were computed before the connection was taken or opened. The time on the link and in the queues of the receiver remains; 5 ms (`admission.RESPONSE_MARGIN_S`) allow for it.

Ruled out as another cause: the deadlines of the daemons themselves, which are stored as times and were right.

Change: the pool adds the headers when the connection is open. The same holds for the time until which a response is on time; it is stated as at least 1 ms now, where it was 0 once it had passed.

--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -265,6 +265,16 @@
     And the connection to the server is closed by the deadline
     And the slot is free and the other requests get their own responses
 
+  Scenario Outline: The time left is that of the moment at which a request is sent
+    # Guards against servers and daemons that work on for a caller that has left.
+    When opening the connection to the <receiver> takes 0.3 s
+    Then the server is not told more time than the caller waits
+
+    Examples:
+      | receiver |
+      | daemon   |
+      | server   |
+
   Scenario Outline: Bytes on an idle connection belong to no request
     When a server sends <bytes> on an idle connection and a request is sent <when>
     Then each request gets its own response
--- a/hemlockgrade/admission.py
+++ b/hemlockgrade/admission.py
@@ -434,13 +434,11 @@
         admitted: '_AdmittedRequest',
         request_id: str,
     ) -> http_codec.Response:
-        left_ms = max(1, int((admitted.deadline - self.clock()) * 1000))
         replaced = (
             platform_codec.TIME_LEFT_MS_HEADER,
             platform_codec.EXPECTED_SERVER_HEADER,
         )
         headers = [item for item in request.headers if item[0] not in replaced]
-        headers.append((platform_codec.TIME_LEFT_MS_HEADER, b'%d' % left_ms))
         headers.append(
             (
                 platform_codec.EXPECTED_SERVER_HEADER,
@@ -457,6 +455,9 @@
             else MAX_IDLE_IDEMPOTENT_S,
             before_write=lambda: self._check_before_write(admitted),
             request_id=request_id,
+            time_by_header={
+                platform_codec.TIME_LEFT_MS_HEADER: admitted.deadline
+            },
         )
 
     def _check_before_write(self, admitted: '_AdmittedRequest'):
--- a/hemlockgrade/sender.py
+++ b/hemlockgrade/sender.py
@@ -181,23 +181,18 @@
             peer.record_load(*self.admission.load)
             peer.max_requests_per_s = self.admission.limit.max_requests_per_s
             return response
-        now = self.clock()
-        left_ms = max(1, int((call.deadline - now) * 1000))
-        on_time_ms = max(0, int((call.on_time_until - now) * 1000))
         headers = [
             item
             for item in call.request.headers
             if item[0] != platform_codec.TIME_LEFT_MS_HEADER
         ]
         headers += [
-            (platform_codec.TIME_LEFT_MS_HEADER, b'%d' % left_ms),
             (
                 peer_protocol.SERVER_HEADER,
                 peer_protocol.encode_name(server.server_id),
             ),
             (peer_protocol.ATTEMPT_HEADER, attempt_id.encode()),
             (peer_protocol.PRIORITY_HEADER, b'%d' % call.priority),
-            (peer_protocol.ON_TIME_HEADER, b'%d' % on_time_ms),
             (
                 peer_protocol.ROUTE_HEADER,
                 peer_protocol.encode_name(call.route.name),
@@ -225,6 +220,10 @@
             call.request.with_headers(headers),
             call.deadline,
             request_id=call.request_id,
+            time_by_header={
+                platform_codec.TIME_LEFT_MS_HEADER: call.deadline,
+                peer_protocol.ON_TIME_HEADER: call.on_time_until,
+            },
         )
 
     def _process_response(
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -3,6 +3,7 @@
 import asyncio
 import collections
 from collections.abc import Callable
+from collections.abc import Mapping
 import socket
 from typing import Any
 
@@ -265,6 +266,18 @@
     return True
 
 
+def _with_time_left(
+    request: http_codec.Request, time_by_header: Mapping[bytes, float]
+) -> http_codec.Request:
+    """Returns a request with headers that state the time left from now on."""
+    now = asyncio.get_running_loop().time()
+    headers = [
+        (name, b'%d' % max(1, int((until - now) * 1000)))
+        for name, until in time_by_header.items()
+    ]
+    return request.with_headers(request.headers + headers)
+
+
 def _discard(connection: _Connection, response_future: asyncio.Future):
     """Ends a request whose sender takes no response.
 
@@ -339,6 +352,7 @@
         before_write: Callable[[], None] | None = None,
         request_id: str = '',
         max_buffered_bytes: int = http_codec.MAX_BUFFERED_BYTES,
+        time_by_header: Mapping[bytes, float] | None = None,
     ) -> http_codec.Response:
         """Sends a request and waits for the response.
 
@@ -359,6 +373,9 @@
                 connection is closed after the right response.
             max_buffered_bytes: Largest response body that is buffered whole, in
                 bytes; a larger one is returned as a stream.
+            time_by_header: Monotonic times in seconds by headers that are added
+                when the connection is open. They state how much is left until
+                that time, in milliseconds, at least 1.
 
         Returns:
             The response to the request.
@@ -382,6 +399,8 @@
         try:
             if before_write is not None:
                 before_write()
+            if time_by_header:
+                request = _with_time_left(request, time_by_header)
             response_future = connection.send_request(
                 request, deadline, request_id, max_buffered_bytes
             )
