--- a/features/request_path.feature
+++ b/features/request_path.feature
@@ -278,6 +278,38 @@
       | chunks                              | byte by byte   | an unknown outcome   | by the deadline |
       | trailer line                        | byte by byte   | an unknown outcome   | by the deadline |
 
+  Scenario: Small chunks without end take little processor time
+    # Guards against daemons that spend their time on the chunks of one response
+    # while other requests wait.
+    When a server sends small chunks without end (full speed)
+    Then the caller gets a truncated response in time
+    And the daemon has read at most 200000 chunks a second
+
+  Scenario: A response of many small chunks arrives whole, and the next one, too
+    When a server sends two responses of 150000 chunks on a connection
+    Then the caller gets all bytes of both
+    And reading them took as long as the rate of chunks demands
+
+  Scenario: A body of small chunks stays paused while its reader waits
+    When the reader of a body of small chunks stops reading for 0.3 s
+    Then it gets nothing in that time, and more after it
+
+  Scenario: A request that the daemon of its caller gives up first frees its slot
+    When a server sends header line without end to a request that arrives late
+    Then the caller gets an unknown outcome in time
+    And the connection to the server is closed by the deadline
+    And the slot is free and the other requests get their own responses
+
+  Scenario Outline: The time left is that of the moment at which a request is sent
+    # Guards against servers and daemons that work on for a caller that has left.
+    When opening the connection to the <receiver> takes 0.3 s
+    Then the server is not told more time than the caller waits
+
+    Examples:
+      | receiver |
+      | daemon   |
+      | server   |
+
   Scenario Outline: Bytes on an idle connection belong to no request
     When a server sends <bytes> on an idle connection and a request is sent <when>
     Then each request gets its own response
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -1,6 +1,7 @@
 """Runs the request path in one process over loopback sockets, for tests."""
 
 import asyncio
+from collections.abc import Callable
 import contextlib
 import sys
 import time
@@ -67,6 +68,7 @@
         cut_responses_at: The same for response bytes.
         response_delay_s: Time for which response bytes are held back, in
             seconds.
+        request_delay_s: Time for which request bytes are held, in seconds.
     """
 
     def __init__(self, address: str):
@@ -74,6 +76,7 @@
         self.cut_requests_at: list[int] = []
         self.cut_responses_at: list[int] = []
         self.response_delay_s = 0.0
+        self.request_delay_s = 0.0
         self._tasks: set[asyncio.Task] = set()
 
     async def start(self) -> str:
@@ -112,14 +115,19 @@
         )
         relay_tasks = [
             asyncio.ensure_future(
-                _relay_bytes(client_reader, server_writer, request_cut_at)
+                _relay_bytes(
+                    client_reader,
+                    server_writer,
+                    request_cut_at,
+                    lambda: self.request_delay_s,
+                )
             ),
             asyncio.ensure_future(
                 _relay_bytes(
                     server_reader,
                     client_writer,
                     response_cut_at,
-                    self.response_delay_s,
+                    lambda: self.response_delay_s,
                 )
             ),
         ]
@@ -135,13 +143,13 @@
 
 
 async def _relay_bytes(
-    reader, writer, cut_at: int | None, delay_s: float = 0.0
+    reader, writer, cut_at: int | None, delay_s: Callable[[], float] = float
 ):
     relayed_bytes = 0
     with contextlib.suppress(ConnectionError):
         while data := await reader.read(65536):
-            if delay_s:
-                await asyncio.sleep(delay_s)
+            if held_s := delay_s():
+                await asyncio.sleep(held_s)
             if cut_at is not None and relayed_bytes + len(data) >= cut_at:
                 writer.write(data[: cut_at - relayed_bytes])
                 return
