Leave a change to the watch for longer before the store is asked

Cause: during quick changes the watch pauses for up to 0.4 s, so a daemon that heard of a version from its parent asked the store 0.25 s later for what its watch was about to return.

Change: 0.7 s. The bound does not rest on this time but on the age of the confirmation, which a newer version that is not in force does not renew.

--- a/features/configuration_freshness.feature
+++ b/features/configuration_freshness.feature
@@ -41,7 +41,7 @@
   Scenario: Quick versions of a large configuration reach a daemon as one
     # Guards against a read that returns each version that a lagging watch lacks.
     When a daemon with a lagging watch hears of the last of 5 quick versions
-    Then it reads the newest one only, within 0.5 seconds
+    Then it reads the newest one only, within 1.0 seconds
 
   Scenario: A change right after the store has dropped its history is not lost
     # Guards against an old list in place of the current one after a 410.
--- a/hemlockgrade/configuration_check.py
+++ b/hemlockgrade/configuration_check.py
@@ -36,8 +36,9 @@
 MAX_AGE_S = 1.2
 USUAL_READ_S = 0.1
 # Time for the watch to return a version that a peer has already, before this
-# daemon asks the store for it, in seconds.
-WATCH_GRACE_S = 0.25
+# daemon asks the store for it, in seconds. After a change the watch pauses for
+# up to 0.4 s, and a large configuration takes 0.3 s on a link of 5.5 Mbit/s.
+WATCH_GRACE_S = 0.7
 # Longest time for a peer of the same failure domain to send its versions, in
 # seconds.
 PEER_TIMEOUT_S = 0.25
