Let the late callers of the shutdown scenarios come back

Cause: a step read the header Retry-After from a plain dict, while daemons send its name in lower case, so each sender thread ended with a KeyError at its first refusal and the scenarios sent fewer requests than meant.

--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -444,7 +444,7 @@
                 (round(sent_at - stopped_at, 2), status, headers, request_id)
             )
             if status == 503:
-                time.sleep(float(headers['Retry-After']))
+                time.sleep(float(headers['retry-after']))
 
     threads = [
         threading.Thread(target=send_requests, args=(stopped_at + offset,))
