--- a/features/steps/configuration_freshness_steps.py
+++ b/features/steps/configuration_freshness_steps.py
@@ -524,6 +524,13 @@
         """Ignores the call."""
 
 
+class SilentSync:
+    """Peers that tell nothing new."""
+
+    async def compare(self, address, timeout_s):
+        """Learns nothing."""
+
+
 @when(
     'a daemon with a lagging watch hears of the last of {count:d} quick versions'
 )
@@ -532,13 +539,24 @@
         loop = asyncio.get_running_loop()
         own = directory.Directory('h-1')
         own.apply_configuration(build_configuration(1), 'store')
+        # Without a peer, the daemon would read the store twice a second.
+        own.apply_member(
+            model.Member(
+                name='h-0',
+                address='10.0.0.1:80',
+                zone='a',
+                boot_id='boot',
+                revision=2,
+            ),
+            'store',
+        )
         own_freshness = freshness.Freshness(directory=own, clock=loop.time)
         own_freshness.confirmed_at = loop.time()
         context.feed = CheckedFeed(own, 1 + count)
         check = configuration_check.ConfigurationCheck(
             freshness=own_freshness,
             feed=context.feed,
-            sync=None,
+            sync=SilentSync(),
             zone='a',
             random=random.Random(1),
         )
