Let the rollout benchmark name the host of its rollout task

Cause: renamed the argument of RolloutTask to host_name; the benchmark still passed name and ended in a TypeError on the first case. One argument changes, no case, rate or bound.

--- a/bench/decisions_rollout.py
+++ b/bench/decisions_rollout.py
@@ -245,7 +245,7 @@
         for number, version in enumerate(('old', 'new'), 1):
             self.directory.apply_member(create_member(version, number), 'sim')
         self.task = SimulatedTask(
-            name='sim',
+            host_name='sim',
             store=None,
             directory=self.directory,
             pool=None,
