Confirm the place of a watch only when it is old

Cause: after each pause of 3 to 10 s a watch sent a request without lag, which costs ten times as much and is ended by each next change, and one that waited 20 s after such a pause held a place older than the store's history.

Change: a request without lag is sent when the watch has not moved for 10 s, and ends when its place is 18 s old. A confirmation counts for the configuration's watch also while the store's revision stands still. A wait of 0 is sent as 1 ms.

The scenario of the spread runs the watchers at a tenth of their times, since they now go by the clock; its check is unchanged.

--- a/features/steps/configuration_freshness_steps.py
+++ b/features/steps/configuration_freshness_steps.py
@@ -9,6 +9,7 @@
 import random
 import threading
 import time
+from unittest import mock
 
 import attrs
 from behave import given
@@ -581,51 +582,50 @@
 
 @when('{count:d} watchers have got the same change')
 def run_watchers(context, count):
-    """Adds up the waits of each watcher until its next read without lag."""
+    """Runs watchers of a store without changes, at a tenth of their times."""
     context.reads_at = []
 
     class Store:
-        def __init__(self):
-            self.waited_s = 0.0
-
         async def list(self, kind, *, may_lag=False, limits=None):
             return object_store.Listing(items=(), revision=1)
 
         async def watch(self, kind, revision, wait_s, *, may_lag=True):
             if not may_lag:
-                context.reads_at.append(self.waited_s)
-                await asyncio.sleep(60)
-            self.waited_s += wait_s
+                context.reads_at.append(time.monotonic())
+            await asyncio.sleep(wait_s if may_lag else 60)
             return object_store.Changes(changes=(), revision=revision)
 
     async def run():
-        async with asyncio.TaskGroup() as group:
-            tasks = [
-                group.create_task(
-                    watcher.Watcher(
-                        store=Store(),
-                        kind='mesh',
-                        wait_s=20.0,
-                        on_item=lambda item: None,
-                        on_deleted=lambda item: None,
-                        random=random.Random(seed),
-                    ).run()
-                )
-                for seed in range(count)
-            ]
-            while len(context.reads_at) < count:
-                await asyncio.sleep(0.01)
-            for task in tasks:
-                task.cancel()
+        watchers = [
+            watcher.Watcher(
+                store=Store(),
+                kind='mesh',
+                wait_s=2.0,
+                on_item=lambda item: None,
+                on_deleted=lambda item: None,
+                random=random.Random(seed),
+            )
+            for seed in range(count)
+        ]
+        tasks = [asyncio.create_task(each.run()) for each in watchers]
+        while len(context.reads_at) < count:
+            await asyncio.sleep(0.01)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
 
-    asyncio.run(run())
+    with mock.patch.multiple(
+        watcher, MAX_LAGGING_WAIT_S=1.0, CONFIRM_AGE_S=1.0, MAX_PLACE_AGE_S=1.8
+    ):
+        asyncio.run(run())
 
 
 @then('at most a quarter of their next reads without lag fall into one second')
 def check_spread(context):
     reads_at = sorted(context.reads_at)
+    # The times of the watchers are a tenth of the usual ones.
     most = max(
-        sum(at <= other < at + 1 for other in reads_at) for at in reads_at
+        sum(at <= other < at + 0.1 for other in reads_at) for at in reads_at
     )
     assert most <= len(reads_at) / 4, most
 
--- a/hemlockgrade/configuration_check.py
+++ b/hemlockgrade/configuration_check.py
@@ -313,7 +313,7 @@
             ),
             newest_only=True,
         )
-        if self.freshness.clock() - started_at < 2 * OPEN_CONNECTION_TIMEOUT_S:
+        if self.freshness.clock() - started_at < OPEN_CONNECTION_TIMEOUT_S:
             # Otherwise the store may be slow, not the connection silent.
             self._restart_watches()
 
--- a/hemlockgrade/freshness.py
+++ b/hemlockgrade/freshness.py
@@ -38,8 +38,8 @@
     Attributes:
         directory: Has the configuration in force.
         clock: Returns the monotonic time in seconds.
-        on_confirmed: Called with the revision of the store up to which this
-            daemon has all changes of the configuration.
+        on_confirmed: Called at each newer confirmation with the revision of the
+            store up to which this daemon has all changes of the configuration.
         confirmed_at: All versions that the store had accepted by this time are
             in force here or were replaced by a newer one. Minus infinity
             before the first confirmation.
@@ -76,9 +76,8 @@
         if new.confirmed_at > self.confirmed_at:
             self.confirmed_at = new.confirmed_at
             self.read_s = new.read_s
-        if new.revision > self.revision:
-            self.revision = new.revision
             self.on_confirmed(new.revision)
+        self.revision = max(self.revision, new.revision)
 
     def handle_configuration(self) -> None:
         """Handles a new version in force."""
--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -90,7 +90,7 @@
         A read that may lag costs a tenth of other reads and does not count
         toward the rate limit.
         """
-        wait_ms = int(wait_s * 1000)
+        wait_ms = max(MIN_WAIT_MS, int(wait_s * 1000))
         # `Watch` is the revision after which changes are returned.
         path = f'{kind}?Watch={revision}&WaitMs={wait_ms}'
         data = await self._read(
--- a/hemlockgrade/watcher.py
+++ b/hemlockgrade/watcher.py
@@ -17,13 +17,16 @@
 # doubles with each failure in a row, from the first one to the longest one.
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 1.0
-# Longest duration of a watch request that may lag, in seconds. It is half of
-# the time for which the store keeps the changes, so that the next request can
-# still continue from the same revision. The shortest one is a fraction of it:
-# all daemons get a change at the same time, and their next requests without
-# lag must not come all at once.
+# Longest duration of a watch request that may lag, in seconds. The shortest one
+# is a fraction of it: all daemons get a change at the same time, and their next
+# requests without lag must not come all at once.
 MAX_LAGGING_WAIT_S = 10.0
 MIN_LAGGING_WAIT_FRACTION = 0.3
+# Time since which a watch has not moved before a request that does not lag
+# confirms its place, and the time by which that request ends, in seconds. The
+# store keeps the changes of 20 s.
+CONFIRM_AGE_S = 10.0
+MAX_PLACE_AGE_S = 18.0
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -66,12 +69,8 @@
     random: random_module.Random = attrs.field(factory=random_module.Random)
     connected: bool = False
     _revision: int | None = None
-    # True after a response that may lag and had no changes: the next request
-    # must not lag, so that the watch can continue from a later revision.
-    _confirm_next: bool = False
-    # True if the watch was moved, or its place confirmed, since the latest
-    # request was sent.
-    _advanced: bool = False
+    # Time of the event loop at which the place of the watch was confirmed.
+    _confirmed_at: float = 0.0
     _request: asyncio.Task | None = None
     _restarting: bool = False
 
@@ -124,7 +123,7 @@
         """
         if self._revision is not None:
             self._revision = max(self._revision, revision)
-            self._advanced = True
+            self._confirmed_at = asyncio.get_running_loop().time()
 
     async def read_changes(self, limits: object_store.ReadLimits) -> None:
         """Reads all changes up to now, without lag, beside the watch.
@@ -170,6 +169,7 @@
         started_at = asyncio.get_running_loop().time()
         listing = await self._list(limits=limits)
         self._revision = max(self._revision or 0, listing.revision)
+        self.advance(listing.revision)
         self._set_connected(True, '')
         self.on_current(listing.revision, started_at)
 
@@ -200,12 +200,13 @@
         ):
             await self.read_list()
         assert self._revision is not None
-        may_lag = not self._confirm_next
-        wait_s = self.wait_s
+        age_s = asyncio.get_running_loop().time() - self._confirmed_at
+        # A response that may lag and has no changes does not move the watch.
+        may_lag = age_s < CONFIRM_AGE_S
+        wait_s = min(self.wait_s, max(0.0, MAX_PLACE_AGE_S - age_s))
         if may_lag:
             fraction = self.random.uniform(MIN_LAGGING_WAIT_FRACTION, 1.0)
             wait_s = min(wait_s, MAX_LAGGING_WAIT_S * fraction)
-        self._advanced = False
         changes = await self.store.watch(
             self.kind, self._revision, wait_s, may_lag=may_lag
         )
@@ -216,7 +217,6 @@
         newest = _newest_revision(items)
         if items or not may_lag:
             self.advance(newest if may_lag else changes.revision)
-        self._confirm_next = may_lag and not self._advanced
         if changes.changes and self.batch_delay_s:
             await self._wait_for_changes()
         if self.skips_versions and len(changes.changes) > 1:
