Do not read the store during quick changes that the watch returns in time

Cause: of the versions that a daemon had heard of, only the newest and the time of the first were kept, and of the confirmations that wait for a version only the newest. While versions follow each other in 0.3 s, both were always ahead of the watch, so each daemon read the store although its watch was less than 0.7 s behind, and its confirmation grew old.

Change: both are kept by version. Two scenarios, one for each.

--- a/features/configuration_freshness.feature
+++ b/features/configuration_freshness.feature
@@ -112,6 +112,19 @@
     When a peer confirms version 5 of 0.1 seconds ago
     Then the configuration of the daemon was confirmed 0.1 seconds ago
 
+  Scenario: Confirmations of quick versions count one by one
+    # Guards against a daemon that is never confirmed while versions follow.
+    Given a daemon with version 5 of the configuration
+    When a peer confirms version 6 of 0.3 seconds ago
+    And a peer confirms version 7 of 0.1 seconds ago
+    And version 6 comes into force
+    Then the configuration of the daemon was confirmed 0.3 seconds ago
+
+  Scenario: A watch that returns quick versions late but in time is left alone
+    # Guards against reads of the store by all daemons during quick changes.
+    When a daemon hears of 8 versions 0.3 seconds apart, which its watch returns 0.5 seconds later
+    Then it does not read the store
+
   Scenario: The age that a peer states counts from the request
     # Guards against an old response that is taken for a recent confirmation.
     When a peer responds after 3 seconds that its configuration is 0.1 seconds old
--- a/features/steps/configuration_freshness_steps.py
+++ b/features/steps/configuration_freshness_steps.py
@@ -532,44 +532,87 @@
         """Learns nothing."""
 
 
+def build_check(context, loop, newest):
+    """Builds the check of a daemon with version 1 and a peer."""
+    own = directory.Directory('h-1')
+    own.apply_configuration(build_configuration(1), 'store')
+    # Without a peer, the daemon would read the store twice a second.
+    own.apply_member(
+        model.Member(
+            name='h-0',
+            address='10.0.0.1:80',
+            zone='a',
+            boot_id='boot',
+            revision=2,
+        ),
+        'store',
+    )
+    own_freshness = freshness.Freshness(directory=own, clock=loop.time)
+    own_freshness.confirmed_at = loop.time()
+    context.feed = CheckedFeed(own, newest)
+    return configuration_check.ConfigurationCheck(
+        freshness=own_freshness,
+        feed=context.feed,
+        sync=SilentSync(),
+        zone='a',
+        random=random.Random(1),
+    )
+
+
+async def end(task):
+    task.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await task
+
+
+@when(
+    'a daemon hears of {count:d} versions {interval_s:g} seconds apart, which its watch returns {delay_s:g} seconds later'
+)
+def hear_of_quick_versions(context, count, interval_s, delay_s):
+    async def run():
+        loop = asyncio.get_running_loop()
+        check = build_check(context, loop, 1)
+        own = context.feed.directory
+
+        def apply(version, heard_at):
+            own.apply_configuration(build_configuration(version), 'store')
+            check.freshness.confirm(
+                freshness.Confirmation(
+                    version=version, revision=version, confirmed_at=heard_at
+                )
+            )
+
+        task = asyncio.create_task(check.run())
+        for version in range(2, 2 + count):
+            check.want(version)
+            loop.call_later(delay_s, apply, version, loop.time())
+            await asyncio.sleep(interval_s)
+        await asyncio.sleep(delay_s)
+        assert own.configuration_version == 1 + count
+        await end(task)
+
+    asyncio.run(run())
+
+
+@then('it does not read the store')
+def check_no_reads(context):
+    assert not context.feed.reads, context.feed.reads
+
+
 @when(
     'a daemon with a lagging watch hears of the last of {count:d} quick versions'
 )
 def hear_of_last_version(context, count):
     async def run():
         loop = asyncio.get_running_loop()
-        own = directory.Directory('h-1')
-        own.apply_configuration(build_configuration(1), 'store')
-        # Without a peer, the daemon would read the store twice a second.
-        own.apply_member(
-            model.Member(
-                name='h-0',
-                address='10.0.0.1:80',
-                zone='a',
-                boot_id='boot',
-                revision=2,
-            ),
-            'store',
-        )
-        own_freshness = freshness.Freshness(directory=own, clock=loop.time)
-        own_freshness.confirmed_at = loop.time()
-        context.feed = CheckedFeed(own, 1 + count)
-        check = configuration_check.ConfigurationCheck(
-            freshness=own_freshness,
-            feed=context.feed,
-            sync=SilentSync(),
-            zone='a',
-            random=random.Random(1),
-        )
+        check = build_check(context, loop, 1 + count)
         check.want(1 + count)
         started_at = loop.time()
         task = asyncio.create_task(check.run())
-        while own.configuration_version <= count:
+        while context.feed.directory.configuration_version <= count:
             await asyncio.sleep(0.01)
         context.took_s = loop.time() - started_at
-        task.cancel()
-        with contextlib.suppress(asyncio.CancelledError):
-            await task
+        await end(task)
 
     asyncio.run(run())
 
--- a/hemlockgrade/configuration_check.py
+++ b/hemlockgrade/configuration_check.py
@@ -8,6 +8,7 @@
 """
 
 import asyncio
+import collections
 import random as random_module
 
 import attrs
@@ -84,8 +85,11 @@
     random: random_module.Random = attrs.field(factory=random_module.Random)
     _not_before_by_peer: dict[str, float] = attrs.field(factory=dict)
     _failures_by_peer: dict[str, int] = attrs.field(factory=dict)
-    _wanted_version: int = 0
-    _wanted_at: float = 0.0
+    # Versions that peers have and this daemon has not, with the time at which
+    # it asks the store for them.
+    _wanted: collections.deque[tuple[int, float]] = attrs.field(
+        factory=collections.deque
+    )
     _woken: asyncio.Event = attrs.field(factory=asyncio.Event)
     _next_read_at: float = 0.0
     _next_random_at: float = 0.0
@@ -102,21 +106,23 @@
 
     def want(self, version: int) -> None:
         """Asks the store for a version that a peer has, unless it arrives."""
-        if version <= max(self._wanted_version, self._version):
+        if self._next_wanted_at() is not None and (
+            version <= self._wanted[-1][0]
+        ):
             return
-        if not self._is_behind:
-            self._wanted_at = self.freshness.clock() + WATCH_GRACE_S
-        self._wanted_version = version
+        self._wanted.append((version, self.freshness.clock() + WATCH_GRACE_S))
         self._woken.set()
 
+    def _next_wanted_at(self) -> float | None:
+        """Returns when the store is asked for a version; None if never."""
+        while self._wanted and self._wanted[0][0] <= self._version:
+            self._wanted.popleft()
+        return self._wanted[0][1] if self._wanted else None
+
     @property
     def _version(self) -> int:
         return self.freshness.directory.configuration_version
 
-    @property
-    def _is_behind(self) -> bool:
-        return self._wanted_version > self._version
-
     @property
     def _is_recent(self) -> bool:
         return self.freshness.age_s < self._max_age_s
@@ -157,7 +163,8 @@
         while True:
             self._woken.clear()
             now = self.freshness.clock()
-            ends_at = min(until, self._wanted_at) if self._is_behind else until
+            wanted_at = self._next_wanted_at()
+            ends_at = until if wanted_at is None else min(until, wanted_at)
             if now >= ends_at:
                 return
             try:
@@ -167,9 +174,10 @@
                 return
 
     async def _confirm(self):
-        if self._is_behind and self.freshness.clock() >= self._wanted_at:
+        wanted_at = self._next_wanted_at()
+        if wanted_at is not None and self.freshness.clock() >= wanted_at:
             # If the store does not send the version, a peer does later.
-            self._wanted_version = 0
+            self._wanted.clear()
             if await self._read_store(newest_only=True):
                 return
         source = self._source()
--- a/hemlockgrade/freshness.py
+++ b/hemlockgrade/freshness.py
@@ -11,6 +11,9 @@
 # Number of daemons that ask the same peer. A failure domain of 8,200 / 11 hosts
 # then has three levels below the daemon that asks the store.
 MAX_ASKING_PEERS = 16
+# Confirmations of versions that are not in force yet: during quick changes a
+# daemon hears of the next version before it has the former one.
+MAX_PENDING_CONFIRMATIONS = 32
 
 
 @attrs.frozen(kw_only=True)
@@ -53,7 +56,7 @@
     confirmed_at: float = -math.inf
     revision: int = 0
     read_s: float = 0.0
-    _pending: Confirmation | None = None
+    _pending: list[Confirmation] = attrs.field(factory=list)
 
     @property
     def age_s(self) -> float:
@@ -67,11 +70,8 @@
         version comes into force.
         """
         if new.version > self.directory.configuration_version:
-            if (
-                self._pending is None
-                or new.confirmed_at > self._pending.confirmed_at
-            ):
-                self._pending = new
+            self._pending.append(new)
+            del self._pending[:-MAX_PENDING_CONFIRMATIONS]
             return
         if new.confirmed_at > self.confirmed_at:
             self.confirmed_at = new.confirmed_at
@@ -81,9 +81,9 @@
 
     def handle_configuration(self) -> None:
         """Handles a new version in force."""
-        pending, self._pending = self._pending, None
-        if pending is not None:
-            self.confirm(pending)
+        pending, self._pending = self._pending, []
+        for each in pending:
+            self.confirm(each)
 
 
 def choose_source(names: Sequence[str], own_name: str) -> str | None:
