--- a/hemlockgrade/store_feed.py
+++ b/hemlockgrade/store_feed.py
@@ -20,11 +20,8 @@
 from hemlockgrade.platform import codec as platform_codec
 
 # Longest duration of one watch request, in seconds. The users pay for each
-# request of each daemon, so longer ones cost less. A silently failed connection
-# is detected sooner by TCP keepalive probes, and peers send each other their
-# newest versions.
-MAX_CONFIGURATION_WATCH_S = 10.0
-MAX_MESH_WATCH_S = 20.0
+# request of each daemon, so longer ones cost less.
+MAX_WATCH_S = 10.0
 # Mean delay after changes of the mesh objects before the next watch request,
 # in seconds; `watcher.Watcher` says why. Correctness does not depend on it: a
 # daemon that uses an outdated member sends its request to that member's host,
@@ -119,7 +116,7 @@
         self._configuration_watcher = watcher.Watcher(
             store=self.store,
             kind=platform_codec.CONFIGURATION_KIND,
-            wait_s=MAX_CONFIGURATION_WATCH_S,
+            wait_s=MAX_WATCH_S,
             on_item=self._configuration_changed,
             on_deleted=lambda item: None,
             on_current=self._configuration_current,
@@ -130,7 +127,7 @@
         self._mesh_watcher = watcher.Watcher(
             store=self.store,
             kind=object_codec.MESH_KIND,
-            wait_s=MAX_MESH_WATCH_S,
+            wait_s=MAX_WATCH_S,
             on_item=self._object_changed,
             on_deleted=self._object_deleted,
             on_listed=self._objects_listed,
@@ -142,7 +139,7 @@
             watcher.Watcher(
                 store=self.store,
                 kind=platform_codec.ROLLOUT_KIND,
-                wait_s=MAX_MESH_WATCH_S,
+                wait_s=MAX_WATCH_S,
                 on_item=self.rollouts.apply_order_object,
                 on_deleted=self.rollouts.remove_order_object,
             ),
