Read a store that does not respond on a new connection only

Cause: after a failed read each further one was sent twice, first on an open connection and then on a new one.

Change: after a failure only on a new one.

--- a/hemlockgrade/configuration_check.py
+++ b/hemlockgrade/configuration_check.py
@@ -265,7 +265,10 @@
             return False
         before = self._version
         try:
-            await self._read_configuration(newest_only)
+            if self._failed_reads:
+                await self._read_on_new_connection()
+            else:
+                await self._read_configuration(newest_only)
         except exceptions.PlatformUnavailableError as error:
             self._failed_reads += 1
             delay_s = backoff.delay_s(
@@ -314,6 +317,14 @@
                 # The store refused the call.
                 raise
         # The connection is silent, or the response has too many versions.
+        await self._read_on_new_connection()
+
+    async def _read_on_new_connection(self):
+        """Reads the newest version, whatever the open connections do.
+
+        Raises:
+            exceptions.PlatformUnavailableError: The store is unavailable.
+        """
         started_at = self.freshness.clock()
         await self.feed.read_configuration(
             object_store.ReadLimits(
