--- a/features/configuration_freshness.feature
+++ b/features/configuration_freshness.feature
@@ -135,6 +135,11 @@
     When 200 watchers have got the same change
     Then at most a quarter of their next reads without lag fall into one second
 
+  Scenario: A deletion with the revision of an earlier change is read twice at most
+    # Guards against a watch that asks for the same change again and again.
+    When a watch returns the deletion of an object with the revision of its last change
+    Then the change is handled 1 to 2 times
+
   Scenario: A version that was heard beside another fetch is not forgotten
     # Guards against a message that is dropped while another one is under way.
     Given a daemon that fetches mesh objects from a silent peer
--- a/features/steps/configuration_freshness_steps.py
+++ b/features/steps/configuration_freshness_steps.py
@@ -673,6 +673,48 @@
     assert most <= len(reads_at) / 4, most
 
 
+@when(
+    'a watch returns the deletion of an object with the revision of its last change'
+)
+def watch_deletion(context):
+    context.deletions = 0
+    item = object_store.StoredItem(kind='mesh', name='x', revision=1)
+
+    class Store:
+        async def list(self, kind, *, may_lag=False, limits=None):
+            return object_store.Listing(items=(item,), revision=1)
+
+        async def watch(self, kind, revision, wait_s, *, may_lag=True):
+            if revision > 1:
+                await asyncio.sleep(60)
+            change = object_store.ItemChange(item=item, deleted=True)
+            return object_store.Changes(changes=(change,), revision=2)
+
+    def count(item):
+        context.deletions += 1
+
+    async def run():
+        task = asyncio.create_task(
+            watcher.Watcher(
+                store=Store(),
+                kind='mesh',
+                wait_s=1.0,
+                on_item=lambda item: None,
+                on_deleted=count,
+                batch_delay_s=0.01,
+            ).run()
+        )
+        await asyncio.sleep(0.5)
+        await end(task)
+
+    asyncio.run(run())
+
+
+@then('the change is handled {least:d} to {most:d} times')
+def check_deletions(context, least, most):
+    assert least <= context.deletions <= most, context.deletions
+
+
 @attrs.define(eq=False, kw_only=True)
 class RecordingSync(state_sync.StateSync):
     """Has peers whose state is the configuration of their number.
--- a/hemlockgrade/watcher.py
+++ b/hemlockgrade/watcher.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterable
+import math
 import random as random_module
 
 import attrs
@@ -215,8 +216,14 @@
             self._log_read('watch', may_lag, items, changes.revision)
         self._apply(changes)
         newest = _newest_revision(items)
-        if items or not may_lag:
-            self.advance(newest if may_lag else changes.revision)
+        if not may_lag:
+            self.advance(changes.revision)
+        elif newest > self._revision:
+            self.advance(newest)
+        elif items:
+            # A deleted object may have the revision of an earlier change. The
+            # next request does not lag, and its counter moves the watch.
+            self._confirmed_at = -math.inf
         if changes.changes and self.batch_delay_s:
             await self._wait_for_changes()
         if self.skips_versions and len(changes.changes) > 1:
