--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -429,8 +429,8 @@
     Mutation(
         guard='a lagging watch response moves the watch to its data only',
         module='watcher.py',
-        old='        self.advance(newest if may_lag else changes.revision)\n',
-        new='        self.advance(changes.revision)\n',
+        old='        if not may_lag:\n            self.advance(',
+        new='        if True:\n            self.advance(',
         feature='configuration_freshness',
     ),
     Mutation(
@@ -443,15 +443,15 @@
     Mutation(
         guard='a daemon without a recent confirmation reads the store',
         module='configuration_check.py',
-        old='if not await self._read_store() and not self._is_recent:',
-        new='if not self._is_recent:',
+        old='if not self.feed.gets_configurations or now < self._next_read_at:',
+        new='if True:',
         feature='configuration_freshness',
     ),
     Mutation(
         guard='a read on a new connection uses no open one',
         module='platform/store.py',
-        old='0.0 if limits.new_connection else upstream.MAX_IDLE_S',
-        new='upstream.MAX_IDLE_S',
+        old='                if limits.new_connection\n',
+        new='                if False\n',
         feature='store_client',
     ),
     Mutation(
