Hold other requests beside endless responses to the clock again

It took the waits for a processor of all processes of the mesh, added up, off the time of each request: beside load the sum can exceed the time of the request itself, so that the limit of 0.5 s held nothing. It did so for the ends of the endless responses and their connections, too, and in "Endless responses in all slots leave memory for other requests", which had not failed. That a request without endless responses is late as often beside load does not allow the case.

All limits on endless responses go by the clock. What added stays as a scenario of its own that also runs beside load (all other requests succeed, median below 0.1 s): "Endless responses through two daemons lose no other request".

The prompt look is back beside it: the slot of the endless request is free within 0.5 s of the answer (CLOSE_AT_ONCE_S), whatever comes later.

--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -181,9 +181,23 @@
     When the servers send duplicate responses to earlier requests
     Then 40 requests over reused connections get their own responses or 502
 
+  @known_red
   Scenario Outline: Endless responses through two daemons affect no other request
-    # Waits for a processor are taken off the times: beside other programs even a
-    # process that only sleeps is late by a second.
+    Given a mesh of 2 hosts
+    When 2 requests of 1 s at each host get <bytes> without end
+    Then each of them ends in time, and none looks complete
+    And the connection to the server is closed <closed>
+    And the other requests get their own responses
+
+    Examples:
+      | bytes               | closed          |
+      | body without length | by the deadline |
+      | small chunks        | by the deadline |
+      | trailer line        | at once         |
+
+  Scenario Outline: Endless responses through two daemons lose no other request
+    # Runs also beside load: waits for a processor are taken off the times of the
+    # other requests, and all of them have to succeed.
     Given a mesh of 2 hosts
     And callers of other requests that allow 4 s
     When 2 requests of 1 s at each host get <bytes> without end
--- a/features/steps/endless_response_steps.py
+++ b/features/steps/endless_response_steps.py
@@ -246,7 +246,6 @@
             to the daemon beside the server, in seconds.
     """
     context.deadline_s = DEADLINE_S
-    context.waited_s = 0.0
     context.others, samples = [], []
     async with (
         loopback.LoopbackSystem(timeout_ms=5000) as system,
@@ -266,6 +265,11 @@
         context.growth_bytes = max(samples) - before
         # A daemon that gives up a request answers at once, and the daemon beside
         # the server hears of it a moment later, but before a later request.
+        # Another request may still run.
+        answered_at = time.monotonic()
+        while system.hosts[0].limiter_load() not in ((0, 0), (1, 0)):
+            await asyncio.sleep(0.001)
+        context.freed_s = time.monotonic() - answered_at
         context.later = [await send(system.address, '/later')]
         context.load = system.hosts[0].limiter_load()
         for _ in range(4):
@@ -332,12 +336,13 @@
     }[when]
     for each in context.endless:
         assert each['closed'] is not None, 'the connection is still open'
-        open_s = each['closed'] - each['started'] - context.waited_s
+        open_s = each['closed'] - each['started']
         assert open_s < limit_s, (open_s, each['sent_bytes'])
 
 
 @then('the slot is free and the other requests get their own responses')
 def check_slot_and_others(context):
+    assert context.freed_s < CLOSE_AT_ONCE_S, context.freed_s
     assert context.load == (0, 0), context.load
     check_others(context)
 
@@ -386,7 +391,6 @@
     """Sends a request before or after the bytes on its connection are read."""
     query = urllib.parse.urlencode({'then': name})
     context.responses, context.deadline_s = [], DEADLINE_S
-    context.waited_s = 0.0
     async with (
         loopback.LoopbackSystem() as system,
         run_server(system) as server_address,
@@ -439,7 +443,6 @@
     Sets `context.result` to the result, or to the failure that was reported.
     """
     context.deadline_s = store.CALL_TIMEOUT_S
-    context.waited_s = 0.0
     async with (
         loopback.LoopbackSystem() as system,
         run_server(system) as server_address,
@@ -496,9 +499,12 @@
 def send_many_endless(context, count, seconds, name):
     context.deadline_s = seconds
     mesh = context.mesh
+    other_options = {}
+    if 'other_deadline_s' in context:
+        other_options['timeout_ms'] = 1000 * context.other_deadline_s + 1000
     mesh.configure(
         6,
-        mesh_cluster.build_route('other', '/shop/', timeout_ms=5000),
+        mesh_cluster.build_route('other', '/shop/', **other_options),
         mesh_cluster.build_route(
             'endless',
             '/endless/',
@@ -551,7 +557,6 @@
         ),
         sample_daemons(),
     ):
-        waited_before_s = processor_wait.total_s(options['pids'])
         context.answers = await asyncio.gather(
             *(
                 send(address, target, deadline_s=context.deadline_s, **options)
@@ -559,9 +564,6 @@
                 for _ in range(count)
             )
         )
-        context.waited_s = (
-            processor_wait.total_s(options['pids']) - waited_before_s
-        )
     context.later = [
         await send(
             address,
@@ -584,8 +586,7 @@
 @then('each of them ends in time, and none looks complete')
 def check_many_answers(context):
     for answer in context.answers:
-        limit_s = context.deadline_s + ANSWER_MARGIN_S
-        assert answer.undisturbed_s < limit_s, answer
+        assert answer.took_s < context.deadline_s + ANSWER_MARGIN_S, answer
         is_success = answer.is_complete and answer.status == 200
         assert not is_success, answer
 
@@ -594,7 +595,7 @@
 def check_others_end(context):
     for answer in (*context.others, *context.later):
         limit_s = OTHER_DEADLINE_S + ANSWER_MARGIN_S
-        assert answer.undisturbed_s < limit_s, answer
+        assert answer.took_s < limit_s, answer
         expected = f'ran {answer.request_id} for '.encode()
         assert answer.status != 200 or expected in answer.body, answer
         assert answer.is_complete, answer
