--- a/standins/soak_run.py
+++ b/standins/soak_run.py
@@ -374,6 +374,7 @@
         await asyncio.to_thread(
             self.mesh.set_store_faults,
             replace=self.mesh.link_by_address,
+            **self.schedule.lag,
             **faults,
         )
 
--- a/standins/soak_schedule.py
+++ b/standins/soak_schedule.py
@@ -1,6 +1,7 @@
 """Schedule of a soak, drawn from a seed."""
 
 import random
+from typing import Any
 
 import attrs
 
@@ -10,6 +11,16 @@
 PLANNED_KINDS = {'term': 5, 'reload': 2, 'configure': 2, 'drain_server': 1}
 UNPLANNED_KINDS = {'kill': 2, 'pause': 2, 'store': 2, 'link': 3}
 STORE_FAULTS = ({'down': True}, {'silent': True}, {'lose_answers': 2})
+# How reads that may lag behave during a whole run. The platform allows this at
+# any time, so it is no fault.
+LAGS = (
+    {},
+    {},
+    {'lag_s': 1.0},
+    {'lag_s': 3.0},
+    {'lag_s': 3.0, 'lag_counter': True},
+    {'lag_s': 3.0, 'lag_counter': True, 'lag_lists_only': True},
+)
 LINK_FAULTS = ('delay', 'reset', 'silence', 'silence_responses')
 
 
@@ -41,6 +52,7 @@
         planned_only: Whether the run has planned work only.
         domain_by_host: Failure domain of each host.
         linked_hosts: Hosts that are reached through relays.
+        lag: How reads of the store that may lag behave.
         events: Events in the order of their start.
     """
 
@@ -48,6 +60,7 @@
     planned_only: bool
     domain_by_host: dict[str, str]
     linked_hosts: frozenset[str]
+    lag: dict[str, Any]
     events: tuple[Event, ...]
 
 
@@ -84,6 +97,8 @@
         planned_only=planned_only,
         domain_by_host=domain_by_host,
         linked_hosts=frozenset(linked_hosts),
+        # Drawn by itself, so that the events of earlier seeds stay the same.
+        lag=random.Random(f'lag {seed}').choice(LAGS),
         events=tuple(sorted(events, key=lambda event: event.at_s)),
     )
 
