Set a parent aside after two missing responses, not one

Cause, by reading: while versions of a large configuration fill the links of small hosts, a comparison can take more than 0.25 s. One such comparison set the parent aside for 5 s and longer, and the daemon asked other peers, or the store itself. A daemon that cannot be connected to is still set aside at once.

--- a/hemlockgrade/configuration_check.py
+++ b/hemlockgrade/configuration_check.py
@@ -43,10 +43,10 @@
 # Longest time for a peer of the same failure domain to send its versions, in
 # seconds.
 PEER_TIMEOUT_S = 0.25
-# A peer that did not respond, or so many times had an old confirmation while
-# the store responds, is not asked for this time, in seconds. It doubles with
-# each further failure, up to the longest one.
-MAX_OLD_RESPONSES = 2
+# A peer that cannot be reached, or so many times did not respond in time or had
+# an old confirmation while the store responds, is not asked for this time, in
+# seconds. It doubles with each further failure, up to the longest one.
+MAX_PEER_FAILURES = 2
 PEER_COOLDOWN_S = 5.0
 MAX_PEER_COOLDOWN_S = 60.0
 # Longest time until the store begins to respond on a connection that was open
@@ -192,7 +192,7 @@
                 # The store may not respond.
                 group.create_task(self._compare_with_random_peer())
         if source is not None and read.result():
-            self._count_old_response(source.name)
+            self._count_failure(source.name)
 
     async def _compare_with_random_peer(self):
         now = self.freshness.clock()
@@ -218,7 +218,7 @@
     async def _compare(self, source: model.Member):
         """Compares versions with a peer.
 
-        A peer that does not respond is not asked for some time.
+        A peer that cannot be reached is not asked for some time.
         """
         before = self.freshness.confirmed_at
         try:
@@ -229,16 +229,20 @@
                 source.name,
                 str(error),
             )
-            self._set_aside(source.name)
+            if isinstance(error, exceptions.ConnectFailedError):
+                self._set_aside(source.name)
+            else:
+                # The link of a small host may be full for a moment.
+                self._count_failure(source.name)
             return
         if self._is_recent and self.freshness.confirmed_at > before:
             self._failures_by_peer.pop(source.name, None)
 
-    def _count_old_response(self, name: str):
-        """Counts a confirmation that is too old although the store responds."""
+    def _count_failure(self, name: str):
+        """Counts a missing or an old response."""
         failures = self._failures_by_peer.get(name, 0) + 1
         self._failures_by_peer[name] = failures
-        if failures >= MAX_OLD_RESPONSES:
+        if failures >= MAX_PEER_FAILURES:
             self._set_aside(name)
 
     def _set_aside(self, name: str):
