Log why a configuration is not confirmed, and count store calls by purpose

A failed comparison with a peer was logged at DEBUG only, and configuration_unconfirmed named neither the peer nor the state of the store.

New scenario: store_client, Calls to the store are counted by their purpose and result.

--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -269,3 +269,74 @@
     assert context.changes.revision == 7, context.changes
     assert context.took_s < limit_s, context.took_s
     assert not context.kept, context.kept
+
+
+@attrs.define(eq=False)
+class ScriptedPool:
+    """Responds to the requests one after the other.
+
+    Attributes:
+        responses: Responses, errors to raise, or None for no response.
+    """
+
+    responses: list[http_codec.Response | Exception | None]
+
+    async def fetch(self, address, request, deadline, **limits):
+        """Returns the next response."""
+        response = self.responses.pop(0)
+        if response is None:
+            await asyncio.Event().wait()
+        if isinstance(response, Exception):
+            raise response
+        return response
+
+
+def build_response(**data):
+    return http_codec.Response(status=200, body=orjson.dumps(data))
+
+
+@when(
+    'a client lists a kind and watches a change, nothing and a closed connection'
+)
+def build_responses(context):
+    change = {'Object': {'Metadata': {'Name': 'main', 'Rev': 4}}}
+    context.responses = [
+        build_response(items=[], CurrentRev=3),
+        build_response(events=[change], CurrentRev=4),
+        build_response(events=[], CurrentRev=4),
+        exceptions.ConnectionClosedError(
+            'closed', remedy='try again', response_started=False
+        ),
+    ]
+
+
+@when('it gets a missing object and ends a watch that waits')
+def send_calls(context):
+    missing = http_codec.Response(status=404, body=b'')
+    client = store.MetadataStore(
+        '10.0.0.1:1', ScriptedPool([*context.responses, missing, None])
+    )
+
+    async def run():
+        await client.list('config')
+        await client.watch('config', 3, 1.0)
+        await client.watch('config', 4, 1.0)
+        with contextlib.suppress(exceptions.PlatformUnavailableError):
+            await client.watch('config', 4, 1.0, may_lag=False)
+        await client.get('mesh', 'member.h-1')
+        waiting = asyncio.create_task(client.watch('mesh', 1, 1.0))
+        await asyncio.sleep(0)
+        waiting.cancel()
+        await asyncio.gather(waiting, return_exceptions=True)
+
+    asyncio.run(run())
+    context.ended_calls = client.ended_calls
+
+
+@then('the calls are counted as')
+def check_counted_calls(context):
+    counted = {
+        str(call): count
+        for call, count in context.ended_calls.count_by_call.items()
+    }
+    assert counted == dict.fromkeys(context.text.split(), 1), counted
--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -17,3 +17,17 @@
     Given 3 connections to the store that were open before are silent
     When the changes are read on a new connection
     Then they come within 0.5 seconds and no open connection is kept
+
+  Scenario: Calls to the store are counted by their purpose and result
+    # Guards against a price of the store that neither metrics nor logs explain.
+    When a client lists a kind and watches a change, nothing and a closed connection
+    And it gets a missing object and ends a watch that waits
+    Then the calls are counted as
+      """
+      config.list.changed
+      config.watch.lagging.changed
+      config.watch.lagging.unchanged
+      config.watch.failed
+      mesh.get.refused
+      mesh.watch.lagging.cancelled
+      """
--- a/hemlockgrade/configuration_check.py
+++ b/hemlockgrade/configuration_check.py
@@ -96,6 +96,9 @@
     _next_restart_at: float = 0.0
     _failed_reads: int = 0
     _logged_old: bool = False
+    # The latest failures, for the log: why the configuration is not confirmed.
+    _peer_problem: str = ''
+    _store_problem: str = ''
 
     async def run(self) -> None:
         """Confirms the configuration again and again until it is cancelled."""
@@ -224,17 +227,14 @@
         try:
             await self.sync.compare(source.address, PEER_TIMEOUT_S)
         except exceptions.HemlockError as error:
-            logger.debug(
-                'event=peer_not_compared peer={} problem={!r}',
-                source.name,
-                str(error),
-            )
+            self._peer_problem = str(error)
             if isinstance(error, exceptions.ConnectFailedError):
                 self._set_aside(source.name)
             else:
                 # The link of a small host may be full for a moment.
                 self._count_failure(source.name)
             return
+        self._peer_problem = ''
         if self._is_recent and self.freshness.confirmed_at > before:
             self._failures_by_peer.pop(source.name, None)
 
@@ -281,6 +281,7 @@
             self._next_read_at = self.freshness.clock() + delay_s * (
                 self._jitter()
             )
+            self._store_problem = str(error)
             logger.info(
                 'event=configuration_not_confirmed age_s={:.2f} problem={!r}',
                 self.freshness.age_s,
@@ -288,6 +289,7 @@
             )
             return False
         self._failed_reads = 0
+        self._store_problem = ''
         if self._version != before:
             logger.info(
                 'event=configuration_read_late version={} before={}',
@@ -352,10 +354,16 @@
         if is_old == self._logged_old:
             return
         self._logged_old = is_old
+        source = self._source()
         logger.info(
-            'event=configuration_{} version={} age_s={:.2f} revision={}',
+            'event=configuration_{} version={} age_s={:.2f} revision={} '
+            'source={} watched={} peer_problem={!r} store_problem={!r}',
             'unconfirmed' if is_old else 'confirmed',
             self._version,
             self.freshness.age_s,
             self.freshness.revision,
+            'store' if source is None else source.name,
+            self.feed.gets_configurations,
+            self._peer_problem,
+            self._store_problem,
         )
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -306,6 +306,7 @@
                     self._rollouts.run(),
                     self._configuration_check.run(),
                     self._server_check.run(),
+                    self.store.ended_calls.run(),
                     *self._store_feed.watch_coroutines(),
                     *tasks,
                 )
--- a/hemlockgrade/metrics.py
+++ b/hemlockgrade/metrics.py
@@ -69,6 +69,11 @@
             'hemlock_store_calls_total',
             'Calls to the store by method.',
         )
+        self.ended_store_calls = self._add(
+            aioprometheus.Counter,
+            'hemlock_store_calls_ended_total',
+            'Ended calls to the store by kind, purpose and result.',
+        )
 
     def _add(self, metric_class, name: str, help_text: str, **options):
         return metric_class(name, help_text, registry=self._registry, **options)
--- a/hemlockgrade/overview.py
+++ b/hemlockgrade/overview.py
@@ -163,4 +163,14 @@
         metrics.targets.set({'state': state}, count)
     for method, calls in daemon.store.calls_by_method.items():
         metrics.store_calls.set({'method': method}, calls)
+    for call, count in daemon.store.ended_calls.count_by_call.items():
+        metrics.ended_store_calls.set(
+            {
+                'kind': call.kind,
+                'call': call.call,
+                'may_lag': str(call.may_lag).lower(),
+                'result': call.result,
+            },
+            count,
+        )
     return metrics.render()
--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 from typing import Any
 from typing import Literal
 
@@ -12,6 +13,7 @@
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
 from hemlockgrade import object_store
+from hemlockgrade import store_calls
 from hemlockgrade import upstream
 
 OBJECTS_PATH = '/-/objects/'
@@ -35,16 +37,23 @@
         address: `ip:port` of the store.
         pool: Connections to the store.
         calls_by_method: Number of calls by HTTP method, for the metrics.
+        ended_calls: Counts the calls that have ended, for the metrics and the
+            log.
     """
 
     address: str
     pool: upstream.ConnectionPool
     calls_by_method: dict[str, int] = attrs.field(factory=dict)
+    ended_calls: store_calls.StoreCallCounter = attrs.field(
+        factory=store_calls.StoreCallCounter
+    )
 
     async def get(self, kind: str, name: str) -> object_store.StoredItem | None:
         """Returns one object, or None if it does not exist."""
         try:
-            data = await self._call('GET', _object_path(kind, name))
+            data = await self._call(
+                'GET', _object_path(kind, name), purpose='get'
+            )
         except exceptions.NotFoundError:
             return None
         return _decode_item(kind, data)
@@ -66,7 +75,7 @@
         first = f'{kind}?Serializable=1' if may_lag else kind
         path = first
         while True:
-            data = await self._read(path, limits=limits)
+            data = await self._read(path, limits=limits, purpose='list')
             items.extend(_decode_items(kind, data['items']))
             if revision is None:
                 revision = data['CurrentRev']
@@ -96,6 +105,7 @@
         data = await self._read(
             f'{path}&Serializable=1' if may_lag else path,
             timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
+            purpose='watch',
         )
         return _decode_changes(kind, data)
 
@@ -104,21 +114,25 @@
     ) -> object_store.Changes:
         """Returns all changes after a revision up to now, without a wait."""
         path = f'{kind}?Watch={revision}&WaitMs={MIN_WAIT_MS}'
-        return _decode_changes(kind, await self._read(path, limits=limits))
+        data = await self._read(path, limits=limits, purpose='changes_since')
+        return _decode_changes(kind, data)
 
     async def create(
         self, kind: str, name: str, spec: Any
     ) -> object_store.StoredItem:
         """Creates an object if it does not exist."""
         body = {'Metadata': {'Name': name}, 'Spec': spec}
-        return _decode_item(kind, await self._call('POST', kind, body))
+        data = await self._call('POST', kind, body, purpose='create')
+        return _decode_item(kind, data)
 
     async def replace(
         self, kind: str, name: str, spec: Any, revision: int
     ) -> object_store.StoredItem:
         """Replaces the spec of an object if it has the given revision."""
         body = {'Metadata': {'Name': name, 'Rev': revision}, 'Spec': spec}
-        data = await self._call('PUT', _object_path(kind, name), body)
+        data = await self._call(
+            'PUT', _object_path(kind, name), body, purpose='replace'
+        )
         return _decode_item(kind, data)
 
     async def replace_status(
@@ -127,13 +141,13 @@
         """Replaces the status of an object if it has the given revision."""
         body = {'Metadata': {'Name': name, 'Rev': revision}, 'Status': status}
         path = f'{_object_path(kind, name)}/status'
-        data = await self._call('PUT', path, body)
+        data = await self._call('PUT', path, body, purpose='replace_status')
         return _decode_item(kind, data)
 
     async def delete(self, kind: str, name: str, revision: int) -> None:
         """Deletes an object if it has the given revision."""
         path = f'{_object_path(kind, name)}?Rev={revision}'
-        await self._call('DELETE', path)
+        await self._call('DELETE', path, purpose='delete')
 
     async def _read(self, path: str, **options: Any) -> dict[str, Any]:
         """Reads a list or a watch; a malformed response is a failed read."""
@@ -150,14 +164,54 @@
         return data
 
     async def _call(
+        self, method: _Method, path: str, body: Any = None, **options: Any
+    ) -> Any:
+        """Sends a call, counts it, and returns the decoded response.
+
+        Args:
+            method: HTTP method.
+            path: Kind, and name if it is a call of one object, with the query.
+            body: Body of the request; None if there is none.
+            options: Keyword arguments of `_send`, and `purpose`, the name of
+                the method of `object_store.ObjectStore`.
+        """
+        self.calls_by_method[method] = self.calls_by_method.get(method, 0) + 1
+        purpose = options.pop('purpose')
+        result = 'failed'
+        try:
+            data = await self._send(method, path, body, **options)
+            is_empty_watch = isinstance(data, dict) and data.get('events') == []
+            result = 'unchanged' if is_empty_watch else 'changed'
+            return data
+        except (
+            exceptions.NotFoundError,
+            object_store.RevisionConflictError,
+            object_store.HistoryLostError,
+        ):
+            result = 'refused'
+            raise
+        except asyncio.CancelledError:
+            result = 'cancelled'
+            raise
+        finally:
+            self.ended_calls.count(
+                store_calls.StoreCall(
+                    kind=re.split('[/?]', path, maxsplit=1)[0],
+                    call=purpose,
+                    may_lag='Serializable=1' in path,
+                    result=result,
+                )
+            )
+
+    async def _send(
         self,
         method: _Method,
         path: str,
-        body: Any = None,
+        body: Any,
+        *,
         timeout_s: float = CALL_TIMEOUT_S,
         limits: object_store.ReadLimits | None = None,
     ) -> Any:
-        self.calls_by_method[method] = self.calls_by_method.get(method, 0) + 1
         request = http_codec.Request(
             method=method, target=f'{OBJECTS_PATH}{path}'
         )
