Deny a route only with a configuration confirmed in the last 2 s

Callers don't send such a request again.

Cause: a daemon answered 404 from whatever configuration it had, however long nothing had confirmed it. 404 states that there is no such route; the daemon knew only that there was none some time ago. The class is that of the former incident, state whose age is not carried with it, at the place where it is used.

Evidence: a daemon whose store has been silent for 3 s answered 404 for a route added in the silence.

Why this works: 404 now needs a confirmation of the last 2 s, in which the users ask for a change to be in force, so no cause of a late daemon can turn into a wrong 404. Requests with a route go by the configuration in force as before: a failure domain that is cut off goes on serving.

Scenario: configuration_freshness, A daemon that cannot confirm its configuration denies no route (404 before).

--- a/features/configuration_freshness.feature
+++ b/features/configuration_freshness.feature
@@ -175,3 +175,12 @@
     # Guards against a read of the store that waits for a response of a peer.
     When the store and the peers fall silent, and its silence ends right after the start of a read, 160 times
     Then the configuration was confirmed within 3.0 seconds each time
+
+  Scenario: A daemon that cannot confirm its configuration denies no route
+    # Guards against 404, which callers do not send again, for an added route.
+    Given a mesh with hosts in 1 failure domains, 1 in each
+    When a route is added after the store has fallen silent, and 3 seconds pass
+    Then a request for the added route gets 503 and a time to return
+    When the store is no longer silent
+    Then each daemon serves the route within 3.0 seconds
+    And a request without a route gets 404
--- a/hemlockgrade/configuration_check.py
+++ b/hemlockgrade/configuration_check.py
@@ -62,9 +62,6 @@
 MAX_RETRY_INTERVAL_S = 1.75
 # Time between two restarts of the watches, in seconds.
 MIN_RESTART_INTERVAL_S = 5.0
-# An age that is logged, in seconds: the users ask for each change to be in
-# force after 2 s.
-LOGGED_AGE_S = 2.0
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -356,7 +353,7 @@
             self.feed.restart_watches()
 
     def _log_age(self):
-        is_old = self.freshness.age_s > LOGGED_AGE_S
+        is_old = self.freshness.age_s > freshness_module.APPLY_LIMIT_S
         if is_old == self._logged_old:
             return
         self._logged_old = is_old
--- a/hemlockgrade/freshness.py
+++ b/hemlockgrade/freshness.py
@@ -8,6 +8,9 @@
 
 from hemlockgrade import directory as directory_module
 
+# The users ask for each change to be in force after this time, in seconds. What
+# a daemon knows has to be more recent for a statement about all routes.
+APPLY_LIMIT_S = 2.0
 # Number of daemons that ask the same peer. A failure domain of 8,200 / 11 hosts
 # then has three levels below the daemon that asks the store.
 MAX_ASKING_PEERS = 16
--- a/hemlockgrade/proxy.py
+++ b/hemlockgrade/proxy.py
@@ -6,7 +6,6 @@
 
 import asyncio
 from collections.abc import Callable
-import math
 import uuid
 
 import attrs
@@ -15,6 +14,7 @@
 from hemlockgrade import admission as admission_module
 from hemlockgrade import call as call_module
 from hemlockgrade import directory as directory_module
+from hemlockgrade import freshness
 from hemlockgrade import http_codec
 from hemlockgrade import model
 from hemlockgrade import peer_protocol
@@ -40,6 +40,9 @@
 # request again, in seconds: about the time in which the queue of a server
 # empties.
 MAX_RETRY_AFTER_S = 0.1
+# The same for a request without a route while the configuration may be
+# outdated, in seconds: about the time between two attempts to confirm it.
+MAX_UNCONFIRMED_RETRY_AFTER_S = 0.5
 # Longest value of the same header as a fraction of the time left until the
 # deadline of the request.
 RETRY_AFTER_TIME_LEFT_FRACTION = 0.3
@@ -66,10 +69,10 @@
             this fraction, over all daemons.
         on_finished: Called when a request has ended, with its metric labels
             and its duration in seconds.
-        on_repeat: Called when an attempt that counts as a retry has reached a
-            server, with its metric labels.
         configuration_age_s: Returns the time since the configuration in force
             was confirmed to be the newest one, in seconds.
+        on_repeat: Called when an attempt that counts as a retry has reached a
+            server, with its metric labels.
     """
 
     local_service: Callable[[], str]
@@ -82,8 +85,8 @@
     retry_ratio: float
     retry_slack: float
     on_finished: Callable[[dict[str, str], float], None]
+    configuration_age_s: Callable[[], float]
     on_repeat: Callable[[dict[str, str]], None] = lambda labels: None
-    configuration_age_s: Callable[[], float] = lambda: math.inf
     _budget_by_service: dict[str, retries.RetryBudget] = attrs.field(
         factory=dict
     )
@@ -108,10 +111,7 @@
         host = http_codec.header(request.headers, b'host') or ''
         entry = self.directory.match(host, request.path)
         if entry is None:
-            self._log_unrouted(request_id, 404, 'no-route', started)
-            return http_codec.Response(
-                status=404, headers=[(OUTCOME_HEADER, OUTCOME_NOT_RUN)]
-            )
+            return self._refuse_unrouted(request, request_id, started)
         call = self._build_call(request, request_id, entry, started)
         if not self.shutdown.accepts(call.deadline, started):
             return self._refuse_while_stopping(call)
@@ -134,6 +134,26 @@
         self._log_finished(call, response.status, outcome)
         return response
 
+    def _refuse_unrouted(
+        self, request: http_codec.Request, request_id: str, started: float
+    ) -> http_codec.Response:
+        """Refuses a request that no route of the configuration matches.
+
+        404 says that there is no such route. A daemon whose configuration may
+        be outdated doesn't know that, and refuses the request for now.
+        """
+        if self.configuration_age_s() > freshness.APPLY_LIMIT_S:
+            self._log_unrouted(request_id, 503, 'unconfirmed', started)
+            return _refusal_response(
+                _retry_after_s(
+                    _stated_time_left_s(request), MAX_UNCONFIRMED_RETRY_AFTER_S
+                )
+            )
+        self._log_unrouted(request_id, 404, 'no-route', started)
+        return http_codec.Response(
+            status=404, headers=[(OUTCOME_HEADER, OUTCOME_NOT_RUN)]
+        )
+
     def is_idempotent(self, request: http_codec.Request) -> bool:
         """Returns whether a request of a caller may run more than once."""
         host = http_codec.header(request.headers, b'host') or ''
@@ -373,18 +393,19 @@
     return route.idempotent
 
 
-def _retry_after_s(left_s: float) -> float:
+def _retry_after_s(
+    left_s: float, longest_s: float = MAX_RETRY_AFTER_S
+) -> float:
     """Returns after what time a caller may send a refused request again.
 
     Args:
         left_s: Time left until the deadline of the request, in seconds.
+        longest_s: Longest time to return, in seconds.
 
     Returns:
         Time in seconds.
     """
-    return min(
-        MAX_RETRY_AFTER_S, max(0.0, left_s) * RETRY_AFTER_TIME_LEFT_FRACTION
-    )
+    return min(longest_s, max(0.0, left_s) * RETRY_AFTER_TIME_LEFT_FRACTION)
 
 
 def _refusal_response(retry_after_s: float) -> http_codec.Response:
--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -479,6 +479,13 @@
         new='self._next_read_at = self.freshness.clock() + 2 * delay_s',
         feature='configuration_freshness',
     ),
+    Mutation(
+        guard='a daemon with an unconfirmed configuration denies no route',
+        module='proxy.py',
+        old='if self.configuration_age_s() > freshness.APPLY_LIMIT_S:',
+        new='if False:',
+        feature='configuration_freshness',
+    ),
 )
 
 
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -202,6 +202,8 @@
         relays: One relay for each target, in the order of the targets.
         recorded_successes: Whether each recorded response was a success.
         directory: State of the proxy.
+        configuration_age_s: Time since the configuration of the proxy was
+            confirmed, in seconds.
     """
 
     def __init__(
@@ -218,6 +220,7 @@
         self.slots = slots
         self.timeout_s = timeout_ms / 1000
         self._listener_options = listener_options
+        self.configuration_age_s = 0.0
         self.hosts: list[ServerHost] = []
         self.relays: list[CuttingRelay] = []
         self.recorded_successes: list[bool] = []
@@ -255,6 +258,7 @@
             retry_ratio=1.0,
             retry_slack=1e6,
             on_finished=lambda *_: None,
+            configuration_age_s=lambda: self.configuration_age_s,
         )
         self.factory, self.address = self._listen(
             self.proxy.handle,
