Use no connection that was open when a call to a daemon or the store failed

Cause: connections may go silent for good without a reset. When the watch of the configuration had failed, the list after it took the next open connection of the pool, and after 1.5 s without a response the next one, so a few silent ones made the daemon late by more than the 3 s after a fault. Meanwhile the check reads nothing, because it leaves a failed watch to its own retries. The same held for writes of the own member, and for comparisons with a peer, of which two without a response set the parent aside for 5 s.

Change: the pool remembers per address when a call of fetch got no response, and the next ones use only connections that have responded since, or new ones. Requests of callers are not concerned.

Scenario: store_client, A call after a failed one uses no connection that was open then.

--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -189,10 +189,12 @@
     Attributes:
         connections: The open connections.
         silent: Connections that get no response any more.
+        waiting: Silent connections with a request.
     """
 
     connections: set['StoreConnection'] = attrs.field(factory=set)
     silent: set['StoreConnection'] = attrs.field(factory=set)
+    waiting: set['StoreConnection'] = attrs.field(factory=set)
 
 
 class StoreConnection(http_connection.HttpConnection):
@@ -215,21 +217,35 @@
     async def handle(self, request):
         """Responds without changes, at once or to several requests at once."""
         await asyncio.sleep(0.05)
-        if self not in self.store.silent:
-            self.send(200, b'{"events":[],"CurrentRev":7}')
+        if self in self.store.silent:
+            self.store.waiting.add(self)
+        else:
+            self.send(200, b'{"items":[],"events":[],"CurrentRev":7}')
 
 
 def build_limits(**options):
     return object_store.ReadLimits(deadline=time.monotonic() + 1.0, **options)
 
 
-@given('{count:d} connections to the store that were open before are silent')
-def silence_connections(context, count):
-    context.connection_count = count
+async def open_connections(client, silenced, count):
+    """Opens connections, which are then silent."""
+    await asyncio.gather(
+        *(
+            client.changes_since('config', 1, build_limits())
+            for _ in range(count)
+        )
+    )
+    silenced.silent = set(silenced.connections)
+    assert len(silenced.silent) == count
 
 
-@when('the changes are read on a new connection')
-def read_on_new_connection(context):
+def run_with_silenced_store(function):
+    """Returns the result of a coroutine function.
+
+    Args:
+        function: Called with a client and the store.
+    """
+
     async def run():
         from twisted.internet import reactor
 
@@ -240,28 +256,33 @@
             lambda: StoreConnection(silenced), host, int(port)
         )
         pool = upstream.ConnectionPool(reactor)
-        client = store.MetadataStore(address, pool)
         try:
-            await asyncio.gather(
-                *(
-                    client.changes_since('config', 1, build_limits())
-                    for _ in range(context.connection_count)
-                )
-            )
-            silenced.silent = set(silenced.connections)
-            assert len(silenced.silent) == context.connection_count
-            started_at = time.monotonic()
-            context.changes = await client.changes_since(
-                'config', 1, build_limits(new_connection=True)
-            )
-            context.took_s = time.monotonic() - started_at
-            await asyncio.sleep(0.05)
-            context.kept = silenced.connections & silenced.silent
+            return await function(store.MetadataStore(address, pool), silenced)
         finally:
             pool.close()
             server.close()
 
-    loopback.run(run())
+    return loopback.run(run())
+
+
+@given('{count:d} connections to the store that were open before are silent')
+def silence_connections(context, count):
+    context.connection_count = count
+
+
+@when('the changes are read on a new connection')
+def read_on_new_connection(context):
+    async def run(client, silenced):
+        await open_connections(client, silenced, context.connection_count)
+        started_at = time.monotonic()
+        context.changes = await client.changes_since(
+            'config', 1, build_limits(new_connection=True)
+        )
+        context.took_s = time.monotonic() - started_at
+        await asyncio.sleep(0.05)
+        context.kept = silenced.connections & silenced.silent
+
+    run_with_silenced_store(run)
 
 
 @then('they come within {limit_s:g} seconds and no open connection is kept')
@@ -340,3 +361,36 @@
         for call, count in context.ended_calls.count_by_call.items()
     }
     assert counted == dict.fromkeys(context.text.split(), 1), counted
+
+
+@when('a call gets no response')
+def miss_response(context):
+    context.is_closed = False
+
+
+@when('a call loses its connection')
+def lose_connection(context):
+    context.is_closed = True
+
+
+@then('the next one gets its response within {limit_s:g} seconds')
+def check_next_call(context, limit_s):
+    async def run(client, silenced):
+        await open_connections(client, silenced, context.connection_count)
+        failing = asyncio.create_task(
+            client.changes_since('config', 1, build_limits())
+        )
+        if context.is_closed:
+            while not silenced.waiting:
+                await asyncio.sleep(0.01)
+            silenced.waiting.pop().transport.abort()
+        try:
+            await failing
+        except exceptions.PlatformUnavailableError:
+            started_at = time.monotonic()
+            await client.list('config')
+            return time.monotonic() - started_at
+        raise AssertionError('the silent connections are not used')
+
+    took_s = run_with_silenced_store(run)
+    assert took_s < limit_s, took_s
--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -31,3 +31,14 @@
       mesh.get.refused
       mesh.watch.lagging.cancelled
       """
+
+  Scenario Outline: A call after a failed one uses no connection that was open then
+    # Guards against calls that wait on one silent connection after the other.
+    Given 3 connections to the store that were open before are silent
+    When a call <fails>
+    Then the next one gets its response within 0.5 seconds
+
+    Examples:
+      | fails                |
+      | gets no response     |
+      | loses its connection |
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -4,6 +4,7 @@
 import collections
 from collections.abc import Callable
 from collections.abc import Mapping
+import math
 import socket
 from typing import Any
 
@@ -347,6 +348,9 @@
     _idle_by_address: dict[str, collections.deque[_Connection]] = attrs.field(
         factory=dict
     )
+    # Time of the latest call of `fetch` without a response. Connections that
+    # were open then may have silently failed, too.
+    _failed_at_by_address: dict[str, float] = attrs.field(factory=dict)
     _open: set[_Connection] = attrs.field(factory=set)
     _idle_checked_at: float = 0.0
     _closed: bool = False
@@ -443,6 +447,9 @@
     ) -> http_codec.Response:
         """Sends a request and waits for the whole response.
 
+        After a call without a response, no connection is used that was open
+        then.
+
         Args:
             address: `host:port` of the server.
             request: The request.
@@ -463,14 +470,20 @@
                 larger than `max_buffered_bytes`.
             exceptions.DeadlineExceededError: The deadline passed.
         """
-        response = await self.send(
-            address,
-            request,
-            deadline,
-            starts_by=starts_by,
-            max_idle_s=max_idle_s,
-            max_buffered_bytes=self.max_buffered_bytes,
-        )
+        loop = asyncio.get_running_loop()
+        failed_at = self._failed_at_by_address.get(address, -math.inf)
+        try:
+            response = await self.send(
+                address,
+                request,
+                deadline,
+                starts_by=starts_by,
+                max_idle_s=min(max_idle_s, loop.time() - failed_at),
+                max_buffered_bytes=self.max_buffered_bytes,
+            )
+        except exceptions.OutcomeUnknownError:
+            self._failed_at_by_address[address] = loop.time()
+            raise
         if response.stream is not None:
             response.stream.abort()
             raise exceptions.ConnectionClosedError(
@@ -564,6 +577,11 @@
                 idle.popleft().abort()
             if not idle:
                 del self._idle_by_address[address]
+        self._failed_at_by_address = {
+            address: failed_at
+            for address, failed_at in self._failed_at_by_address.items()
+            if failed_at > now - MAX_IDLE_S
+        }
 
     def close(self) -> None:
         """Closes all connections; the outcome of their requests is unknown."""
--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -486,6 +486,13 @@
         new='if False:',
         feature='configuration_freshness',
     ),
+    Mutation(
+        guard='a call after a failed one uses no connection that was open then',
+        module='upstream.py',
+        old='max_idle_s=min(max_idle_s, loop.time() - failed_at),',
+        new='max_idle_s=max_idle_s,',
+        feature='store_client',
+    ),
 )
 
 
