Report an unconfirmed configuration beside planned work as a soak violation

The soak took the 404 of a daemon that is behind for an outdated configuration. Such a daemon answers 503 now, which the soak allows for lack of capacity, so its check would have become weaker. It reads the refusals with the outcome unconfirmed from the logs of the daemons.

--- a/standins/soak_checks.py
+++ b/standins/soak_checks.py
@@ -1,4 +1,4 @@
-"""Checks of a soak, from what callers and servers saw.
+"""Checks of a soak, from what callers and servers saw and daemons logged.
 
 All times are monotonic, in seconds; all processes of a host have one clock.
 """
@@ -7,6 +7,7 @@
 import json
 import math
 import pathlib
+import re
 
 import attrs
 
@@ -28,6 +29,12 @@
 # A timeout may be reported this much before the deadline.
 TIMEOUT_MARGIN_S = 0.25
 BODY_BYTES = 3000
+# Kind of the violation that a daemon does not know beside planned work only
+# whether it has the newest configuration.
+UNCONFIRMED = 'unconfirmed configuration'
+UNCONFIRMED_LINE = re.compile(
+    r"event=request_finished request=(\S+) .*outcome='unconfirmed'"
+)
 
 
 @attrs.define
@@ -75,6 +82,8 @@
             (`missing`) or present (`present`), from the order of one change
             until `APPLY_S` after the acknowledgement of the next.
         runs_by_request_id: Runs of each request.
+        unconfirmed_request_ids: Requests that a daemon refused because its
+            configuration was not confirmed.
     """
 
     attempts: list[soak_callers.Attempt] = attrs.field(factory=list)
@@ -83,6 +92,7 @@
     terms: list[Span] = attrs.field(factory=list)
     extra_route_spans: list[Span] = attrs.field(factory=list)
     runs_by_request_id: dict[str, list[Run]] = attrs.field(factory=dict)
+    unconfirmed_request_ids: set[str] = attrs.field(factory=set)
 
     def is_calm(self, attempt: soak_callers.Attempt) -> bool:
         """Returns whether there was no fault before and during a request."""
@@ -99,6 +109,13 @@
             for span in (*pauses, *self.waits)
         )
 
+    def read_refusals(self, directory: pathlib.Path) -> None:
+        """Reads the refusals from the logs of the daemons."""
+        for path in directory.glob('*.log'):
+            self.unconfirmed_request_ids.update(
+                UNCONFIRMED_LINE.findall(path.read_text(errors='replace'))
+            )
+
     def read_runs(self, directory: pathlib.Path) -> None:
         """Reads the runs from the logs of the servers."""
         for path in directory.glob('server-*.log'):
@@ -148,6 +165,10 @@
         elif not kind and history.is_calm(attempt):
             kind = _check_calm(attempt, runs, history)
             allowed = kind == 'cut' and _may_be_cut(attempt, runs, history)
+            if kind == UNCONFIRMED:
+                allowed = not history.could_run(
+                    attempt.host, attempt.sent_at - APPLY_S, attempt.ended_at
+                )
         else:
             allowed = False
         if kind:
@@ -205,6 +226,8 @@
             for span in history.extra_route_spans
         )
         return '' if possible else 'outdated configuration'
+    if attempt.request_id in history.unconfirmed_request_ids:
+        return UNCONFIRMED
     if attempt.signature or attempt.status < 500 or attempt.status == 503:
         return ''
     if attempt.status == 504:
--- a/standins/soak_run.py
+++ b/standins/soak_run.py
@@ -151,6 +151,7 @@
     def check_requests(self) -> None:
         """Adds what the requests broke to `violations`."""
         self.history.read_runs(self.mesh.directory)
+        self.history.read_refusals(self.mesh.directory)
         self.violations += soak_checks.find_violations(self.history)
 
     async def _start(self):
