End transfers of a configuration by their pauses, and make one at a time

Cause: the watch, the read of the check and two fetches of a peer's state each carried the same configuration of 2,014 routes beside each other, and each was cut off 1.5 s after its start, whatever had arrived. It keeps itself up: a metastable state.

Change: a response that has begun ends after a pause of 1 s, or 10 s in all. While one with a configuration arrives, the check does not read, a peer is not asked for its state, and the watch waits for the end of a read. A response with several versions of a large configuration is not read; the newest one is listed. A fetch of mesh objects leaves the configuration out.

--- a/features/configuration_freshness.feature
+++ b/features/configuration_freshness.feature
@@ -184,3 +184,11 @@
     When the store is no longer silent
     Then each daemon serves the route within 3.0 seconds
     And a request without a route gets 404
+
+  Scenario: Versions of a large configuration reach a host with a small link
+    # Guards against transfers of one configuration that share a link, are all cut
+    # off at their timeouts and begin again from the start.
+    Given a mesh with hosts in 2 failure domains, 1 in each
+    And the links of the first failure domain carry 2 Mbit/s
+    When 4 versions of a configuration of 2000 routes follow 2.5 seconds apart, and a route is added by the last one
+    Then each daemon served each route within 6.0 seconds
--- a/features/steps/configuration_freshness_steps.py
+++ b/features/steps/configuration_freshness_steps.py
@@ -508,11 +508,13 @@
         directory: Gets the newest version by each read.
         newest: Newest version in the store.
         reads: Whether each read was one of the newest version only.
+        is_receiving_configuration: Whether the watch receives one.
     """
 
     directory: directory.Directory
     newest: int
     gets_configurations: bool = True
+    is_receiving_configuration: bool = False
     reads: list[bool] = attrs.field(factory=list)
 
     async def read_configuration(self, limits, *, newest_only):
@@ -726,7 +728,7 @@
 
     fetched: list[str] = attrs.field(factory=list)
 
-    async def fetch_state(self, address):
+    async def fetch_state(self, address, part=''):
         """Applies the version that the address names; `silent` fails."""
         self.fetched.append(address)
         if address == 'silent':
@@ -869,6 +871,7 @@
     freshness: freshness.Freshness
     silent_reads: int
     gets_configurations: bool = True
+    is_receiving_configuration: bool = False
     silence_ended_at: float = 0.0
 
     async def read_configuration(self, limits, *, newest_only):
@@ -1012,3 +1015,39 @@
     for name in context.host_names:
         status, *_ = context.mesh.call(name, '/none/x')
         assert status == 404, status
+
+
+@given('the links of the first failure domain carry {rate:g} Mbit/s')
+def limit_links(context, rate):
+    small, *others = context.domains
+    context.links.limit_rate(small, rate)
+    # Responses of the peers are limited by the peers' own links.
+    for name in context.host_names:
+        if not name.startswith(small):
+            addresses = context.mesh.daemon_by_name[name].addresses
+            context.mesh.daemon_by_name[name].stop()
+            context.mesh.start_mesh_daemon(
+                name,
+                name[0],
+                store_address=context.links.address_by_domain[name[0]],
+                link_mbps=rate,
+            )
+            assert context.mesh.daemon_by_name[name].addresses == addresses
+            cluster.wait_until(
+                lambda n=name: context.mesh.is_serving(n), f'{name} serves'
+            )
+
+
+@when(
+    '{versions:d} versions of a configuration of {routes:d} routes follow {interval_s:g} seconds apart, and a route is added by the last one'
+)
+def write_large_versions(context, versions, routes, interval_s):
+    operator = context.operator
+    operator.routes.extend(
+        mesh_cluster.build_route(f'large{number}', f'/large{number}/')
+        for number in range(routes)
+    )
+    for _ in range(versions - 1):
+        operator.write_version()
+        time.sleep(interval_s)
+    add_route(context)
--- a/hemlockgrade/configuration_check.py
+++ b/hemlockgrade/configuration_check.py
@@ -53,7 +53,7 @@
 # before, which may have failed silently, in seconds. It is at least twice the
 # time of the latest read.
 OPEN_CONNECTION_TIMEOUT_S = 0.25
-# Longest time of one read, in seconds.
+# Longest time until the response to a read begins, in seconds.
 READ_TIMEOUT_S = 1.5
 # Mean time from the start of a failed read to the next read, in seconds. It
 # doubles with each failure in a row, up to the longest one. A change has to be
@@ -109,15 +109,18 @@
 
     def want(self, version: int) -> None:
         """Asks the store for a version that a peer has, unless it arrives."""
-        if self._next_wanted_at() is not None and (
-            version <= self._wanted[-1][0]
-        ):
+        if self._wanted and version <= self._wanted[-1][0]:
             return
         self._wanted.append((version, self.freshness.clock() + WATCH_GRACE_S))
         self._woken.set()
 
     def _next_wanted_at(self) -> float | None:
-        """Returns when the store is asked for a version; None if never."""
+        """Returns when the store is asked for a version; None if never.
+
+        While a configuration is received, no other one is asked for.
+        """
+        if self.feed.is_receiving_configuration:
+            return None
         while self._wanted and self._wanted[0][0] <= self._version:
             self._wanted.popleft()
         return self._wanted[0][1] if self._wanted else None
@@ -261,7 +264,9 @@
         """Reads the configuration without lag.
 
         While the watch of the configuration fails, nothing is read here: the
-        watch tries again by itself and begins with a list.
+        watch tries again by itself and begins with a list. Nor is anything read
+        beside another response with a configuration, which may be large for the
+        link: both would take longer.
 
         Args:
             newest_only: True if a newer version is known to exist.
@@ -272,6 +277,8 @@
         now = self.freshness.clock()
         if not self.feed.gets_configurations or now < self._next_read_at:
             return False
+        if self.feed.is_receiving_configuration:
+            return False
         before = self._version
         try:
             if self._failed_reads:
@@ -293,7 +300,7 @@
             return False
         self._failed_reads = 0
         self._store_problem = ''
-        if self._version != before:
+        if self._version != before and not self.feed.is_receiving_configuration:
             logger.info(
                 'event=configuration_read_late version={} before={}',
                 self._version,
@@ -315,17 +322,18 @@
         )
         try:
             await self.feed.read_configuration(
-                object_store.ReadLimits(
-                    deadline=started_at + READ_TIMEOUT_S, starts_by=starts_by
-                ),
+                object_store.ReadLimits.for_transfer(starts_by),
                 newest_only=newest_only,
             )
             return
         except exceptions.PlatformUnavailableError:
-            if self.freshness.clock() < starts_by:
-                # The store refused the call.
+            if (
+                self.freshness.clock() < starts_by
+                or self.feed.is_receiving_configuration
+            ):
+                # The store refused the call, or the watch receives a response.
                 raise
-        # The connection is silent, or the response has too many versions.
+        # The connection is silent.
         await self._read_on_new_connection()
 
     async def _read_on_new_connection(self):
@@ -336,8 +344,8 @@
         """
         started_at = self.freshness.clock()
         await self.feed.read_configuration(
-            object_store.ReadLimits(
-                deadline=started_at + READ_TIMEOUT_S, new_connection=True
+            object_store.ReadLimits.for_transfer(
+                started_at + READ_TIMEOUT_S, new_connection=True
             ),
             newest_only=True,
         )
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -120,7 +120,9 @@
             self.freshness.handle_configuration
         )
         self.store = store_module.MetadataStore(
-            settings.store_address, self._build_pool()
+            settings.store_address,
+            self._build_pool(),
+            newest_only_kinds=frozenset({platform_codec.CONFIGURATION_KIND}),
         )
         self._in_flight = in_flight.InFlightCounter(self._clock)
         self._link = outgoing_body.Link(
@@ -198,6 +200,9 @@
             is_watching=lambda: self._configuration_check.reaches_store,
             freshness=self.freshness,
             complete_revision=lambda: self._store_feed.mesh_revision,
+            is_receiving_configuration=lambda: (
+                self._store_feed.is_receiving_configuration
+            ),
             on_newer_configuration=lambda version: (
                 self._configuration_check.want(version)
             ),
--- a/hemlockgrade/exceptions.py
+++ b/hemlockgrade/exceptions.py
@@ -181,6 +181,10 @@
         self.response_started = response_started
 
 
+class ResponseTooLargeError(ConnectionClosedError):
+    """A response has more bytes than its receiver takes."""
+
+
 class DeadlineExceededError(OutcomeUnknownError):
     """The deadline of a request passed before its response arrived."""
 
--- a/hemlockgrade/object_store.py
+++ b/hemlockgrade/object_store.py
@@ -75,6 +75,13 @@
     revision: int
 
 
+# Longest time for a response that has begun, and longest pause in it, in
+# seconds. On the link of a small host a large configuration takes seconds; a
+# read that is cut off and begun again may never end.
+MAX_TRANSFER_S = 10.0
+MAX_PAUSE_S = 1.0
+
+
 @attrs.frozen(kw_only=True)
 class ReadLimits:
     """Limits on the time and the connection of a read.
@@ -90,6 +97,22 @@
     starts_by: float | None = None
     new_connection: bool = False
 
+    @classmethod
+    def for_transfer(
+        cls, starts_by: float, *, new_connection: bool = False
+    ) -> 'ReadLimits':
+        """Returns limits that leave a response that has begun time to end.
+
+        Args:
+            starts_by: Monotonic time in seconds by which the response begins.
+            new_connection: True if no connection is used that was open before.
+        """
+        return cls(
+            deadline=starts_by + MAX_TRANSFER_S,
+            starts_by=starts_by,
+            new_connection=new_connection,
+        )
+
 
 class HistoryLostError(exceptions.HemlockError):
     """The store no longer has the changes after the requested revision."""
@@ -117,6 +140,9 @@
     take effect.
     """
 
+    def is_receiving(self, kind: str) -> bool:
+        """Returns whether a response with objects of a kind has begun."""
+
     async def get(self, kind: str, name: str) -> StoredItem | None:
         """Returns one object, or None if it does not exist."""
 
--- a/hemlockgrade/peer_api.py
+++ b/hemlockgrade/peer_api.py
@@ -47,8 +47,9 @@
             )
         if request.path == peer_protocol.STATE_PATH:
             known = peer_protocol.decode_versions(request.headers)
+            part = request.target.partition('?')[2]
             return http_codec.Response(
-                status=200, body=self.sync.encode_state(known)
+                status=200, body=self.sync.encode_state(known, part)
             )
         if request.path == peer_protocol.EVIDENCE_PATH:
             return self._encode_evidence(request)
--- a/hemlockgrade/peer_protocol.py
+++ b/hemlockgrade/peer_protocol.py
@@ -66,6 +66,8 @@
 TURN_HEADER = b'x-hemlock-turn-ms'
 
 STATE_PATH = '/.hemlock/state'
+# Query of a request for the state without the configuration.
+STATE_PART_OBJECTS = 'objects'
 VERSIONS_PATH = '/.hemlock/versions'
 EVIDENCE_PATH = '/.hemlock/evidence'
 FENCE_PATH = '/.hemlock/fence'
--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's metadata store."""
 
 import asyncio
+import collections
 import json
 import re
 from typing import Any
@@ -23,6 +24,11 @@
 # A watch has failed if there is no response this long after the end of its
 # wait, in seconds.
 WATCH_TIMEOUT_MARGIN_S = 0.5
+# Largest response with changes of a kind of which only the newest versions
+# count, as a multiple of the latest one with the newest version only, and the
+# size up to which every response is read, in bytes.
+MAX_CHANGES_FACTOR = 1.5
+SMALL_CHANGES_BYTES = 65_536
 # Shortest wait of a watch, in milliseconds.
 MIN_WAIT_MS = 1
 
@@ -36,6 +42,9 @@
     Attributes:
         address: `ip:port` of the store.
         pool: Connections to the store.
+        newest_only_kinds: Kinds of which only the newest versions count. A
+            response with several versions of a large object of these is not
+            read: a list is smaller.
         calls_by_method: Number of calls by HTTP method, for the metrics.
         ended_calls: Counts the calls that have ended, for the metrics and the
             log.
@@ -43,10 +52,21 @@
 
     address: str
     pool: upstream.ConnectionPool
+    newest_only_kinds: frozenset[str] = frozenset()
     calls_by_method: dict[str, int] = attrs.field(factory=dict)
     ended_calls: store_calls.StoreCallCounter = attrs.field(
         factory=store_calls.StoreCallCounter
     )
+    # Size of the latest response with the newest versions only, by kind.
+    _newest_bytes_by_kind: dict[str, int] = attrs.field(factory=dict)
+    # Number of responses that have begun, by kind.
+    _receiving_by_kind: collections.Counter[str] = attrs.field(
+        factory=collections.Counter
+    )
+
+    def is_receiving(self, kind: str) -> bool:
+        """Returns whether a response with objects of a kind has begun."""
+        return self._receiving_by_kind[kind] > 0
 
     async def get(self, kind: str, name: str) -> object_store.StoredItem | None:
         """Returns one object, or None if it does not exist."""
@@ -196,7 +216,7 @@
         finally:
             self.ended_calls.count(
                 store_calls.StoreCall(
-                    kind=re.split('[/?]', path, maxsplit=1)[0],
+                    kind=_kind(path),
                     call=purpose,
                     may_lag='Serializable=1' in path,
                     result=result,
@@ -219,19 +239,39 @@
             request.headers.append((b'content-type', b'application/json'))
             request.body = orjson.dumps(body)
         if limits is None:
-            limits = object_store.ReadLimits(
-                deadline=asyncio.get_running_loop().time() + timeout_s
+            answers_by = asyncio.get_running_loop().time() + timeout_s
+            limits = (
+                object_store.ReadLimits.for_transfer(answers_by)
+                if method == 'GET'
+                else object_store.ReadLimits(deadline=answers_by)
             )
+        kind = _kind(path)
+        started: list[str] = []
+
+        def count_started():
+            started.append(kind)
+            self._receiving_by_kind[kind] += 1
+
         try:
             response = await self.pool.fetch(
                 self.address,
                 request,
                 limits.deadline,
-                starts_by=limits.starts_by,
+                pauses=upstream.PauseLimits(
+                    starts_by=limits.starts_by,
+                    max_pause_s=object_store.MAX_PAUSE_S,
+                    on_started=count_started,
+                ),
                 max_idle_s=0.0
                 if limits.new_connection
                 else upstream.MAX_IDLE_S,
+                max_bytes=self._max_bytes(path),
             )
+        except exceptions.ResponseTooLargeError as error:
+            raise object_store.HistoryLostError(
+                f'several versions in the changes of {kind}: {error}',
+                remedy='list the kind again',
+            ) from error
         except exceptions.RequestNotRunError as error:
             raise _unavailable(method, path, str(error)) from error
         except (
@@ -241,7 +281,24 @@
             raise _unavailable(
                 method, path, str(error), outcome_known=method == 'GET'
             ) from error
-        return _decode_response(method, path, response)
+        finally:
+            self._receiving_by_kind.subtract(started)
+        data = _decode_response(method, path, response)
+        if method == 'GET' and kind in self.newest_only_kinds:
+            is_list = 'items' in data
+            if is_list or len(data.get('events', ())) == 1:
+                self._newest_bytes_by_kind[kind] = len(response.body)
+        return data
+
+    def _max_bytes(self, path: str) -> int | None:
+        newest_bytes = self._newest_bytes_by_kind.get(_kind(path))
+        if newest_bytes is None or 'Watch=' not in path:
+            return None
+        return max(SMALL_CHANGES_BYTES, int(newest_bytes * MAX_CHANGES_FACTOR))
+
+
+def _kind(path: str) -> str:
+    return re.split('[/?]', path, maxsplit=1)[0]
 
 
 def _object_path(kind: str, name: str) -> str:
--- a/hemlockgrade/state_sync.py
+++ b/hemlockgrade/state_sync.py
@@ -16,6 +16,7 @@
 from hemlockgrade import freshness as freshness_module
 from hemlockgrade import http_codec
 from hemlockgrade import object_codec
+from hemlockgrade import object_store
 from hemlockgrade import peer_protocol
 from hemlockgrade import upstream
 from hemlockgrade.platform import codec as platform_codec
@@ -35,8 +36,7 @@
 REMOTE_ZONE_COMPARISON_FRACTION = 0.15
 # Longest time for a peer to send its versions, in seconds.
 PEER_TIMEOUT_S = 1.0
-# Longest time for a peer to send its state, in seconds: twice the time of a
-# configuration of 2,000 routes on a link of 5.5 Mbit/s.
+# Longest time until a peer begins to send its state, in seconds.
 STATE_TIMEOUT_S = 1.5
 
 
@@ -56,6 +56,8 @@
             is not known.
         on_newer_configuration: Called with each newer version of the
             configuration of which a peer tells.
+        is_receiving_configuration: Returns whether the store sends a
+            configuration at the moment.
         complete_revision: Returns the revision of the store up to which this
             daemon has all mesh objects. The highest known revision says less:
             this daemon's own writes raise it.
@@ -70,6 +72,7 @@
     freshness: freshness_module.Freshness | None = None
     on_newer_configuration: Callable[[int], None] = lambda version: None
     complete_revision: Callable[[], int] = lambda: 0
+    is_receiving_configuration: Callable[[], bool] = lambda: False
     _fetch_by_need: dict['_Need', '_Fetch'] = attrs.field(factory=dict)
     # Highest table revision of the peers whose state was fetched.
     _fetched_revision: int = 0
@@ -219,17 +222,19 @@
         task.add_done_callback(lambda task: self._fetch_done(need, task))
 
     def encode_state(
-        self, known: peer_protocol.Versions | None = None
+        self, known: peer_protocol.Versions | None = None, part: str = ''
     ) -> bytes:
         """Encodes the configuration and all mesh objects for a peer.
 
         Args:
             known: Versions of the peer; None if they are not known. The
                 configuration is left out if the peer has it or a newer one.
+            part: `peer_protocol.STATE_PART_OBJECTS` to leave out the
+                configuration in any case.
         """
         directory = self.directory
         configuration = directory.configuration
-        if (
+        if part == peer_protocol.STATE_PART_OBJECTS or (
             known is not None
             and known.configuration_version >= directory.configuration_version
         ):
@@ -247,22 +252,32 @@
             }
         )
 
-    async def fetch_state(self, address: str) -> None:
-        """Fetches the whole state of a peer and applies what is newer.
+    async def fetch_state(self, address: str, part: str = '') -> None:
+        """Fetches the state of a peer and applies what is newer.
 
         Args:
             address: `ip:port` of the peer.
+            part: `peer_protocol.STATE_PART_OBJECTS` for the mesh objects only.
 
         Raises:
             exceptions.HemlockError: The peer sent no usable response.
         """
-        deadline = asyncio.get_running_loop().time() + STATE_TIMEOUT_S
+        starts_by = asyncio.get_running_loop().time() + STATE_TIMEOUT_S
         request = http_codec.Request(
             method='GET',
-            target=peer_protocol.STATE_PATH,
+            target=f'{peer_protocol.STATE_PATH}?{part}'
+            if part
+            else peer_protocol.STATE_PATH,
             headers=self.version_headers(),
         )
-        response = await self.pool.fetch(address, request, deadline)
+        response = await self.pool.fetch(
+            address,
+            request,
+            starts_by + object_store.MAX_TRANSFER_S,
+            pauses=upstream.PauseLimits(
+                starts_by=starts_by, max_pause_s=object_store.MAX_PAUSE_S
+            ),
+        )
         if response.status != 200:
             raise exceptions.MalformedRequestError(
                 f'{address} responded with status {response.status} to a '
@@ -312,10 +327,14 @@
         """
         if self.directory.configured:
             await asyncio.sleep(self._fetch_delay_s(versions))
+        while need is _Need.CONFIGURATION and self.is_receiving_configuration():
+            # A large one may fill the link of a small host. The store may send
+            # the next one soon after it.
+            await asyncio.sleep(self._fetch_delay_s(versions))
         if not self._needs(need, versions):
             return
         try:
-            await self.fetch_state(address)
+            await self.fetch_state(address, need.state_part)
         except exceptions.HemlockError as error:
             logger.info(
                 'event=state_not_fetched peer={} problem={!r}',
@@ -353,6 +372,13 @@
     CONFIGURATION = enum.auto()
     OBJECTS = enum.auto()
 
+    @property
+    def state_part(self) -> str:
+        """Returns the part of the state that has it."""
+        if self is _Need.OBJECTS:
+            return peer_protocol.STATE_PART_OBJECTS
+        return ''
+
     def is_higher(
         self, new: peer_protocol.Versions, old: peer_protocol.Versions
     ) -> bool:
--- a/hemlockgrade/store_feed.py
+++ b/hemlockgrade/store_feed.py
@@ -65,6 +65,11 @@
             and self._configuration_watcher.connected
         )
 
+    @property
+    def is_receiving_configuration(self) -> bool:
+        """Returns whether a response with a configuration has begun."""
+        return self.store.is_receiving(platform_codec.CONFIGURATION_KIND)
+
     @property
     def mesh_revision(self) -> int:
         """Returns the revision up to which all mesh objects were received."""
--- a/hemlockgrade/upstream.py
+++ b/hemlockgrade/upstream.py
@@ -42,6 +42,23 @@
 FREE_BODY_PARTS = 256
 
 
+@attrs.frozen(kw_only=True)
+class PauseLimits:
+    """Limits on the pauses of a response that is buffered whole.
+
+    Attributes:
+        starts_by: Monotonic time in seconds by which the response begins; None
+            for no such limit.
+        max_pause_s: Longest time without a byte after its beginning, in
+            seconds; None for no such limit.
+        on_started: Called when the response begins.
+    """
+
+    starts_by: float | None = None
+    max_pause_s: float | None = None
+    on_started: Callable[[], None] | None = None
+
+
 class _Connection(protocol.Protocol):
     """One outgoing connection, which is also the source of its body streams."""
 
@@ -52,7 +69,10 @@
         self._parser = http_codec.ResponseParser(self)
         self._response_future: asyncio.Future | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._start_timer: asyncio.TimerHandle | None = None
+        # Ends a response that does not begin in time or pauses for too long.
+        self._pause_limit_timer: asyncio.TimerHandle | None = None
+        self._max_pause_s: float | None = None
+        self._on_started: Callable[[], None] | None = None
         self._response_keeps_alive = True
         self._request_id = ''
         self._is_paused = False
@@ -90,14 +110,22 @@
         self._writer.write(data)
         return self._response_future
 
-    def limit_start(self, starts_by: float) -> None:
-        """Fails the request unless its response begins in time."""
-        self._start_timer = self._loop.call_at(starts_by, self._deadline_passed)
+    def limit_pauses(self, limits: 'PauseLimits') -> None:
+        """Fails the request if the server pauses for too long."""
+        self._max_pause_s = limits.max_pause_s
+        self._on_started = limits.on_started
+        if limits.starts_by is not None:
+            self._pause_limit_timer = self._loop.call_at(
+                limits.starts_by, self._deadline_passed
+            )
 
     def dataReceived(self, data: bytes):  # noqa: N802
         if not self.usable:
             return
-        self._cancel_start_timer()
+        self._cancel_pause_limit()
+        if self._on_started is not None:
+            on_started, self._on_started = self._on_started, None
+            on_started()
         try:
             response = self._parser.feed(data)
         except exceptions.MalformedRequestError as error:
@@ -112,6 +140,10 @@
             self.transport.abortConnection()
         if response is not None:
             self._deliver(response)
+        elif self._max_pause_s is not None:
+            self._pause_limit_timer = self._loop.call_later(
+                self._max_pause_s, self._deadline_passed
+            )
 
     def connectionLost(self, reason):  # noqa: N802
         if self.usable and reason.check(internet_error.ConnectionDone):
@@ -189,6 +221,7 @@
 
     def _response_complete(self):
         self._response_future = None
+        self._max_pause_s = self._on_started = None
         if self._timer is not None:
             self._timer.cancel()
         reusable = (
@@ -229,13 +262,13 @@
             )
         )
 
-    def _cancel_start_timer(self):
-        if self._start_timer is not None:
-            self._start_timer.cancel()
-            self._start_timer = None
+    def _cancel_pause_limit(self):
+        if self._pause_limit_timer is not None:
+            self._pause_limit_timer.cancel()
+            self._pause_limit_timer = None
 
     def _end_response(self):
-        self._cancel_start_timer()
+        self._cancel_pause_limit()
         for timer in (self._timer, self._pause_timer):
             if timer is not None:
                 timer.cancel()
@@ -366,7 +399,7 @@
         request: http_codec.Request,
         deadline: float,
         *,
-        starts_by: float | None = None,
+        pauses: PauseLimits | None = None,
         max_idle_s: float = MAX_IDLE_S,
         before_write: Callable[[], None] | None = None,
         request_id: str = '',
@@ -382,8 +415,7 @@
             address: `host:port` of the server.
             request: The request.
             deadline: Monotonic time in seconds.
-            starts_by: Monotonic time in seconds by which the response begins;
-                None for no such limit.
+            pauses: Limits on the pauses of the response; None for no limits.
             max_idle_s: Longest idle time of a connection that is reused, in
                 seconds.
             before_write: Called when the connection is open, before the first
@@ -428,8 +460,8 @@
         except BaseException:
             connection.abort()
             raise
-        if starts_by is not None:
-            connection.limit_start(starts_by)
+        if pauses is not None:
+            connection.limit_pauses(pauses)
         try:
             return await response_future
         except BaseException:
@@ -442,8 +474,9 @@
         request: http_codec.Request,
         deadline: float,
         *,
-        starts_by: float | None = None,
+        pauses: PauseLimits | None = None,
         max_idle_s: float = MAX_IDLE_S,
+        max_bytes: int | None = None,
     ) -> http_codec.Response:
         """Sends a request and waits for the whole response.
 
@@ -454,11 +487,11 @@
             address: `host:port` of the server.
             request: The request.
             deadline: Monotonic time in seconds.
-            starts_by: Monotonic time in seconds by which the response begins;
-                None for no such limit.
+            pauses: Limits on the pauses of the response; None for no limits.
             max_idle_s: Longest idle time of a connection that is reused, in
                 seconds; with 0 a new one is opened and the idle ones are
                 closed.
+            max_bytes: Largest body, in bytes; None for `max_buffered_bytes`.
 
         Returns:
             The response to the request; it has no stream.
@@ -466,10 +499,12 @@
         Raises:
             exceptions.ConnectFailedError: Nothing was sent.
             exceptions.ConnectionClosedError: The connection was closed before
-                the response was complete, or the response was malformed or
-                larger than `max_buffered_bytes`.
+                the response was complete, or the response was malformed.
+            exceptions.ResponseTooLargeError: The body has more bytes.
             exceptions.DeadlineExceededError: The deadline passed.
         """
+        if max_bytes is None:
+            max_bytes = self.max_buffered_bytes
         loop = asyncio.get_running_loop()
         failed_at = self._failed_at_by_address.get(address, -math.inf)
         try:
@@ -477,18 +512,17 @@
                 address,
                 request,
                 deadline,
-                starts_by=starts_by,
+                pauses=pauses,
                 max_idle_s=min(max_idle_s, loop.time() - failed_at),
-                max_buffered_bytes=self.max_buffered_bytes,
+                max_buffered_bytes=max_bytes,
             )
         except exceptions.OutcomeUnknownError:
             self._failed_at_by_address[address] = loop.time()
             raise
         if response.stream is not None:
             response.stream.abort()
-            raise exceptions.ConnectionClosedError(
-                f'answer from {address} has more than '
-                f'{self.max_buffered_bytes} bytes',
+            raise exceptions.ResponseTooLargeError(
+                f'answer from {address} has more than {max_bytes} bytes',
                 remedy='check that the address belongs to the right process',
                 response_started=True,
             )
--- a/hemlockgrade/watcher.py
+++ b/hemlockgrade/watcher.py
@@ -73,6 +73,9 @@
     # Time of the event loop at which the place of the watch was confirmed.
     _confirmed_at: float = 0.0
     _request: asyncio.Task | None = None
+    # Held by a read. A watch request that is sent beside a read would return
+    # the same objects.
+    _read_lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
     _restarting: bool = False
 
     async def run(self) -> None:
@@ -143,11 +146,12 @@
             )
         started_at = asyncio.get_running_loop().time()
         try:
-            changes = await self.store.changes_since(
-                self.kind, self._revision, limits
-            )
+            async with self._read_lock:
+                changes = await self.store.changes_since(
+                    self.kind, self._revision, limits
+                )
         except object_store.HistoryLostError:
-            await self.read_list(limits)
+            await self.read_list()
             return
         if changes.changes:
             items = [change.item for change in changes.changes]
@@ -167,8 +171,9 @@
         Raises:
             exceptions.PlatformUnavailableError: The store is unavailable.
         """
-        started_at = asyncio.get_running_loop().time()
-        listing = await self._list(limits=limits)
+        async with self._read_lock:
+            started_at = asyncio.get_running_loop().time()
+            listing = await self._list(limits=limits)
         self._revision = max(self._revision or 0, listing.revision)
         self.advance(listing.revision)
         self._set_connected(True, '')
@@ -200,6 +205,9 @@
             self.skips_versions and not self.connected
         ):
             await self.read_list()
+        async with self._read_lock:
+            # Waits for the end of a read beside this watch.
+            pass
         assert self._revision is not None
         age_s = asyncio.get_running_loop().time() - self._confirmed_at
         # A response that may lag and has no changes does not move the watch.
--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -493,6 +493,13 @@
         new='max_idle_s=max_idle_s,',
         feature='store_client',
     ),
+    Mutation(
+        guard='a response that has begun is not cut off while bytes arrive',
+        module='object_store.py',
+        old='            deadline=starts_by + MAX_TRANSFER_S,',
+        new='            deadline=starts_by,',
+        feature='configuration_freshness',
+    ),
 )
 
 
--- a/standins/fault_link.py
+++ b/standins/fault_link.py
@@ -2,12 +2,15 @@
 
 import asyncio
 from collections.abc import Callable
+import math
 import socket
 import struct
 
 import attrs
 
 CHUNK_BYTES = 65_536
+# The same on a link with a limited rate, which the connections share.
+SLOW_CHUNK_BYTES = 2_048
 # With this option, a closed connection is reset.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
@@ -21,6 +24,7 @@
         on_refused: Called when the target does not accept a connection. The
             other side has then already connected to the relay.
         delay_s: Delay of the bytes of each direction, in seconds.
+        bytes_per_s: Rate of all responses together, in bytes a second.
         silenced: Directions (`request`, `response`) of which new connections
             lose all bytes.
     """
@@ -28,14 +32,27 @@
     target: str
     on_refused: Callable[[], None]
     delay_s: float = 0.0
+    bytes_per_s: float = math.inf
     silenced: frozenset[str] = frozenset()
     _relays: set['_Relay'] = attrs.field(factory=set)
+    _free_at: float = 0.0
+
+    @property
+    def chunk_bytes(self) -> int:
+        """Returns the largest number of bytes that are relayed at once."""
+        return CHUNK_BYTES if math.isinf(self.bytes_per_s) else SLOW_CHUNK_BYTES
 
     async def start(self, address: str) -> asyncio.Server:
         """Starts to listen on an address."""
         host, _, port = address.partition(':')
         return await asyncio.start_server(self._relay, host, int(port))
 
+    async def wait_for_rate(self, size: int) -> None:
+        """Waits until the link has carried some bytes of a response."""
+        now = asyncio.get_running_loop().time()
+        self._free_at = max(now, self._free_at) + size / self.bytes_per_s
+        await asyncio.sleep(self._free_at - now)
+
     def silence(self, *directions: str) -> None:
         """Loses all further bytes of the open and of new connections.
 
@@ -90,9 +107,11 @@
     silenced: frozenset[str]
 
     async def copy(self, direction, reader, writer):
-        while data := await reader.read(CHUNK_BYTES):
+        while data := await reader.read(self.link.chunk_bytes):
             if self.link.delay_s:
                 await asyncio.sleep(self.link.delay_s)
+            if direction == 'response' and self.link.bytes_per_s < math.inf:
+                await self.link.wait_for_rate(len(data))
             if direction not in self.silenced:
                 writer.write(data)
                 await writer.drain()
--- a/standins/store_links.py
+++ b/standins/store_links.py
@@ -63,6 +63,10 @@
         for link in self._link_by_domain.values():
             link.delay_s = delay_s
 
+    def limit_rate(self, domain: str, mbit_per_s: float) -> None:
+        """Limits the rate of the responses to a failure domain."""
+        self._link_by_domain[domain].bytes_per_s = mbit_per_s * 1e6 / 8
+
     def reset(self, domain: str) -> None:
         """Resets all open connections."""
         self._run(self._reset(self._link_by_domain[domain]))
