Test each guard of the transfers of a configuration by itself

Scenarios for the pauses, the size of a watch response, the order of watch and read, the wait of the check and of fetches, and the part of a fetched state.

--- a/features/configuration_freshness.feature
+++ b/features/configuration_freshness.feature
@@ -192,3 +192,13 @@
     And the links of the first failure domain carry 2 Mbit/s
     When 4 versions of a configuration of 2000 routes follow 2.5 seconds apart, and a route is added by the last one
     Then each daemon served each route within 6.0 seconds
+
+  Scenario: While a configuration arrives, no other one is asked for
+    # Guards against transfers of one configuration that slow each other down.
+    When a daemon hears of a version while the store sends it one for 3 seconds
+    Then it asks neither the store nor a peer for a configuration before the end
+
+  Scenario: Mesh objects are fetched without the configuration
+    # Guards against a large configuration that comes with each fetch.
+    When a daemon that lacks a version and a mesh object fetches the object
+    Then the state that the peer sends has the object and no configuration
--- a/features/steps/configuration_freshness_steps.py
+++ b/features/steps/configuration_freshness_steps.py
@@ -15,6 +15,7 @@
 from behave import given
 from behave import then
 from behave import when
+import orjson
 
 from hemlockgrade import configuration_check
 from hemlockgrade import directory
@@ -23,6 +24,7 @@
 from hemlockgrade import http_codec
 from hemlockgrade import model
 from hemlockgrade import object_store
+from hemlockgrade import peer_api
 from hemlockgrade import peer_protocol
 from hemlockgrade import state_sync
 from hemlockgrade import watcher
@@ -534,6 +536,9 @@
     async def compare(self, address, timeout_s):
         """Learns nothing."""
 
+    async def compare_with_random_peer(self):
+        """Learns nothing."""
+
 
 def build_check(context, loop, newest):
     """Builds the check of a daemon with version 1 and a peer."""
@@ -1051,3 +1056,99 @@
         operator.write_version()
         time.sleep(interval_s)
     add_route(context)
+
+
+@when(
+    'a daemon hears of a version while the store sends it one for {seconds:g} seconds'
+)
+def hear_of_version_beside_transfer(context, seconds):
+    async def run():
+        loop = asyncio.get_running_loop()
+        check = build_check(context, loop, 2)
+        context.feed.is_receiving_configuration = True
+        sync = RecordingSync(
+            directory=context.feed.directory,
+            pool=None,
+            address='10.0.0.1:80',
+            zone='a',
+            on_newer_configuration=check.want,
+            is_receiving_configuration=lambda: (
+                context.feed.is_receiving_configuration
+            ),
+        )
+        task = asyncio.create_task(check.run())
+        hear(sync, '2', 2, 0)
+        await asyncio.sleep(seconds)
+        context.asked_before = [*context.feed.reads, *sync.fetched]
+        context.feed.is_receiving_configuration = False
+        await asyncio.sleep(1.5)
+        context.version = context.feed.directory.configuration_version
+        await end(task)
+
+    virtual_time.run(run())
+
+
+@then('it asks neither the store nor a peer for a configuration before the end')
+def check_not_asked(context):
+    assert not context.asked_before, context.asked_before
+    assert context.version == 2, context.version
+
+
+class StatePool:
+    """A peer whose state has a newer version and a newer mesh object."""
+
+    def __init__(self):
+        self.directory = directory.Directory('h-2')
+        self.directory.apply_configuration(build_configuration(2), 'store')
+        self.directory.apply_member(
+            model.Member(
+                name='h-2',
+                address='10.0.0.2:80',
+                zone='a',
+                boot_id='boot',
+                revision=9,
+            ),
+            'store',
+        )
+        self.states = []
+
+    async def fetch(self, address, request, deadline, **limits):
+        """Handles a request as the API of the peer."""
+        api = peer_api.PeerApi(
+            admission=None,
+            sync=state_sync.StateSync(
+                directory=self.directory,
+                pool=None,
+                address='10.0.0.2:80',
+                zone='a',
+            ),
+            evidence=None,
+            in_flight=None,
+        )
+        response = await api.handle(request)
+        self.states.append(orjson.loads(response.body))
+        return response
+
+
+@when('a daemon that lacks a version and a mesh object fetches the object')
+def fetch_objects(context):
+    context.pool = StatePool()
+
+    async def run():
+        own = directory.Directory('h-1')
+        own.apply_configuration(build_configuration(1), 'store')
+        sync = state_sync.StateSync(
+            directory=own, pool=context.pool, address='10.0.0.1:80', zone='a'
+        )
+        hear(sync, '10.0.0.2:80', 1, 9)
+        await asyncio.sleep(2 * state_sync.TABLE_FETCH_DELAY_S)
+        context.members = list(own.member_by_name)
+
+    virtual_time.run(run())
+
+
+@then('the state that the peer sends has the object and no configuration')
+def check_objects(context):
+    [state] = context.pool.states
+    assert state['configuration'] is None, state
+    assert context.members == ['h-2'], context.members
--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -20,6 +20,7 @@
 from standins import cluster
 from standins import http_connection
 from standins import loopback
+from standins import virtual_time
 
 # Time after which an attempt to connect during a cut fails, in seconds.
 CONNECT_TIMEOUT_S = 1.0
@@ -394,3 +395,193 @@
 
     took_s = run_with_silenced_store(run)
     assert took_s < limit_s, took_s
+
+
+class PiecewiseConnection(http_connection.HttpConnection):
+    """Sends an empty list in pieces.
+
+    Args:
+        pieces: Number of pieces.
+        pause_s: Pause before each further piece, in seconds.
+    """
+
+    def __init__(self, pieces, pause_s):
+        super().__init__()
+        self.pieces = pieces
+        self.pause_s = pause_s
+
+    async def handle(self, request):
+        """Sends the response."""
+        body = b'{"items":[],"CurrentRev":7}'.ljust(self.pieces * 40)
+        head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
+        self.transport.write(head + body[:40])
+        for start in range(40, len(body), 40):
+            await asyncio.sleep(self.pause_s)
+            self.transport.write(body[start : start + 40])
+
+
+@when('the store sends a list in {pieces:d} pieces, {pause_s:g} seconds apart')
+def list_in_pieces(context, pieces, pause_s):
+    async def run():
+        from twisted.internet import reactor
+
+        address = cluster.free_address()
+        host, _, port = address.partition(':')
+        server = await asyncio.get_running_loop().create_server(
+            lambda: PiecewiseConnection(pieces, pause_s), host, int(port)
+        )
+        pool = upstream.ConnectionPool(reactor)
+        started_at = time.monotonic()
+        context.result = 'read'
+        try:
+            await store.MetadataStore(address, pool).list('config')
+        except exceptions.PlatformUnavailableError:
+            context.result = 'unavailable'
+        finally:
+            context.took_s = time.monotonic() - started_at
+            pool.close()
+            server.close()
+
+    loopback.run(run())
+
+
+@then('the list is {result} after {least_s:g} to {most_s:g} seconds')
+def check_list(context, result, least_s, most_s):
+    assert context.result == result, context.result
+    assert least_s <= context.took_s <= most_s, context.took_s
+
+
+# Size of a configuration that takes a second on a link of 3 Mbit/s, in bytes.
+LARGE_BYTES = 400_000
+
+
+@attrs.define(eq=False)
+class LargeVersionsPool:
+    """A store of one large object, which a watch returns in 4 versions.
+
+    Attributes:
+        targets: Targets of all requests.
+        refused: Number of responses that were larger than allowed.
+    """
+
+    targets: list[str] = attrs.field(factory=list)
+    refused: int = 0
+
+    async def fetch(
+        self, address, request, deadline, *, max_bytes=None, **limits
+    ):
+        """Returns the object, or its versions for a watch."""
+        self.targets.append(request.target)
+        if 'Watch=6' in request.target:
+            await asyncio.Event().wait()
+        newest = 2 if len(self.targets) == 1 else 6
+        items = [
+            {
+                'Metadata': {'Name': 'main', 'Rev': rev},
+                'Spec': 'x' * LARGE_BYTES,
+            }
+            for rev in range(3, 7)
+        ]
+        if 'Watch=' in request.target:
+            data = {'events': [{'Object': item} for item in items]}
+        else:
+            data = {'items': items[-1:]}
+            items[-1]['Metadata']['Rev'] = newest
+        body = orjson.dumps({**data, 'CurrentRev': newest})
+        if max_bytes is not None and len(body) > max_bytes:
+            self.refused += 1
+            raise exceptions.ResponseTooLargeError(
+                'too large', remedy='list', response_started=True
+            )
+        return http_codec.Response(status=200, body=body)
+
+
+@when(
+    'a watch follows a list of a large configuration, of which it has 4 versions'
+)
+def watch_large_versions(context):
+    context.pool = LargeVersionsPool()
+    context.revisions = []
+    client = store.MetadataStore(
+        '10.0.0.1:1', context.pool, newest_only_kinds=frozenset({'config'})
+    )
+
+    async def run():
+        has_newest = asyncio.Event()
+
+        def handle(item):
+            context.revisions.append(item.revision)
+            if item.revision == 6:
+                has_newest.set()
+
+        task = asyncio.create_task(
+            watcher.Watcher(
+                store=client,
+                kind='config',
+                wait_s=1.0,
+                on_item=handle,
+                on_deleted=lambda item: None,
+                skips_versions=True,
+            ).run()
+        )
+        async with asyncio.timeout(5.0):
+            await has_newest.wait()
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    asyncio.run(run())
+
+
+@then('it is given up and the list that follows has the newest version')
+def check_large_versions(context):
+    assert context.pool.refused == 1, context.pool.refused
+    assert context.revisions == [2, 6], context.revisions
+
+
+@when('a watch would be sent while a read of {seconds:g} seconds runs')
+def watch_beside_read(context, seconds):
+    context.calls = []
+
+    class Store:
+        async def list(self, kind, *, may_lag=False, limits=None):
+            if limits is None:
+                return object_store.Listing(items=(), revision=1)
+            context.calls.append(('list', 1))
+            await asyncio.sleep(seconds)
+            context.calls.append(('listed', 5))
+            return object_store.Listing(items=(), revision=5)
+
+        async def watch(self, kind, revision, wait_s, *, may_lag=True):
+            context.calls.append(('watch', revision))
+            await asyncio.sleep(0.5 if revision == 1 else 60)
+            return object_store.Changes(changes=(), revision=revision)
+
+    async def run():
+        store_watcher = watcher.Watcher(
+            store=Store(),
+            kind='config',
+            wait_s=60.0,
+            on_item=lambda item: None,
+            on_deleted=lambda item: None,
+        )
+        task = asyncio.create_task(store_watcher.run())
+        await asyncio.sleep(0.1)
+        loop = asyncio.get_running_loop()
+        await store_watcher.read_list(
+            object_store.ReadLimits(deadline=loop.time() + 9.0)
+        )
+        await asyncio.sleep(0.1)
+        task.cancel()
+        await asyncio.gather(task, return_exceptions=True)
+
+    virtual_time.run(run())
+
+
+@then('it is sent after the read, from the revision of that read')
+def check_watch_after_read(context):
+    assert context.calls == [
+        ('watch', 1),
+        ('list', 1),
+        ('listed', 5),
+        ('watch', 5),
+    ], context.calls
--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -42,3 +42,23 @@
       | fails                |
       | gets no response     |
       | loses its connection |
+
+  Scenario Outline: A response is given up by its pauses, not by its length
+    # Guards against a large configuration that is cut off and begun again.
+    When the store sends a list in <pieces> pieces, <pause> seconds apart
+    Then the list is <result> after <least> to <most> seconds
+
+    Examples:
+      | pieces | pause | result      | least | most |
+      | 12     | 0.2   | read        | 2.2   | 3.2  |
+      | 3      | 1.5   | unavailable | 0.9   | 1.4  |
+
+  Scenario: Several versions of a large configuration are not read one by one
+    # Guards against a watch that returns each version on the link of a small host.
+    When a watch follows a list of a large configuration, of which it has 4 versions
+    Then it is given up and the list that follows has the newest version
+
+  Scenario: A watch is not sent beside a read of the same kind
+    # Guards against two transfers of one configuration on the same link.
+    When a watch would be sent while a read of 1 seconds runs
+    Then it is sent after the read, from the revision of that read
--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -498,6 +498,54 @@
         module='object_store.py',
         old='            deadline=starts_by + MAX_TRANSFER_S,',
         new='            deadline=starts_by,',
+        feature='store_client',
+    ),
+    Mutation(
+        guard='a response that pauses is given up',
+        module='upstream.py',
+        old='        elif self._max_pause_s is not None:\n',
+        new='        elif False:\n',
+        feature='store_client',
+    ),
+    Mutation(
+        guard='several versions of a large configuration are not read',
+        module='platform/store.py',
+        old='                max_bytes=self._max_bytes(path),\n',
+        new='',
+        feature='store_client',
+    ),
+    Mutation(
+        guard='a watch waits for the end of a read',
+        module='watcher.py',
+        old=(
+            '        async with self._read_lock:\n'
+            '            # Waits for the end of a read beside this watch.\n'
+        ),
+        new='        if True:\n',
+        feature='store_client',
+    ),
+    Mutation(
+        guard='no peer is asked for a configuration while one arrives',
+        module='state_sync.py',
+        old='need is _Need.CONFIGURATION and self.is_receiving_configuration()',
+        new='False',
+        feature='configuration_freshness',
+    ),
+    Mutation(
+        guard='a wanted version is not read while a configuration arrives',
+        module='configuration_check.py',
+        old=(
+            '        if self.feed.is_receiving_configuration:\n'
+            '            return None\n'
+        ),
+        new='',
+        feature='configuration_freshness',
+    ),
+    Mutation(
+        guard='mesh objects are fetched without the configuration',
+        module='state_sync.py',
+        old='            await self.fetch_state(address, need.state_part)',
+        new='            await self.fetch_state(address)',
         feature='configuration_freshness',
     ),
 )
