--- a/hemlockgrade/object_store.py
+++ b/hemlockgrade/object_store.py
@@ -118,6 +118,10 @@
     """The store no longer has the changes after the requested revision."""
 
 
+class ChangesTooLargeError(HistoryLostError):
+    """The changes are much larger than the newest versions of the objects."""
+
+
 class RevisionConflictError(exceptions.ConflictError):
     """A conditional write failed since the object has another revision.
 
--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -268,8 +268,8 @@
                 max_bytes=self._max_bytes(path),
             )
         except exceptions.ResponseTooLargeError as error:
-            raise object_store.HistoryLostError(
-                f'several versions in the changes of {kind}: {error}',
+            raise object_store.ChangesTooLargeError(
+                f'the changes of {kind} have several versions',
                 remedy='list the kind again',
             ) from error
         except exceptions.RequestNotRunError as error:
--- a/hemlockgrade/watcher.py
+++ b/hemlockgrade/watcher.py
@@ -92,8 +92,10 @@
                 store_backoff.reset()
                 self._set_connected(True, '')
             except object_store.HistoryLostError as error:
+                is_large = isinstance(error, object_store.ChangesTooLargeError)
                 logger.info(
-                    'event=store_history_lost kind={} revision={} problem={!r}',
+                    'event=store_{} kind={} revision={} problem={!r}',
+                    'changes_skipped' if is_large else 'history_lost',
                     self.kind,
                     self._revision,
                     str(error),
