Show that one slow response keeps a server without requests

By reading: the service time of a server that a daemon knows does not age, and the jitter of 10% does not make up for it.

--- a/features/mesh_decisions.feature
+++ b/features/mesh_decisions.feature
@@ -382,3 +382,10 @@
       | number |
       | inf    |
       | nan    |
+
+  @known_red
+  Scenario: A server whose only response was slow gets requests again
+    # Guards against a server that is never tried again because of one response.
+    Given servers whose first responses took 0.05, 0.01 and 0.01 seconds
+    When 30 requests a second are sent for 30 seconds and each takes 0.01 seconds
+    Then the first server got at least 100 of them
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -1,6 +1,7 @@
 """Steps for the decisions of a daemon, each on one object of the package."""
 
 import asyncio
+import collections
 import contextlib
 import json
 import os
@@ -969,3 +970,50 @@
 def check_peer_headers_ignored(context):
     assert peer_protocol.decode_versions(context.headers) is None
     assert peer_protocol.decode_load(context.headers) is None
+
+
+@given(
+    'servers whose first responses took {first:g}, {second:g} and {third:g} seconds'
+)
+def build_measured_servers(context, first, second, third):
+    context.now = 100.0
+    context.directory = directory.Directory('a')
+    context.balancer = zone_balancer.ZoneBalancer(
+        directory=context.directory,
+        zone='a',
+        clock=lambda: context.now,
+        random=random.Random(1),
+    )
+    for number, service_s in enumerate((first, second, third)):
+        name = f's{number}'
+        context.directory.apply_member(
+            model.Member(
+                name=name,
+                address=f'10.0.0.{number}:90',
+                zone='a',
+                boot_id='x',
+                server=attrs.evolve(SERVER, server_id=f'i-{number}'),
+                revision=1 + number,
+            ),
+            'test',
+        )
+        context.balancer.peer(name).record_load(0, service_s)
+
+
+@when(
+    '{rate:d} requests a second are sent for {seconds:d} seconds and each takes {service_s:g} seconds'
+)
+def send_to_measured_servers(context, rate, seconds, service_s):
+    context.count_by_name = collections.Counter()
+    for _ in range(rate * seconds):
+        context.now += 1 / rate
+        name = choose(context)
+        context.count_by_name[name] += 1
+        peer = context.balancer.peer(name)
+        peer.record_load(0, service_s)
+        peer.record_response(failed=False, now=context.now)
+
+
+@then('the first server got at least {least:d} of them')
+def check_first_server(context, least):
+    assert context.count_by_name['s0'] >= least, context.count_by_name
