--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -585,3 +585,22 @@
         ('listed', 5),
         ('watch', 5),
     ], context.calls
+
+
+@when('the store responds to a list with more than the largest body')
+def list_too_large(context):
+    error = exceptions.ResponseTooLargeError(
+        'too large', remedy='check', response_started=True
+    )
+    client = store.MetadataStore('10.0.0.1:1', ScriptedPool([error]))
+    try:
+        asyncio.run(client.list('config'))
+    except exceptions.HemlockError as failure:
+        context.failure = failure
+
+
+@then('the list is unavailable')
+def check_list_unavailable(context):
+    assert isinstance(context.failure, exceptions.PlatformUnavailableError), (
+        repr(context.failure)
+    )
--- a/features/store_client.feature
+++ b/features/store_client.feature
@@ -62,3 +62,8 @@
     # Guards against two transfers of one configuration on the same link.
     When a watch would be sent while a read of 1 seconds runs
     Then it is sent after the read, from the revision of that read
+
+  Scenario: A list that is larger than a daemon takes is a failed read
+    # Guards against a watch that lists again and again without a pause.
+    When the store responds to a list with more than the largest body
+    Then the list is unavailable
--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -246,6 +246,7 @@
                 else object_store.ReadLimits(deadline=answers_by)
             )
         kind = _kind(path)
+        max_bytes = self._max_bytes(path)
         started: list[str] = []
 
         def count_started():
@@ -265,9 +266,11 @@
                 max_idle_s=0.0
                 if limits.new_connection
                 else upstream.MAX_IDLE_S,
-                max_bytes=self._max_bytes(path),
+                max_bytes=max_bytes,
             )
         except exceptions.ResponseTooLargeError as error:
+            if max_bytes is None:
+                raise _unavailable(method, path, str(error)) from error
             raise object_store.ChangesTooLargeError(
                 f'the changes of {kind} have several versions',
                 remedy='list the kind again',
--- a/hemlockgrade/watcher.py
+++ b/hemlockgrade/watcher.py
@@ -141,14 +141,14 @@
             exceptions.PlatformUnavailableError: The store is unavailable, or
                 the first list has not been read yet.
         """
-        if self._revision is None:
-            raise exceptions.PlatformUnavailableError(
-                f'the first list of {self.kind} is not read yet',
-                remedy='retry later',
-            )
-        started_at = asyncio.get_running_loop().time()
         try:
             async with self._read_lock:
+                if self._revision is None:
+                    raise exceptions.PlatformUnavailableError(
+                        f'the first list of {self.kind} is not read yet',
+                        remedy='retry later',
+                    )
+                started_at = asyncio.get_running_loop().time()
                 changes = await self.store.changes_since(
                     self.kind, self._revision, limits
                 )
--- a/scripts/run_mutations.py
+++ b/scripts/run_mutations.py
@@ -510,7 +510,7 @@
     Mutation(
         guard='several versions of a large configuration are not read',
         module='platform/store.py',
-        old='                max_bytes=self._max_bytes(path),\n',
+        old='                max_bytes=max_bytes,\n',
         new='',
         feature='store_client',
     ),
