--- a/features/steps/configuration_freshness_steps.py
+++ b/features/steps/configuration_freshness_steps.py
@@ -1099,7 +1099,10 @@
 
     def __init__(self):
         self.directory = directory.Directory('h-2')
-        self.directory.apply_configuration(build_configuration(2), 'store')
+        self.directory.apply_configuration(
+            attrs.evolve(build_configuration(2), document={'Version': 2}),
+            'store',
+        )
         self.directory.apply_member(
             model.Member(
                 name='h-2',
