--- a/features/steps/configuration_freshness_steps.py
+++ b/features/steps/configuration_freshness_steps.py
@@ -1065,12 +1065,15 @@
     async def run():
         loop = asyncio.get_running_loop()
         check = build_check(context, loop, 2)
+        # Only the wanted version is a reason to read.
+        check.freshness.confirmed_at = math.inf
         context.feed.is_receiving_configuration = True
         sync = RecordingSync(
             directory=context.feed.directory,
             pool=None,
             address='10.0.0.1:80',
             zone='a',
+            is_watching=lambda: True,
             on_newer_configuration=check.want,
             is_receiving_configuration=lambda: (
                 context.feed.is_receiving_configuration
