--- a/features/configuration_freshness.feature
+++ b/features/configuration_freshness.feature
@@ -195,7 +195,7 @@
 
   Scenario: While a configuration arrives, no other one is asked for
     # Guards against transfers of one configuration that slow each other down.
-    When a daemon hears of a version while the store sends it one for 3 seconds
+    When a daemon hears of a version while the store sends it one for 2.5 seconds
     Then it asks neither the store nor a peer for a configuration before the end
 
   Scenario: Mesh objects are fetched without the configuration
