--- a/hemlockgrade/watcher.py
+++ b/hemlockgrade/watcher.py
@@ -92,10 +92,14 @@
                 store_backoff.reset()
                 self._set_connected(True, '')
             except object_store.HistoryLostError as error:
-                is_large = isinstance(error, object_store.ChangesTooLargeError)
+                event = (
+                    'store_changes_skipped'
+                    if isinstance(error, object_store.ChangesTooLargeError)
+                    else 'store_history_lost'
+                )
                 logger.info(
-                    'event=store_{} kind={} revision={} problem={!r}',
-                    'changes_skipped' if is_large else 'history_lost',
+                    'event={} kind={} revision={} problem={!r}',
+                    event,
                     self.kind,
                     self._revision,
                     str(error),
