Draw a small link with a large configuration in the soak

Half of the seeds now have one host with 2 Mbit/s to the store and 800 further routes. Drawn by itself, so the events of earlier seeds stay.

No check was removed or loosened.

--- a/features/configuration_freshness.feature
+++ b/features/configuration_freshness.feature
@@ -202,3 +202,13 @@
     # Guards against a large configuration that comes with each fetch.
     When a daemon that lacks a version and a mesh object fetches the object
     Then the state that the peer sends has the object and no configuration
+
+  Scenario Outline: The state of a peer is given up by its pauses, not by its length
+    # Guards against a fetch from a peer that is cut off and begun again.
+    When a peer sends its state in <pieces> pieces, <pause> seconds apart
+    Then the fetch has <result> after <least> to <most> seconds
+
+    Examples:
+      | pieces | pause | result    | least | most |
+      | 12     | 0.2   | succeeded | 2.2   | 3.2  |
+      | 3      | 1.5   | failed    | 0.9   | 1.4  |
--- a/features/steps/configuration_freshness_steps.py
+++ b/features/steps/configuration_freshness_steps.py
@@ -27,10 +27,13 @@
 from hemlockgrade import peer_api
 from hemlockgrade import peer_protocol
 from hemlockgrade import state_sync
+from hemlockgrade import upstream
 from hemlockgrade import watcher
 from hemlockgrade.platform import store
 from standins import cluster
+from standins import loopback
 from standins import mesh_cluster
+from standins import piecewise
 from standins import store_links
 from standins import virtual_time
 
@@ -1159,3 +1162,36 @@
     [state] = context.pool.states
     assert state['configuration'] is None, state
     assert context.members == ['h-2'], context.members
+
+
+@when('a peer sends its state in {pieces:d} pieces, {pause_s:g} seconds apart')
+def fetch_in_pieces(context, pieces, pause_s):
+    async def run():
+        from twisted.internet import reactor
+
+        body = b'{"configuration":null,"objects":[],"removed":{}}'
+        async with piecewise.serve(body, pieces, pause_s) as address:
+            pool = upstream.ConnectionPool(reactor)
+            sync = state_sync.StateSync(
+                directory=directory.Directory('h-1'),
+                pool=pool,
+                address='10.0.0.1:80',
+                zone='a',
+            )
+            started_at = time.monotonic()
+            context.result = 'succeeded'
+            try:
+                await sync.fetch_state(address)
+            except exceptions.DeadlineExceededError:
+                context.result = 'failed'
+            finally:
+                context.took_s = time.monotonic() - started_at
+                pool.close()
+
+    loopback.run(run())
+
+
+@then('the fetch has {result} after {least_s:g} to {most_s:g} seconds')
+def check_fetch(context, result, least_s, most_s):
+    assert context.result == result, context.result
+    assert least_s <= context.took_s <= most_s, context.took_s
--- a/features/steps/store_client_steps.py
+++ b/features/steps/store_client_steps.py
@@ -20,6 +20,7 @@
 from standins import cluster
 from standins import http_connection
 from standins import loopback
+from standins import piecewise
 from standins import virtual_time
 
 # Time after which an attempt to connect during a cut fails, in seconds.
@@ -397,50 +398,23 @@
     assert took_s < limit_s, took_s
 
 
-class PiecewiseConnection(http_connection.HttpConnection):
-    """Sends an empty list in pieces.
-
-    Args:
-        pieces: Number of pieces.
-        pause_s: Pause before each further piece, in seconds.
-    """
-
-    def __init__(self, pieces, pause_s):
-        super().__init__()
-        self.pieces = pieces
-        self.pause_s = pause_s
-
-    async def handle(self, request):
-        """Sends the response."""
-        body = b'{"items":[],"CurrentRev":7}'.ljust(self.pieces * 40)
-        head = b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body)
-        self.transport.write(head + body[:40])
-        for start in range(40, len(body), 40):
-            await asyncio.sleep(self.pause_s)
-            self.transport.write(body[start : start + 40])
-
-
 @when('the store sends a list in {pieces:d} pieces, {pause_s:g} seconds apart')
 def list_in_pieces(context, pieces, pause_s):
     async def run():
         from twisted.internet import reactor
 
-        address = cluster.free_address()
-        host, _, port = address.partition(':')
-        server = await asyncio.get_running_loop().create_server(
-            lambda: PiecewiseConnection(pieces, pause_s), host, int(port)
-        )
-        pool = upstream.ConnectionPool(reactor)
-        started_at = time.monotonic()
-        context.result = 'read'
-        try:
-            await store.MetadataStore(address, pool).list('config')
-        except exceptions.PlatformUnavailableError:
-            context.result = 'unavailable'
-        finally:
-            context.took_s = time.monotonic() - started_at
-            pool.close()
-            server.close()
+        body = b'{"items":[],"CurrentRev":7}'
+        async with piecewise.serve(body, pieces, pause_s) as address:
+            pool = upstream.ConnectionPool(reactor)
+            started_at = time.monotonic()
+            context.result = 'read'
+            try:
+                await store.MetadataStore(address, pool).list('config')
+            except exceptions.PlatformUnavailableError:
+                context.result = 'unavailable'
+            finally:
+                context.took_s = time.monotonic() - started_at
+                pool.close()
 
     loopback.run(run())
 
--- a/standins/soak_run.py
+++ b/standins/soak_run.py
@@ -46,6 +46,7 @@
     def __init__(self, directory: pathlib.Path, linked_hosts: frozenset[str]):
         super().__init__(directory)
         self.link_by_address: dict[str, str] = {}
+        self.store_address_by_host: dict[str, str] = {}
         self._linked_hosts = linked_hosts
 
     def write_settings(self, name, zone, addresses, **changes):
@@ -55,6 +56,8 @@
                 self.link_by_address.setdefault(
                     addresses[key], cluster.free_address()
                 )
+        if name in self.store_address_by_host:
+            changes['store_address'] = self.store_address_by_host[name]
         changes['server_address'] = self.announced_address(addresses['server'])
         super().write_settings(name, zone, addresses, **changes)
 
@@ -158,6 +161,7 @@
         """Starts all processes and waits until every host serves."""
         mesh = self.mesh
         await asyncio.to_thread(mesh.start_store)
+        await self._add_small_link()
         for host in self.host_by_name.values():
             await asyncio.to_thread(
                 mesh.start_mesh_daemon, host.name, host.domain
@@ -175,6 +179,21 @@
                 f'{name} serves',
             )
 
+    async def _add_small_link(self):
+        """Starts the relay between a host with a small link and the store."""
+        name = self.schedule.small_link_host
+        if not name:
+            return
+        link = fault_link.FaultLink(
+            self.mesh.store_address(self.host_by_name[name].domain),
+            lambda: None,
+            bytes_per_s=self.schedule.small_link_mbps * 1e6 / 8,
+        )
+        address = cluster.free_address()
+        server = await link.start(address)
+        self._links.callback(server.close)
+        self.mesh.store_address_by_host[name] = address
+
     async def _add_links(self, host: Host):
         """Starts the relays in front of a daemon and of its server."""
         addresses = self.mesh.daemon_by_name[host.name].addresses
@@ -343,6 +362,12 @@
                     )
                     for route in routes
                 ),
+                *(
+                    mesh_cluster.build_route(
+                        f'further{number}', f'/further{number}/'
+                    )
+                    for number in range(self.schedule.further_routes)
+                ),
             )
         except AssertionError:
             # The store is down; the configuration may be in force or not.
--- a/standins/soak_schedule.py
+++ b/standins/soak_schedule.py
@@ -21,6 +21,10 @@
     {'lag_s': 3.0, 'lag_counter': True},
     {'lag_s': 3.0, 'lag_counter': True, 'lag_lists_only': True},
 )
+# Rate of the link between one of the hosts and the store during a whole run, in
+# Mbit/s, and the number of further routes of the configuration, which then
+# takes a second. The platform has such hosts, so it is no fault.
+SMALL_LINKS = ((None, 0), (2.0, 800))
 LINK_FAULTS = ('delay', 'reset', 'silence', 'silence_responses')
 
 
@@ -53,6 +57,9 @@
         domain_by_host: Failure domain of each host.
         linked_hosts: Hosts that are reached through relays.
         lag: How reads of the store that may lag behave.
+        small_link_host: Host with a small link to the store; empty if none has.
+        small_link_mbps: Rate of that link, in Mbit/s.
+        further_routes: Number of routes that no caller uses.
         events: Events in the order of their start.
     """
 
@@ -61,6 +68,9 @@
     domain_by_host: dict[str, str]
     linked_hosts: frozenset[str]
     lag: dict[str, Any]
+    small_link_host: str
+    small_link_mbps: float | None
+    further_routes: int
     events: tuple[Event, ...]
 
 
@@ -92,13 +102,19 @@
         ]
         events += _draw_events(rng, kind, at_s, domain_by_host, linked_hosts)
         at_s += rng.uniform(0.2, 3.0)
+    # Drawn by themselves, so that the events of earlier seeds stay the same.
+    link_rng = random.Random(f'small link {seed}')
+    small_link_mbps, further_routes = link_rng.choice(SMALL_LINKS)
+    small_link_host = link_rng.choice(sorted(domain_by_host))
     return Schedule(
         seed=seed,
         planned_only=planned_only,
         domain_by_host=domain_by_host,
         linked_hosts=frozenset(linked_hosts),
-        # Drawn by itself, so that the events of earlier seeds stay the same.
         lag=random.Random(f'lag {seed}').choice(LAGS),
+        small_link_host=small_link_host if small_link_mbps else '',
+        small_link_mbps=small_link_mbps,
+        further_routes=further_routes,
         events=tuple(sorted(events, key=lambda event: event.at_s)),
     )
 
