--- a/review/9/run.py
+++ b/review/9/run.py
@@ -1,4 +1,4 @@
-"""Case 9: a rollout is ordered right after another one was rolled back."""
+"""Case 9: the store comes back from a copy during a rollout."""
 
 import asyncio
 import time
@@ -7,26 +7,15 @@
 
 ORDERED_AFTER_S = 4.0
 DURATION_S = 16
-# The first new version turns bad this long after its order, in seconds.
-BAD_AFTER_S = 9.5
-BAD_SHARE = 0.12
-# The next order follows this long after the status `rolled_back`, and the
-# servers of the version that was rolled back leave after this time, in seconds.
-NEXT_ORDER_AFTER_S = 0.4
-LEAVES_AFTER_S = 4.0
-RATE_PER_S = 130
-SLOTS = 8
-# Servers of one service differ in speed.
-WORK_S_BY_VERSION = {'v1': 0.15, 'v2': 0.075, 'v3': 0.15}
-
-
-def order(version: str) -> dict:
-    """Builds an order."""
-    return {
-        'Service': 'booking',
-        'TargetVersion': version,
-        'DurationS': DURATION_S,
-    }
+# The new version turns bad this long after the order, in seconds.
+BAD_AFTER_S = 9.0
+# The store is away this long after the order, for this time, and comes back
+# from a copy of this age, in seconds.
+DRILL_AFTER_S = 5.0
+AWAY_S = 0.5
+COPY_AGE_S = 3.0
+RATE_PER_S = 160
+ENDS_AFTER_S = 42.0
 
 
 async def case(mesh: mesh2.Mesh) -> bool:
@@ -39,105 +28,89 @@
     )
     old = [f'm{zone}1' for zone in 'abc']
     for name in old:
-        await add_server(mesh, name, 'v1')
+        await mesh.add_server(name, f'zone-{name[1]}', 'v1', 'booking')
     await mesh.wait_until_ready(old)
     load = mesh2.Load(mesh, old, RATE_PER_S)
     load.start()
     await asyncio.sleep(ORDERED_AFTER_S)
 
     ordered_at = time.monotonic()
-    store.write('rollouts', 'booking', order('v2'))
+    order = {
+        'Service': 'booking',
+        'TargetVersion': 'v2',
+        'DurationS': DURATION_S,
+    }
+    store.write('rollouts', 'booking', order)
     record.note('ordered', version='v2', duration_s=DURATION_S)
-    bad = [f'm{zone}2' for zone in 'abc']
-    for name in bad:
-        await add_server(
-            mesh,
+    new = [f'm{zone}2' for zone in 'abc']
+    for name in new:
+        await mesh.add_server(
             name,
+            f'zone-{name[1]}',
             'v2',
+            'booking',
             bad_from=ordered_at + BAD_AFTER_S,
-            bad_share=BAD_SHARE,
         )
-    while state(store) != 'rolled_back':
-        await asyncio.sleep(0.05)
-    rolled_back_at = time.monotonic()
-    record.note('rolled_back', version='v2')
-    leaving = asyncio.create_task(leave(mesh, bad))
+    await asyncio.sleep(ordered_at + DRILL_AFTER_S - time.monotonic())
+    stable_at = ordered_at
     if mesh2.is_troubled():
-        await asyncio.sleep(NEXT_ORDER_AFTER_S)
-        store.write('rollouts', 'booking', order('v3'))
-        record.note('ordered', version='v3', duration_s=DURATION_S)
-        for zone in 'abc':
-            await add_server(mesh, f'm{zone}3', 'v3')
-    await leaving
-    await asyncio.sleep(
-        max(0.0, ordered_at + DURATION_S + 1 - time.monotonic())
-    )
+        store.is_away = True
+        store.cut_connections()
+        record.note('store_away')
+        await asyncio.sleep(AWAY_S)
+        store.restore(COPY_AGE_S + AWAY_S)
+        store.is_away = False
+        stable_at = time.monotonic()
+        record.note('store_back', era=store.era, revision=store.revision)
+
+    rolled_back_at = None
+    while time.monotonic() < ordered_at + ENDS_AFTER_S:
+        await asyncio.sleep(0.1)
+        status = (store.get('rollouts', 'booking') or {}).get('Status') or {}
+        if status.get('State') == 'rolled_back' and rolled_back_at is None:
+            rolled_back_at = time.monotonic()
+            record.note('rolled_back')
+            asyncio.get_running_loop().call_later(
+                4.0, lambda: [mesh.server_by_name[n].stop() for n in new]
+            )
+            if not mesh2.is_troubled():
+                break
     await load.stop()
-    return judge(mesh, bad, ordered_at, rolled_back_at)
+    return judge(mesh, load, new, stable_at + 3.0)
 
 
-async def add_server(mesh, name, version, **options):
-    """Adds a machine with a server in the zone that its name says."""
-    await mesh.add_server(
-        name,
-        f'zone-{name[1]}',
-        version,
-        'booking',
-        slots=SLOTS,
-        work_s=WORK_S_BY_VERSION[version],
-        **options,
-    )
-
-
-def state(store) -> str:
-    """Returns the state of the order."""
-    status = (store.get('rollouts', 'booking') or {}).get('Status') or {}
-    return status.get('State', '')
-
-
-async def leave(mesh, names):
-    """Lets servers drain and end."""
-    await asyncio.sleep(LEAVES_AFTER_S)
-    servers = [mesh.server_by_name[name] for name in names]
-    await asyncio.gather(*(server.drain() for server in servers))
-    mesh.record.note('draining', version='v2')
-    await asyncio.sleep(mesh2.BOUNDS['DrainMs'] / 1000 + 0.5)
-    for server in servers:
-        await server.deregister()
-        server.stop()
+def judge(mesh, load, new, stable_from) -> bool:
+    """Judges the last clause of EXPOSURE.
 
-
-def judge(mesh, bad, ordered_at, rolled_back_at) -> bool:
-    """Judges the first clause of EXPOSURE.
-
-    The bad version gets at most `ExposeShare` of all requests that reach its
-    service between the order and its time budget, and `ExposeSlack` more.
+    The bad version gets no request that was sent later than `RollbackMs` after
+    its 50th bad answer since the core was last unstable.
     """
     record = mesh.record
-    ends_at = ordered_at + DURATION_S
-    total = of_bad = after = 0
-    for name, server in mesh.server_by_name.items():
-        for at, request_id, status in server.run_times:
-            record.write(
-                'ran',
-                request=request_id,
-                at=f'{at - record.started:.3f}',
-                version=server.version,
-                status=status,
-            )
-            if ordered_at <= at <= ends_at:
-                total += 1
-                of_bad += name in bad
-                after += name in bad and at > rolled_back_at + 1.0
-    allowed = mesh2.BOUNDS['ExposeShare'] * total + mesh2.BOUNDS['ExposeSlack']
+    runs = sorted(
+        run for name in new for run in mesh.server_by_name[name].run_times
+    )
+    for at, request_id, status in runs:
+        record.write(
+            'ran',
+            request=request_id,
+            at=f'{at - record.started:.3f}',
+            version='v2',
+            status=status,
+        )
+    bad = [at for at, _, status in runs if status == 500 and at >= stable_from]
+    record.note('v2', runs=len(runs), bad=len(bad))
+    if len(bad) < 50:
+        return True
+    limit = bad[49] + mesh2.BOUNDS['RollbackMs'] / 1000
+    sent_at_by_id = {entry[1]: entry[0] for entry in load.sent}
+    late = [run for run in runs if sent_at_by_id.get(run[1], 0) > limit]
     record.note(
         'result',
-        requests=total,
-        of_v2=of_bad,
-        of_v2_over_a_second_after_rolled_back=after,
-        allowed=f'{allowed:.0f}',
+        fiftieth_bad_answer=f'{bad[49] - record.started:.3f}',
+        sent_too_late=len(late),
+        last=f'{(late or runs)[-1][0] - record.started:.3f}',
     )
-    return of_bad <= allowed
+    return not late
 
 
 if __name__ == '__main__':
