Give each run of the second review's scripts its own addresses

Cause: eight scripts at the same time on a clean checkout used the same addresses; one of them could not start its mesh.

--- a/review/mesh2.py
+++ b/review/mesh2.py
@@ -12,6 +12,7 @@
 import json
 import os
 import pathlib
+import random
 import re
 import shlex
 import signal
@@ -28,8 +29,15 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 OBJECTS_PATH = '/-/objects/'
 HOST_NAME = 'shop.example'
-STORE_IP = '127.0.40.1'
-FIRST_MACHINE_IP = (127, 0, 41, 1)
+# The second number is drawn in each run, so that runs beside each other use
+# other addresses.
+_NETWORK = random.SystemRandom().randint(1, 254)
+STORE_IP = f'127.{_NETWORK}.40.1'
+FIRST_MACHINE_IP = (127, _NETWORK, 41, 1)
+# Range of ports, without its end. It is below the range from which Linux by
+# default assigns ports to outgoing connections.
+FIRST_PORT = 12_000
+PORT_RANGE_END = 32_000
 # Bounds of the site bvmoma-mesh.
 BOUNDS = {
     'SeedLagS': 3,
@@ -57,6 +65,7 @@
 HISTORY_S = 20.0
 
 Headers = dict[str, str]
+_chosen_ports: set[int] = set()
 
 
 def is_troubled() -> bool:
@@ -837,9 +846,14 @@
 
 def free_port(ip: str) -> int:
     """Returns a free port of an address."""
-    with socket.socket() as each:
-        each.bind((ip, 0))
-        return each.getsockname()[1]
+    while True:
+        port = random.SystemRandom().randrange(FIRST_PORT, PORT_RANGE_END)
+        if port in _chosen_ports:
+            continue
+        with socket.socket() as each, contextlib.suppress(OSError):
+            each.bind((ip, port))
+            _chosen_ports.add(port)
+            return port
 
 
 def render(template: str, scopes: list[Any]) -> str:
