Tell a caller's request from a daemon's own by its sender, not its path

POST to the fence path got `unknown`, to the usage path 400.

Cause: PeerApi.handle looked at the path first, and forwarded requests arrive at the same address with the path that the caller chose. The sender took any response that is no refusal for one of the server.

Ruled out: the listener of callers (requests that run on the caller's own host don't meet it); headers of callers (none is needed).

Change: a request with x-hemlock-server goes to the server. Every forwarded request has that header, and no caller can set it. A sender accepts only responses that state a load, a refusal or an outcome, so that a daemon of an earlier version, which answers such a path itself, can't pass for a server in a rolling update; the log says answer_of_daemon_rejected.

--- a/hemlockgrade/peer_api.py
+++ b/hemlockgrade/peer_api.py
@@ -40,8 +40,26 @@
     )
 
     async def handle(self, request: http_codec.Request) -> http_codec.Response:
-        """Handles a request of a peer."""
+        """Handles a request of a peer.
+
+        A forwarded request goes to the local server whatever its path is: the
+        path was chosen by a caller.
+        """
         self.sync.handle_headers(request.headers)
+        if not peer_protocol.is_forwarded(request):
+            response = self._handle_own(request)
+            if response is not None:
+                return response
+        return await self._handle_forwarded(request)
+
+    def _handle_own(
+        self, request: http_codec.Request
+    ) -> http_codec.Response | None:
+        """Handles a request that a peer sends for itself.
+
+        Returns:
+            The response; None if the peer protocol has no such path.
+        """
         if request.path == peer_protocol.VERSIONS_PATH:
             return http_codec.Response(
                 status=200,
@@ -62,6 +80,12 @@
             return self.admission.fence(request.headers)
         if request.path == peer_protocol.USAGE_PATH:
             return self.handle_usage(request.body)
+        return None
+
+    async def _handle_forwarded(
+        self, request: http_codec.Request
+    ) -> http_codec.Response:
+        """Runs a request at the local server, or refuses it."""
         response = await self.in_flight.track(
             admission_module.handle_peer_request(self.admission, request)
         )
--- a/hemlockgrade/peer_protocol.py
+++ b/hemlockgrade/peer_protocol.py
@@ -11,7 +11,9 @@
 from hemlockgrade import ledger
 from hemlockgrade.platform import codec as platform_codec
 
-# Identifier of the server that the sender chose for the request.
+# Identifier of the server that the sender chose for the request. A request with
+# this header is one of a caller, whatever its path; the daemons' own requests
+# have no such header, and no caller can set it.
 SERVER_HEADER = b'x-hemlock-server'
 # Priority of the request under overload; 0 is the most urgent.
 PRIORITY_HEADER = b'x-hemlock-priority'
@@ -48,6 +50,9 @@
 REFUSED_HEADER = b'x-hemlock-refused'
 # In a response: why the outcome of the request is unknown.
 UNKNOWN_HEADER = b'x-hemlock-unknown'
+# In a response of a daemon, and not of a server: whether the request was run,
+# for callers as well.
+OUTCOME_HEADER = b'x-hemlock-outcome'
 # In a server error: present if a request that the run sent was refused because
 # the service that it was sent to has too little capacity.
 NESTED_REFUSED_HEADER = b'x-hemlock-nested-refused'
@@ -74,6 +79,24 @@
 USAGE_PATH = '/.hemlock/usage'
 
 
+def is_forwarded(request: http_codec.Request) -> bool:
+    """Returns whether a request between daemons is one of a caller."""
+    return http_codec.header(request.headers, SERVER_HEADER) is not None
+
+
+def is_answer_to_forwarded(response: http_codec.Response) -> bool:
+    """Returns whether a response of a daemon is one to a forwarded request.
+
+    All of these state the load of the server, unless the listener of the daemon
+    refused the request. An earlier version of the daemon answers a request for
+    a path of this protocol itself.
+    """
+    return any(
+        http_codec.header(response.headers, name) is not None
+        for name in (LOAD_HEADER, REFUSED_HEADER, OUTCOME_HEADER)
+    )
+
+
 class Refusal(enum.StrEnum):
     """Why a request was certainly not run.
 
--- a/hemlockgrade/refusals.py
+++ b/hemlockgrade/refusals.py
@@ -8,9 +8,7 @@
 DEFAULT_TIMEOUT_S = 30.0
 # Header by which a caller states its timeout, in milliseconds.
 CALLER_TIMEOUT_HEADER = b'x-request-timeout-ms'
-# Header of responses that come from the daemon and not from a server; it tells
-# the caller whether the request was run.
-OUTCOME_HEADER = b'x-hemlock-outcome'
+OUTCOME_HEADER = peer_protocol.OUTCOME_HEADER
 OUTCOME_NOT_RUN = b'not-run'
 OUTCOME_UNKNOWN = b'unknown'
 # Longest value of the header that tells a refused caller when to send the
--- a/hemlockgrade/sender.py
+++ b/hemlockgrade/sender.py
@@ -219,7 +219,7 @@
         if math.isfinite(call.max_wait_s):
             max_wait_ms = int(call.max_wait_s * 1000)
             headers.append((peer_protocol.MAX_WAIT_HEADER, b'%d' % max_wait_ms))
-        return await self.pool.send(
+        response = await self.pool.send(
             peer.member.address,
             call.request.with_headers(headers),
             call.deadline,
@@ -229,6 +229,9 @@
                 peer_protocol.ON_TIME_HEADER: call.on_time_until,
             },
         )
+        if not peer_protocol.is_answer_to_forwarded(response):
+            _reject_answer(call, peer, response)
+        return response
 
     def _process_response(
         self,
@@ -300,6 +303,28 @@
         )
 
 
+def _reject_answer(
+    call: call_module.Call, peer: peers.Peer, response: http_codec.Response
+):
+    """Rejects what a daemon sent in place of its server's response.
+
+    Raises:
+        exceptions.OutcomeUnknownError: Always.
+    """
+    if response.stream is not None:
+        response.stream.abort()
+    logger.warning(
+        'event=answer_of_daemon_rejected request={} member={} status={}',
+        call.request_id,
+        peer.member.name,
+        response.status,
+    )
+    raise exceptions.OutcomeUnknownError(
+        f'status {response.status} without the load of a server',
+        remedy='update the daemon that sent it',
+    )
+
+
 def _refused_result(
     refusal: peer_protocol.Refusal, reason: str = ''
 ) -> call_module.AttemptResult:
