Keep the leave of a server against heartbeats that arrive after a restart

Cause: a leave has the sequence of the heartbeat before it. A restarted daemon that gets a late heartbeat first ordered the stored leave behind it, by (start of the incarnation, sequence), and wrote `ready` over it.

Ruled out: the leave was not stored (it was); other daemons kept an old member (no request before the store was back).

Change: Server.merged_with puts two states of a server together for heartbeats and for the stored state: within an incarnation the state never goes back. A later incarnation replaces an earlier one at once. server_changed names the source of the state.

--- a/features/leaving_server.feature
+++ b/features/leaving_server.feature
@@ -43,3 +43,28 @@
     # Guards against refusals of requests that the new process can serve.
     When 2 requests run and 3 wait at a server that restarts under its id
     Then all 5 requests were served, 2 of them at once by the new process
+
+  Scenario Outline: A late heartbeat after a restart of the daemon does not undo a leave
+    # Guards against a server that left and is in use again, because the process
+    # that knew it has ended and a heartbeat sent before the leave arrives late.
+    When a server <leaves>, its daemon restarts, and <count> late heartbeats come <order> the stored state
+    Then the server is <state> there and gets no requests
+
+    Examples:
+      | leaves                            | count | order  | state    |
+      | deregisters                       | 1     | before | gone     |
+      | deregisters                       | 2     | before | gone     |
+      | deregisters                       | 1     | after  | gone     |
+      | drains                            | 1     | before | draining |
+      | drains                            | 2     | before | draining |
+      | says in a response that it leaves | 1     | before | draining |
+      | says in a response that it leaves | 2     | after  | draining |
+
+  Scenario: A new process of a server that left is used at once after such a restart
+    When a server deregisters, its daemon restarts, and its next process starts before the stored state
+    Then the next process gets requests
+
+  Scenario: A heartbeat of a leaving server counts although a later one came before it
+    # Guards against an order by the sequence alone, within an incarnation.
+    When a heartbeat that says ready overtakes one that says draining
+    Then the server is draining there and gets no requests
--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -80,6 +80,18 @@
     And the store responds again
     Then 40 requests at each host succeed and none reaches the first server
 
+  Scenario: A late heartbeat at a restarted daemon does not undo a leave
+    # Guards against a stored leave that a restarted daemon overwrites once the
+    # store is back, so that all daemons use the server again.
+    Given a mesh of 2 hosts
+    When the first server sends heartbeats every 20 seconds
+    And the first server leaves without draining
+    And the store is down
+    And the first daemon is killed and restarted
+    And 2 late heartbeats of the first server arrive
+    And the store responds again
+    Then 40 requests at each host succeed and none reaches the first server
+
   Scenario: A stopping daemon serves peers until callers stop sending to it
     Given a mesh of 2 hosts
     When the server of the first host drains
--- a/features/steps/leaving_server_steps.py
+++ b/features/steps/leaving_server_steps.py
@@ -10,6 +10,7 @@
 from hemlockgrade import http_codec
 from hemlockgrade import model
 from hemlockgrade import peer_protocol
+from hemlockgrade import registrar
 from standins import loopback
 
 SLOTS = 2
@@ -272,3 +273,90 @@
     assert context.elapsed_s < RUNNING_MS / 2000, context.elapsed_s
     assert context.statuses == [200] * count, context.statuses
     assert context.most_running == SLOTS + slots, context.most_running
+
+
+READY_SERVER = model.Server(
+    server_id='i-1',
+    service='booking',
+    address='127.0.0.1:80',
+    zone='a',
+    version='v1',
+    slots=4,
+    state=model.ServerState.READY,
+    sequence=4,
+    born_ms=100,
+)
+
+
+def build_registrar():
+    """Builds the registrar of a daemon process that has just started."""
+    return registrar.Registrar(service='booking', address='127.0.0.1:80')
+
+
+def leave_and_restart(leaves):
+    """Lets a server leave and returns its stored state.
+
+    Args:
+        leaves: What the server does.
+    """
+    former = build_registrar()
+    former.apply_heartbeat(READY_SERVER)
+    if leaves == 'deregisters':
+        former.deregister('i-1')
+    elif leaves == 'drains':
+        former.apply_heartbeat(
+            attrs.evolve(
+                READY_SERVER, sequence=5, state=model.ServerState.DRAINING
+            )
+        )
+    else:
+        former.start_draining(READY_SERVER)
+    return former.server
+
+
+@when(
+    'a server {leaves}, its daemon restarts, and {count:d} late heartbeats come {order:w} the stored state'
+)
+def send_late_heartbeats(context, leaves, count, order):
+    stored = leave_and_restart(leaves)
+    context.registrar = build_registrar()
+    if order == 'after':
+        context.registrar.restore_server(stored)
+    for number in range(count):
+        context.registrar.apply_heartbeat(
+            attrs.evolve(READY_SERVER, sequence=6 + number)
+        )
+    if order == 'before':
+        context.registrar.restore_server(stored)
+
+
+@when(
+    'a server deregisters, its daemon restarts, and its next process starts before the stored state'
+)
+def start_next_process(context):
+    stored = leave_and_restart('deregisters')
+    context.registrar = build_registrar()
+    context.registrar.apply_heartbeat(
+        attrs.evolve(READY_SERVER, born_ms=200, sequence=1)
+    )
+    context.registrar.restore_server(stored)
+
+
+@when('a heartbeat that says ready overtakes one that says draining')
+def overtake(context):
+    context.registrar = build_registrar()
+    context.registrar.apply_heartbeat(attrs.evolve(READY_SERVER, sequence=6))
+    context.registrar.apply_heartbeat(
+        attrs.evolve(READY_SERVER, sequence=5, state=model.ServerState.DRAINING)
+    )
+
+
+@then('the server is {state:w} there and gets no requests')
+def check_left(context, state):
+    assert context.registrar.server.state.value == state
+    assert context.registrar.ready_server is None
+
+
+@then('the next process gets requests')
+def check_next_process(context):
+    assert context.registrar.ready_server.born_ms == 200
--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -3,6 +3,7 @@
 import http.client
 import json
 import pathlib
+import re
 import signal
 import socket
 import threading
@@ -241,6 +242,35 @@
     )
 
 
+@when('{count:d} late heartbeats of the first server arrive')
+def send_late_heartbeats(context, count):
+    """Sends heartbeats that the server has sent before it left."""
+    mesh = context.mesh
+    addresses = mesh.daemon_by_name['h1'].addresses
+    born = re.search(
+        r'event=server_changed server=i-h1 .*born_ms=(\d+)', mesh.read_log('h1')
+    )
+    for number in range(count):
+        body = {
+            'Service': 'booking',
+            'Address': addresses['server'],
+            'Zone': 'a',
+            'Version': 'v1',
+            'Slots': 4,
+            'State': 'ready',
+            'WarmupLeftMs': 0,
+            'Seq': 100_000 + number,
+            'born': int(born[1]),
+        }
+        status, _, _ = mesh_cluster.send_request(
+            addresses['control'],
+            'PUT',
+            '/-/instances/i-h1',
+            json.dumps(body).encode(),
+        )
+        assert status == 200, status
+
+
 @when('the store loses its history')
 def drop_store_history(context):
     context.mesh.set_store_faults(forget=True)
--- a/hemlockgrade/model.py
+++ b/hemlockgrade/model.py
@@ -260,6 +260,11 @@
     DRAINING = 'draining'
     GONE = 'gone'
 
+    @property
+    def rank(self) -> int:
+        """Returns the place of the state in the order that a server takes."""
+        return list(ServerState).index(self)
+
 
 @attrs.frozen(kw_only=True)
 class Server:
@@ -304,6 +309,33 @@
         """
         return attrs.evolve(self, sequence=0, warmup_left_s=0.0)
 
+    @property
+    def incarnation(self) -> tuple[str, int]:
+        """Returns what identifies the incarnation."""
+        return self.server_id, self.born_ms
+
+    @property
+    def age_order(self) -> tuple[int, int]:
+        """Returns a sort key that is higher for later heartbeats.
+
+        A later incarnation replaces an earlier one; within an incarnation the
+        sequence distinguishes late heartbeats from the newest.
+        """
+        return self.born_ms, self.sequence
+
+    def merged_with(self, other: 'Server') -> 'Server':
+        """Returns what two states of a server, either of them late, say of it.
+
+        The later heartbeat counts. But an incarnation that drains or is gone
+        does not become ready again, whatever a heartbeat says that was sent
+        before: a deregistration and a notice have no sequence of their own.
+        """
+        later = other if other.age_order > self.age_order else self
+        if self.incarnation != other.incarnation:
+            return later
+        state = max(self.state, other.state, key=lambda state: state.rank)
+        return attrs.evolve(later, state=state)
+
 
 @attrs.frozen(kw_only=True)
 class ServerNotice:
--- a/hemlockgrade/registrar.py
+++ b/hemlockgrade/registrar.py
@@ -86,13 +86,18 @@
         return server
 
     def restore_server(self, server: model.Server) -> None:
-        """Applies a state from the store if it is newer than the current one.
+        """Applies a state from the store to the current one.
 
         Args:
             server: State that an earlier daemon process on this host stored.
+                A leave that it has seen is kept, also if this process has
+                received a later heartbeat.
         """
-        if self.server is None or _age_order(server) > _age_order(self.server):
-            self._set_server(self._marked_if_left(server), False)
+        server = self._marked_if_left(server)
+        if self.server is not None:
+            server = self.server.merged_with(server)
+        if server != self.server:
+            self._set_server(server, 'store')
 
     def confirm(self, server: model.Server) -> None:
         """Allows requests to a server from the store that passed a check.
@@ -116,7 +121,10 @@
                 local one.
             warmup_left_s: Time for which the server stays cold, in seconds.
         """
-        if self.server is not None and _same_incarnation(self.server, server):
+        if (
+            self.server is not None
+            and self.server.incarnation == server.incarnation
+        ):
             self.cold_until = self.clock() + warmup_left_s
 
     def suspect_cold(self) -> None:
@@ -131,18 +139,25 @@
             return HeartbeatResult.OTHER_SERVER
         new = self._marked_if_left(new)
         old = self.server
-        if old is not None and not _is_newer(old, new):
-            return HeartbeatResult.OUTDATED
-        if old is not None and _same_incarnation(old, new):
-            if old.state is model.ServerState.GONE:
+        if old is not None:
+            is_later = new.age_order > old.age_order
+            if (
+                is_later
+                and old.incarnation == new.incarnation
+                and old.state is model.ServerState.GONE
+            ):
                 return HeartbeatResult.DEREGISTERED
-            # An incarnation that drains does not become ready again.
-            if old.state is model.ServerState.DRAINING:
-                new = attrs.evolve(new, state=old.state)
+            new = old.merged_with(new)
+            if new == old:
+                return HeartbeatResult.OUTDATED
+            if not is_later:
+                # An outdated heartbeat that says that the server leaves.
+                self._set_server(new, 'heartbeat')
+                return HeartbeatResult.APPLIED
         newly_confirmed = not self.confirmed
         self.confirmed = True
         self.cold_until = self.clock() + new.warmup_left_s
-        self._set_server(new, newly_confirmed)
+        self._set_server(new, 'heartbeat', newly_confirmed=newly_confirmed)
         return HeartbeatResult.APPLIED
 
     def deregister(self, server_id: str) -> bool:
@@ -164,7 +179,9 @@
             self._unknown_left_ms = self.time_ms()
             logger.info('event=unknown_server_left server={}', server_id)
             return False
-        self._set_server(attrs.evolve(old, state=model.ServerState.GONE), False)
+        self._set_server(
+            attrs.evolve(old, state=model.ServerState.GONE), 'deregistration'
+        )
         return True
 
     def start_draining(self, server: model.Server) -> None:
@@ -177,11 +194,11 @@
         old = self.server
         if (
             old is not None
-            and _same_incarnation(old, server)
+            and old.incarnation == server.incarnation
             and old.state is model.ServerState.READY
         ):
             self._set_server(
-                attrs.evolve(old, state=model.ServerState.DRAINING), False
+                attrs.evolve(old, state=model.ServerState.DRAINING), 'notice'
             )
 
     def _marked_if_left(self, server: model.Server) -> model.Server:
@@ -196,11 +213,14 @@
             return server
         return attrs.evolve(server, state=model.ServerState.GONE)
 
-    def _set_server(self, new: model.Server, newly_confirmed: bool):
+    def _set_server(
+        self, new: model.Server, source: str, *, newly_confirmed: bool = False
+    ):
         """Sets the state, and logs it and calls `on_change` if it changed.
 
         Args:
             new: The new state.
+            source: Origin of the state, for the log.
             newly_confirmed: True if the server was not confirmed before, which
                 counts as a change.
         """
@@ -213,30 +233,14 @@
             return
         logger.info(
             'event=server_changed server={} version={} state={} before={} '
-            'sequence={} born_ms={}',
+            'sequence={} born_ms={} source={}',
             new.server_id,
             new.version,
             new.state,
             old.state if old is not None else '-',
             new.sequence,
             new.born_ms,
+            source,
         )
         for callback in self.on_change:
             callback()
-
-
-def _same_incarnation(old: model.Server, new: model.Server) -> bool:
-    return old.server_id == new.server_id and old.born_ms == new.born_ms
-
-
-def _age_order(server: model.Server) -> tuple[int, int]:
-    """Returns a sort key that is higher for newer heartbeats.
-
-    A later incarnation replaces an earlier one; within an incarnation the
-    sequence distinguishes late heartbeats from the newest.
-    """
-    return server.born_ms, server.sequence
-
-
-def _is_newer(old: model.Server, new: model.Server) -> bool:
-    return _age_order(new) > _age_order(old)
