Let the stand-in of the store come back from an older copy

Cause: no test of the project could play a drill of the store, in which it comes back without what was written since a copy and gives out revisions again.

Change: restore_s takes the state of some seconds ago, raises the header Store-Era, which every response now has, and cuts the connections or leaves them open. InProcessPool lets a test use the client of the store without sockets. No scenario uses it yet.

--- a/standins/metadata_store.py
+++ b/standins/metadata_store.py
@@ -9,6 +9,10 @@
     refuse_ports: Ports on which all calls are refused with status 503.
     lose_answers: Number of writes that take effect without a response.
     forget: True to drop the history of changes once.
+    restore_s: Age in seconds of a copy of the data from which the store comes
+        back once, without anything that was written since.
+    keep_connections: True if connections stay open then, and watches of
+        revisions that the copy has go on.
     replace: Texts that are replaced in the bodies of writes, for example the
         address of a daemon by the address of a relay.
     lag_s: Age in seconds of the data of reads with `Serializable=1`. Changes
@@ -19,6 +23,9 @@
         revision of the store, instead of that of the data.
 
 `GET /.control/calls` returns the number of calls by method.
+
+Each response has the header `Store-Era`, which rises by one with each return
+from a copy.
 """
 
 import asyncio
@@ -31,6 +38,7 @@
 
 import attrs
 
+from hemlockgrade import http_codec
 from standins import http_connection
 
 OBJECTS_PATH = '/-/objects/'
@@ -71,10 +79,14 @@
         changed: Set at the next change, then replaced.
         faults: Active faults by name.
         calls: Number of calls by method.
+        era: Number of the latest return from a copy, counted from 1.
+        transports: Transports of the open connections.
     """
 
     def __init__(self):
         self.revision = 1
+        self.era = 1
+        self.transports = set()
         self.objects = collections.defaultdict(dict)
         self.history = []
         self.forgotten = 0
@@ -106,14 +118,12 @@
         if old is not None and old.get(section) == data:
             return 200, old
         self.revision += 1
-        created_revision = (
-            old['Metadata']['CreateRev'] if old else self.revision
-        )
+        created_number = old['Metadata']['CreateRev'] if old else self.revision
         new = {
             'Metadata': {
                 'Name': name,
                 'Rev': self.revision,
-                'CreateRev': created_revision,
+                'CreateRev': created_number,
                 'Finalizers': [],
                 'Deleting': False,
             },
@@ -153,6 +163,24 @@
         self.forgotten = self.revision
         self.notify_watches()
 
+    def restore(self, revision, *, keeps_connections=False):
+        """Comes back from a copy of the data, without anything written since.
+
+        Args:
+            revision: Revision of the store when the copy was made.
+            keeps_connections: False to cut all connections.
+        """
+        for kind in list(self.objects):
+            self.objects[kind] = self.objects_at(kind, revision)
+        self.history = [c for c in self.history if c.revision <= revision]
+        self.revision = revision
+        self.forgotten = min(self.forgotten, revision)
+        self.era += 1
+        if not keeps_connections:
+            for transport in list(self.transports):
+                transport.abort()
+        self.notify_watches()
+
     def revision_before(self, lag_s):
         """Returns the revision that the store had some seconds ago."""
         revision = self.revision
@@ -211,12 +239,23 @@
         super().__init__()
         self.store = store
 
+    def connection_made(self, transport):
+        """Makes the connection known to the store."""
+        super().connection_made(transport)
+        self.store.transports.add(transport)
+
+    def connection_lost(self, exc):
+        """Removes the connection from those of the store."""
+        super().connection_lost(exc)
+        self.store.transports.discard(self.transport)
+
     async def handle(self, request):
         """Handles one call; some faults suppress the response."""
         response = await self.respond(request)
         if response is not None:
             status, data = response
-            self.send(status, json.dumps(data).encode())
+            headers = [('Store-Era', self.store.era)]
+            self.send(status, json.dumps(data).encode(), headers)
 
     async def respond(self, request):
         """Returns the status and body of the response; None for no response."""
@@ -226,6 +265,16 @@
             store.faults = json.loads(request.body)
             if store.faults.pop('forget', False):
                 store.forget()
+            restore_s = store.faults.pop('restore_s', None)
+            keeps_connections = store.faults.pop('keep_connections', False)
+            if restore_s is not None:
+                # The response to this call is sent before connections are cut.
+                asyncio.get_running_loop().call_soon(
+                    lambda: store.restore(
+                        store.revision_before(restore_s),
+                        keeps_connections=keeps_connections,
+                    )
+                )
             store.notify_watches()
             return 200, {}
         if url.path == '/.control/calls':
@@ -280,6 +329,8 @@
         store, after = self.store, int(query['Watch'])
         loop = asyncio.get_running_loop()
         ends_at = loop.time() + int(query['WaitMs']) / 1000
+        if after > store.revision:
+            return 410, {}
         while True:
             if after < store.forgotten:
                 return 410, {}
@@ -335,6 +386,37 @@
         )
 
 
+class InProcessPool:
+    """Stands in for the connections of a client in the process of the store.
+
+    Attributes:
+        store: Responds to the calls.
+        before_responses: Functions of which the next one is called before the
+            store handles the next call.
+    """
+
+    def __init__(self, store):
+        self.store = store
+        self.before_responses = []
+
+    async def fetch(self, address, request, deadline, **limits):
+        """Returns the response of the store to a call."""
+        if self.before_responses:
+            self.before_responses.pop(0)()
+        connection = Connection(self.store)
+        connection.transport = self
+        status, data = await connection.respond(request)
+        return http_codec.Response(
+            status=status,
+            headers=[(b'store-era', b'%d' % self.store.era)],
+            body=json.dumps(data).encode(),
+        )
+
+    def get_extra_info(self, name):
+        """Returns an address for a connection that has none."""
+        return '', 0
+
+
 async def main(ports):
     """Handles calls on the ports until the process is killed."""
     store = Store()
