Order what comes from the store by its era, so that rollouts go on after a drill

Cause: the store gives its revisions out again. Daemons ordered all objects by the number alone, so the share that the store had was older for them than the one that they knew. Each write conflicted, and the state in the conflict was dropped as outdated. The decided state, the epoch and the order of a rollout had the same fault one step later: a copy has an earlier state of them with a later revision.

Ruled out: to take whatever a conflict returns.

Change: the client of the store reads Store-Era and gives out revisions that order by era and number; conditions and watches of an earlier era fail in the client. Within one rollout the state does not go back (VersionShare.merged_with); what the store lacks of it is written again by the holder, or by another daemon if a decision stays lost. An order that the operator writes again is known by its version and a later era, for 30 s after its deadline. All watches list again once a response or a peer names a later era, also on connections that stay open.

--- a/bench/decisions_rollout.py
+++ b/bench/decisions_rollout.py
@@ -259,7 +259,7 @@
             version='new',
             duration_s=case.deadline_s,
             revision=1,
-            created_revision=1,
+            created_number=1,
             stores_outcome=False,
         )
         self.directory.apply_share(
--- a/features/steps/mesh_decisions_steps.py
+++ b/features/steps/mesh_decisions_steps.py
@@ -923,7 +923,7 @@
         version='v2',
         duration_s=12.0,
         revision=1,
-        created_revision=1,
+        created_number=1,
         stores_outcome=False,
     )
     context.share = model.VersionShare(
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -284,6 +284,7 @@
             freshness=self.freshness,
             watches_evacuations=settings.evacuation_limit_ms > 0,
         )
+        self.store.on_era.append(self._store_feed.handle_era)
         self._configuration_check = configuration_check.ConfigurationCheck(
             freshness=self.freshness,
             feed=self._store_feed,
--- a/hemlockgrade/directory.py
+++ b/hemlockgrade/directory.py
@@ -5,6 +5,7 @@
 from collections.abc import Collection
 from collections.abc import Iterator
 import random
+import time
 from typing import Any
 
 import attrs
@@ -13,6 +14,7 @@
 from hemlockgrade import kernel
 from hemlockgrade import model
 from hemlockgrade import object_codec
+from hemlockgrade import revisions
 from hemlockgrade import selectors
 from hemlockgrade import weighted_round_robin
 
@@ -115,6 +117,9 @@
             first one.
         member_by_name: Members by the name of their host.
         share_by_key: States of rollouts by the key of their order.
+        unstored_share_keys: Keys of the rollouts whose state here is later than
+            the one that was last read, because the store came back from an
+            older copy.
         label_by_name: Labels as operators set them.
         selector_by_name: Selectors as operators set them.
         deletion_revision_by_key: Revisions of the most recent deletions, by
@@ -137,6 +142,7 @@
     configuration: model.MeshConfiguration | None = None
     member_by_name: dict[str, model.Member] = attrs.field(factory=dict)
     share_by_key: dict[str, model.VersionShare] = attrs.field(factory=dict)
+    unstored_share_keys: set[str] = attrs.field(factory=set)
     label_by_name: dict[str, model.Definition] = attrs.field(factory=dict)
     selector_by_name: dict[str, model.Definition] = attrs.field(factory=dict)
     deletion_revision_by_key: dict[str, int] = attrs.field(factory=dict)
@@ -385,13 +391,18 @@
     def remove_missing(self, keys: Collection[str], revision: int) -> None:
         """Removes the mesh objects that a complete list does not contain.
 
+        Objects of an earlier era stay: the store may have come back from a
+        copy without them, and their owners then write them again.
+
         Args:
             keys: Keys of all mesh objects in the store.
             revision: Revision of the store at the time of the list.
         """
         for value in list(self.objects()):
             key = object_codec.key_of(value)
-            if key not in keys:
+            if key not in keys and not revisions.is_of_earlier_era(
+                value.revision, revision
+            ):
                 self.remove(key, revision)
 
     def _objects_by_prefix(self) -> dict[str, dict[str, Any]]:
@@ -418,10 +429,15 @@
         return newest >= value.revision
 
     def apply_share(self, share: model.VersionShare, source: str) -> bool:
-        """Applies the state of a rollout; see `apply`."""
+        """Applies the state of a rollout without steps back; see `apply`."""
         old = self.share_by_key.get(share.key)
         if self._is_outdated(share, old):
             return False
+        self.unstored_share_keys.discard(share.key)
+        if old is not None:
+            read, share = share, share.merged_with(old, time.time())
+            if share != read:
+                self.unstored_share_keys.add(share.key)
         self.share_by_key[share.key] = share
         self.table_revision = max(self.table_revision, share.revision)
         if old is None or (old.permille, old.state, old.version) != (
--- a/hemlockgrade/model.py
+++ b/hemlockgrade/model.py
@@ -8,6 +8,13 @@
 
 import attrs
 
+from hemlockgrade import revisions
+
+# Time after the deadline of a rollout in which an order of the same version
+# that appears in a later era of the store is taken for the same order, in
+# seconds.
+ORDER_REWRITE_LIMIT_S = 30.0
+
 
 class LabelKind(enum.StrEnum):
     """What a label contains: targets or proxies."""
@@ -425,7 +432,7 @@
         version: Version that takes over.
         duration_s: Longest duration of the rollout, in seconds.
         revision: Revision of the stored order.
-        created_revision: Revision at which the order was created.
+        created_number: Number of the revision at which the order was created.
         state: State of the rollout in the order's status; None if the status
             has none.
         reported_version: Version to which the state in the status refers.
@@ -438,11 +445,22 @@
     version: str
     duration_s: float
     revision: int
-    created_revision: int
+    created_number: int
     state: RolloutState | None = None
     reported_version: str = ''
     stores_outcome: bool = True
 
+    @property
+    def identity(self) -> int:
+        """Returns what tells orders of the same key and version apart.
+
+        It is the revision at which the order was created, in the era in which
+        the order was last read.
+        """
+        return revisions.revision_of(
+            revisions.era_of(self.revision), self.created_number
+        )
+
 
 @attrs.frozen(kw_only=True)
 class VersionShare:
@@ -460,7 +478,7 @@
         epoch: Number that grows with each new holder.
         renewals: Number that grows with each lease renewal of the holder.
         finish_by: Deadline of the rollout, in seconds of Unix time.
-        order_revision: Revision at which the order was created.
+        order_revision: `RolloutOrder.identity` of the order.
         reason: Reason for the state, for operators.
         revision: Revision of the stored object.
     """
@@ -477,3 +495,56 @@
     order_revision: int = 0
     reason: str = ''
     revision: int = 0
+
+    def is_of_order(
+        self, version: str, order_revision: int, now: float
+    ) -> bool:
+        """Returns whether this is the state of the rollout of an order.
+
+        An order that the store lost and that the operator has written again has
+        another number, and is of a later era than the one named here.
+
+        Args:
+            version: The new version of the order.
+            order_revision: `RolloutOrder.identity` of the order.
+            now: Current time in seconds of Unix time.
+        """
+        if self.version != version:
+            return False
+        if revisions.is_same_number(self.order_revision, order_revision):
+            return True
+        return (
+            revisions.is_of_earlier_era(self.order_revision, order_revision)
+            and now < self.finish_by + ORDER_REWRITE_LIMIT_S
+        )
+
+    def merged_with(self, former: 'VersionShare', now: float) -> 'VersionShare':
+        """Returns this state without steps back from a former one.
+
+        Within a rollout the share only grows, a decision is final, and the
+        epoch does not fall. A store that comes back from an older copy returns
+        an earlier state with a later revision.
+
+        Args:
+            former: State of the same key that was known before. It does not
+                count if it is of another order.
+            now: Current time in seconds of Unix time.
+        """
+        if not former.is_of_order(self.version, self.order_revision, now):
+            return self
+        is_decided = self.state is not RolloutState.RUNNING
+        was_decided = former.state is not RolloutState.RUNNING
+        base, permille = self, self.permille
+        if was_decided and not is_decided:
+            base, permille = former, former.permille
+        elif not is_decided:
+            base = former if former.epoch > self.epoch else self
+            permille = max(self.permille, former.permille)
+        return attrs.evolve(
+            base,
+            permille=permille,
+            epoch=max(self.epoch, former.epoch),
+            renewals=max(self.renewals, former.renewals),
+            order_revision=max(self.order_revision, former.order_revision),
+            revision=self.revision,
+        )
--- a/hemlockgrade/object_store.py
+++ b/hemlockgrade/object_store.py
@@ -16,7 +16,8 @@
         kind: Kind of the object.
         name: Name of the object, unique among the objects of the kind.
         revision: Revision of the object's last change.
-        created_revision: Revision at which the object was created.
+        created_number: Number of the revision at which the object was created.
+            A copy of the store keeps it, so it is without the era.
         deleting: True once the object was deleted but still has finalizers.
         finalizers: Names that block the deletion until they are removed.
         spec: Desired state, which the owner of the object writes.
@@ -26,7 +27,7 @@
     kind: str
     name: str
     revision: int
-    created_revision: int = 0
+    created_number: int = 0
     deleting: bool = False
     finalizers: tuple[str, ...] = ()
     spec: Any = None
@@ -139,6 +140,11 @@
 class ObjectStore(Protocol):
     """A store of objects with revisions, conditional writes and watches.
 
+    Revisions also grow when the store comes back from an older copy of its
+    data; see `revisions`. Watches of a revision from before end with
+    `HistoryLostError` then, and conditional writes over one with
+    `RevisionConflictError`, even if the store took the write.
+
     Every method may raise `exceptions.PlatformUnavailableError`. Its attribute
     `outcome_known` is False if the write may have taken effect or may still
     take effect.
--- a/hemlockgrade/platform/codec.py
+++ b/hemlockgrade/platform/codec.py
@@ -332,7 +332,7 @@
 
 
 def decode_rollout_order(
-    name: str, spec: Any, status: Any, revision: int, created_revision: int
+    name: str, spec: Any, status: Any, revision: int, created_number: int
 ) -> model.RolloutOrder:
     """Decodes an operator's rollout order.
 
@@ -341,7 +341,7 @@
         spec: Spec of the order's object in the store.
         status: Status of the object; None before the first report.
         revision: Revision of the object's last change.
-        created_revision: Revision at which the object was created.
+        created_number: Number of the revision at which the object was created.
 
     Raises:
         exceptions.InvalidFieldError: A field is missing or malformed, or the
@@ -358,7 +358,7 @@
         version=_identifier('TargetVersion', spec.get('TargetVersion')),
         duration_s=_number('DurationS', spec.get('DurationS')),
         revision=revision,
-        created_revision=created_revision,
+        created_number=created_number,
         state=_ROLLOUT_STATES.get(str(status.get('State'))),
         reported_version=str(status.get('TargetVersion') or ''),
     )
--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -1,7 +1,13 @@
-"""Client of the platform's metadata store."""
+"""Client of the platform's metadata store.
+
+Every response of the store names its era; see `revisions`. This client reads
+the era and gives out revisions that contain it, so that the rest of the daemon
+orders by it without knowing of it.
+"""
 
 import asyncio
 import collections
+from collections.abc import Callable
 import json
 import re
 from typing import Any
@@ -14,10 +20,15 @@
 from hemlockgrade import exceptions
 from hemlockgrade import http_codec
 from hemlockgrade import object_store
+from hemlockgrade import revisions
 from hemlockgrade import store_calls
 from hemlockgrade import upstream
 
 OBJECTS_PATH = '/-/objects/'
+# Number that rises by one each time the store comes back from a copy.
+ERA_HEADER = b'store-era'
+# Digits only: `int` accepts signs, spaces and underscores as well.
+ERA_PATTERN = re.compile('[0-9]{1,9}')
 # Timeout of calls other than watches, in seconds. The store usually responds in
 # 4 ms, and when it is slow, in half a second.
 CALL_TIMEOUT_S = 1.5
@@ -35,6 +46,19 @@
 _Method = Literal['GET', 'POST', 'PUT', 'DELETE']
 
 
+@attrs.frozen
+class _Reply:
+    """Decoded response of the store.
+
+    Attributes:
+        data: The decoded body.
+        era: Era of the store that sent it.
+    """
+
+    data: Any
+    era: int
+
+
 @attrs.define(eq=False)
 class MetadataStore:
     """Implements `object_store.ObjectStore` with pooled HTTP connections.
@@ -48,6 +72,9 @@
         calls_by_method: Number of calls by HTTP method, for the metrics.
         ended_calls: Counts the calls that have ended, for the metrics and the
             log.
+        era: Highest era of the responses; 0 before the first one, and if the
+            store names none.
+        on_era: Called with each higher era.
     """
 
     address: str
@@ -57,6 +84,10 @@
     ended_calls: store_calls.StoreCallCounter = attrs.field(
         factory=store_calls.StoreCallCounter
     )
+    era: int = 0
+    on_era: list[Callable[[int], None]] = attrs.field(factory=list)
+    # The latest value of the header that names no era.
+    _unusable_era: str | None = None
     # Size of the latest response with the newest versions only, by kind.
     _newest_bytes_by_kind: dict[str, int] = attrs.field(factory=dict)
     # Number of responses that have begun, by kind.
@@ -71,12 +102,12 @@
     async def get(self, kind: str, name: str) -> object_store.StoredItem | None:
         """Returns one object, or None if it does not exist."""
         try:
-            data = await self._call(
+            reply = await self._call(
                 'GET', _object_path(kind, name), purpose='get'
             )
         except exceptions.NotFoundError:
             return None
-        return _decode_item(kind, data)
+        return _decode_item(kind, reply.data, reply.era)
 
     async def list(
         self,
@@ -91,20 +122,25 @@
         returns what changed on this page while the later ones were read.
         """
         items: list[object_store.StoredItem] = []
-        revision: int | None = None
+        first_reply: _Reply | None = None
         first = f'{kind}?Serializable=1' if may_lag else kind
         path = first
         while True:
-            data = await self._read(path, limits=limits, purpose='list')
-            items.extend(_decode_items(kind, data['items']))
-            if revision is None:
-                revision = data['CurrentRev']
+            reply = await self._read(path, limits=limits, purpose='list')
+            data = reply.data
+            items.extend(_decode_items(kind, data['items'], reply.era))
+            if first_reply is None:
+                first_reply = reply
+            elif first_reply.era != reply.era:
+                raise _unavailable('GET', path, 'the pages are of two eras')
             if not data.get('HasMore') or not data['items']:
                 break
             separator = '&' if may_lag else '?'
             last_name = data['items'][-1]['Metadata']['Name']
             path = f'{first}{separator}after={http_codec.quote(last_name)}'
-        return object_store.Listing(items=tuple(items), revision=revision)
+        return object_store.Listing(
+            items=tuple(items), revision=_current_revision(first_reply)
+        )
 
     async def watch(
         self,
@@ -120,72 +156,134 @@
         toward the rate limit.
         """
         wait_ms = max(MIN_WAIT_MS, int(wait_s * 1000))
-        # `Watch` is the revision after which changes are returned.
-        path = f'{kind}?Watch={revision}&WaitMs={wait_ms}'
-        data = await self._read(
+        path = _watch_path(kind, revision, wait_ms)
+        return await self._read_changes(
             f'{path}&Serializable=1' if may_lag else path,
+            revision,
             timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S,
             purpose='watch',
         )
-        return _decode_changes(kind, data)
 
     async def changes_since(
         self, kind: str, revision: int, limits: object_store.ReadLimits
     ) -> object_store.Changes:
         """Returns all changes after a revision up to now, without a wait."""
-        path = f'{kind}?Watch={revision}&WaitMs={MIN_WAIT_MS}'
-        data = await self._read(path, limits=limits, purpose='changes_since')
-        return _decode_changes(kind, data)
+        return await self._read_changes(
+            _watch_path(kind, revision, MIN_WAIT_MS),
+            revision,
+            limits=limits,
+            purpose='changes_since',
+        )
+
+    async def _read_changes(
+        self, path: str, revision: int, **options: Any
+    ) -> object_store.Changes:
+        """Reads the changes after a revision, which must be of the same era."""
+        if revisions.era_of(revision) < self.era:
+            raise _history_lost(path)
+        reply = await self._read(
+            path, min_era=revisions.era_of(revision), **options
+        )
+        if reply.era > revisions.era_of(revision):
+            raise _history_lost(path)
+        return _decode_changes(_kind(path), reply)
 
     async def create(
         self, kind: str, name: str, spec: Any
     ) -> object_store.StoredItem:
         """Creates an object if it does not exist."""
         body = {'Metadata': {'Name': name}, 'Spec': spec}
-        data = await self._call('POST', kind, body, purpose='create')
-        return _decode_item(kind, data)
+        reply = await self._call('POST', kind, body, purpose='create')
+        return _decode_item(kind, reply.data, reply.era)
 
     async def replace(
         self, kind: str, name: str, spec: Any, revision: int
     ) -> object_store.StoredItem:
         """Replaces the spec of an object if it has the given revision."""
-        body = {'Metadata': {'Name': name, 'Rev': revision}, 'Spec': spec}
-        data = await self._call(
-            'PUT', _object_path(kind, name), body, purpose='replace'
+        number = revisions.number_of(revision)
+        body = {'Metadata': {'Name': name, 'Rev': number}, 'Spec': spec}
+        path = _object_path(kind, name)
+        reply = await self._write_if(
+            kind, name, revision, 'PUT', path, body, purpose='replace'
         )
-        return _decode_item(kind, data)
+        return _decode_item(kind, reply.data, reply.era)
 
     async def replace_status(
         self, kind: str, name: str, status: Any, revision: int
     ) -> object_store.StoredItem:
         """Replaces the status of an object if it has the given revision."""
-        body = {'Metadata': {'Name': name, 'Rev': revision}, 'Status': status}
+        number = revisions.number_of(revision)
+        body = {'Metadata': {'Name': name, 'Rev': number}, 'Status': status}
         path = f'{_object_path(kind, name)}/status'
-        data = await self._call('PUT', path, body, purpose='replace_status')
-        return _decode_item(kind, data)
+        reply = await self._write_if(
+            kind, name, revision, 'PUT', path, body, purpose='replace_status'
+        )
+        return _decode_item(kind, reply.data, reply.era)
 
     async def delete(self, kind: str, name: str, revision: int) -> None:
         """Deletes an object if it has the given revision."""
-        path = f'{_object_path(kind, name)}?Rev={revision}'
-        await self._call('DELETE', path, purpose='delete')
+        number = revisions.number_of(revision)
+        path = f'{_object_path(kind, name)}?Rev={number}'
+        await self._write_if(
+            kind, name, revision, 'DELETE', path, purpose='delete'
+        )
+
+    async def _write_if(
+        self,
+        kind: str,
+        name: str,
+        revision: int,
+        method: _Method,
+        path: str,
+        body: Any = None,
+        **options: Any,
+    ) -> _Reply:
+        """Sends a write whose condition is the revision of the object.
+
+        The number of a revision of an earlier era may be that of another state
+        of the object, which the caller has not seen.
+        """
+        era = revisions.era_of(revision)
+        if era < self.era:
+            current = await self.get(kind, name)
+            if current is None:
+                raise _not_found(path)
+            raise _conflict(path, current)
+        reply = await self._call(method, path, body, min_era=era, **options)
+        if reply.era == era:
+            return reply
+        # The store came back from a copy in between and took the write.
+        logger.warning(
+            'event=write_in_later_era call={} name={!r} revision={} era={}',
+            options['purpose'],
+            name,
+            revision,
+            reply.era,
+        )
+        current = None
+        if method != 'DELETE':
+            current = _decode_item(kind, reply.data, reply.era)
+        raise _conflict(path, current)
 
-    async def _read(self, path: str, **options: Any) -> dict[str, Any]:
+    async def _read(self, path: str, **options: Any) -> _Reply:
         """Reads a list or a watch; a malformed response is a failed read."""
         try:
-            data = await self._call('GET', path, **options)
+            reply = await self._call('GET', path, **options)
         except exceptions.NotFoundError as error:
             raise _unavailable('GET', path, str(error)) from error
+        data = reply.data
         if (
             not isinstance(data, dict)
             or not isinstance(data.get('CurrentRev'), int)
+            or not 0 <= data['CurrentRev'] < revisions.ERA_FACTOR
             or not isinstance(data.get('items', data.get('events')), list)
         ):
             raise _unavailable('GET', path, 'malformed response')
-        return data
+        return reply
 
     async def _call(
         self, method: _Method, path: str, body: Any = None, **options: Any
-    ) -> Any:
+    ) -> _Reply:
         """Sends a call, counts it, and returns the decoded response.
 
         Args:
@@ -199,10 +297,11 @@
         purpose = options.pop('purpose')
         result = 'failed'
         try:
-            data = await self._send(method, path, body, **options)
+            reply = await self._send(method, path, body, **options)
+            data = reply.data
             is_empty_watch = isinstance(data, dict) and data.get('events') == []
             result = 'unchanged' if is_empty_watch else 'changed'
-            return data
+            return reply
         except (
             exceptions.NotFoundError,
             object_store.RevisionConflictError,
@@ -231,7 +330,8 @@
         *,
         timeout_s: float = CALL_TIMEOUT_S,
         limits: object_store.ReadLimits | None = None,
-    ) -> Any:
+        min_era: int = 0,
+    ) -> _Reply:
         request = http_codec.Request(
             method=method, target=f'{OBJECTS_PATH}{path}'
         )
@@ -286,12 +386,53 @@
             ) from error
         finally:
             self._receiving_by_kind.subtract(started)
-        data = _decode_response(method, path, response)
+        era = self._read_era(response)
+        if era < max(self.era, min_era):
+            # A late response, or one of a replica that is behind.
+            raise _unavailable(
+                method,
+                path,
+                f'the response is of the earlier era {era}',
+                outcome_known=method == 'GET',
+            )
+        self._raise_era(era)
+        data = _decode_response(method, path, response, era)
         if method == 'GET' and kind in self.newest_only_kinds:
             is_list = 'items' in data
             if is_list or len(data.get('events', ())) == 1:
                 self._newest_bytes_by_kind[kind] = len(response.body)
-        return data
+        return _Reply(data, era)
+
+    def _read_era(self, response: http_codec.Response) -> int:
+        """Returns the era of a response.
+
+        Of several values the highest one counts: to read again what is known
+        does less harm than to miss that the store has lost changes. A response
+        without a usable value is taken to be of the era of the former one.
+        """
+        eras = []
+        for name, value in response.headers:
+            if name != ERA_HEADER:
+                continue
+            text = value.decode('latin-1')
+            if ERA_PATTERN.fullmatch(text) and int(text) <= revisions.MAX_ERA:
+                eras.append(int(text))
+            elif text != self._unusable_era:
+                self._unusable_era = text
+                logger.error(
+                    'event=store_era_unusable value={!r:.100} era={}',
+                    text,
+                    self.era,
+                )
+        return max(eras, default=self.era)
+
+    def _raise_era(self, era: int):
+        if era <= self.era:
+            return
+        logger.info('event=store_era_risen era={} before={}', era, self.era)
+        self.era = era
+        for callback in self.on_era:
+            callback(era)
 
     def _max_bytes(self, path: str) -> int | None:
         newest_bytes = self._newest_bytes_by_kind.get(_kind(path))
@@ -309,6 +450,15 @@
     return f'{kind}/{http_codec.quote(name)}'
 
 
+def _watch_path(kind: str, revision: int, wait_ms: int) -> str:
+    """Returns the path of a watch of the changes after a revision."""
+    return f'{kind}?Watch={revisions.number_of(revision)}&WaitMs={wait_ms}'
+
+
+def _current_revision(reply: _Reply) -> int:
+    return revisions.revision_of(reply.era, reply.data['CurrentRev'])
+
+
 def _decode_json(body: bytes) -> Any:
     """Decodes a body, of which another program may have written a part.
 
@@ -329,7 +479,7 @@
 
 
 def _decode_response(
-    method: str, path: str, response: http_codec.Response
+    method: str, path: str, response: http_codec.Response, era: int
 ) -> Any:
     """Returns the decoded body of a response, or raises an error."""
     status = response.status
@@ -344,47 +494,44 @@
                 outcome_known=method == 'GET',
             ) from error
     if status == 404:
-        raise exceptions.NotFoundError(
-            f'{path} does not exist in the store', remedy='create it first'
-        )
+        raise _not_found(path)
     if status == 410:
-        raise object_store.HistoryLostError(
-            f'the store no longer has the changes of {path}',
-            remedy='list the kind again',
-        )
+        raise _history_lost(path)
     if status == 409:
-        raise object_store.RevisionConflictError(
-            f'{path} has another revision', _decode_conflict(path, response)
-        )
+        raise _conflict(path, _decode_conflict(path, response, era))
     raise _unavailable(method, path, f'status {status}')
 
 
 def _decode_conflict(
-    path: str, response: http_codec.Response
+    path: str, response: http_codec.Response, era: int
 ) -> object_store.StoredItem | None:
     kind = path.partition('/')[0]
     try:
-        return _decode_item(kind, _decode_json(response.body))
+        return _decode_item(kind, _decode_json(response.body), era)
     except (ValueError, exceptions.HemlockError):
         return None
 
 
-def _decode_changes(kind: str, data: dict[str, Any]) -> object_store.Changes:
+def _decode_changes(kind: str, reply: _Reply) -> object_store.Changes:
     changes = tuple(
         object_store.ItemChange(item=item, deleted=bool(event.get('Deleted')))
-        for event in data['events']
+        for event in reply.data['events']
         if isinstance(event, dict)
-        for item in _decode_items(kind, [event.get('Object')])
+        for item in _decode_items(kind, [event.get('Object')], reply.era)
+    )
+    return object_store.Changes(
+        changes=changes, revision=_current_revision(reply)
     )
-    return object_store.Changes(changes=changes, revision=data['CurrentRev'])
 
 
-def _decode_items(kind: str, data: list[Any]) -> list[object_store.StoredItem]:
+def _decode_items(
+    kind: str, data: list[Any], era: int
+) -> list[object_store.StoredItem]:
     """Decodes objects; leaves out those that cannot be decoded."""
     items = []
     for each in data:
         try:
-            items.append(_decode_item(kind, each))
+            items.append(_decode_item(kind, each, era))
         except exceptions.PlatformUnavailableError as error:
             logger.error(
                 'event=entry_refused name={!r} source=store problem={!r}',
@@ -400,23 +547,44 @@
     return metadata.get('Name') if isinstance(metadata, dict) else None
 
 
-def _decode_item(kind: str, data: Any) -> object_store.StoredItem:
+def _decode_item(kind: str, data: Any, era: int) -> object_store.StoredItem:
     try:
         metadata = data['Metadata']
         return object_store.StoredItem(
             kind=kind,
             name=metadata['Name'],
-            revision=metadata['Rev'],
-            created_revision=metadata.get('CreateRev', 0),
+            revision=revisions.revision_of(era, metadata['Rev']),
+            created_number=metadata.get('CreateRev', 0),
             deleting=bool(metadata.get('Deleting')),
             finalizers=tuple(metadata.get('Finalizers') or ()),
             spec=data.get('Spec'),
             status=data.get('Status'),
         )
-    except (KeyError, TypeError, AttributeError) as error:
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise _unavailable('GET', kind, f'malformed object: {error}') from error
 
 
+def _not_found(path: str) -> exceptions.NotFoundError:
+    return exceptions.NotFoundError(
+        f'{path} does not exist in the store', remedy='create it first'
+    )
+
+
+def _history_lost(path: str) -> object_store.HistoryLostError:
+    return object_store.HistoryLostError(
+        f'the store no longer has the changes of {path}',
+        remedy='list the kind again',
+    )
+
+
+def _conflict(
+    path: str, current: object_store.StoredItem | None
+) -> object_store.RevisionConflictError:
+    return object_store.RevisionConflictError(
+        f'{path} has another revision', current
+    )
+
+
 def _unavailable(
     method: str, path: str, problem: str, *, outcome_known: bool = True
 ) -> exceptions.PlatformUnavailableError:
--- a/hemlockgrade/rollout_task.py
+++ b/hemlockgrade/rollout_task.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 import hashlib
 import time
+from typing import Any
 
 import attrs
 from loguru import logger
@@ -26,6 +27,7 @@
 from hemlockgrade import object_codec
 from hemlockgrade import object_store
 from hemlockgrade import peer_protocol
+from hemlockgrade import revisions
 from hemlockgrade import upstream
 from hemlockgrade.platform import codec as platform_codec
 
@@ -157,6 +159,8 @@
     # Revision of each share and the monotonic time at which it was first seen.
     _share_seen_by_key: dict[str, tuple[int, float]] = attrs.field(factory=dict)
     _progress_by_key: dict[str, Progress] = attrs.field(factory=dict)
+    # Monotonic time since which a decision that the store lost is known.
+    _lost_decision_at_by_key: dict[str, float] = attrs.field(factory=dict)
     _share_written_at_by_key: dict[str, float] = attrs.field(factory=dict)
     _orders_changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
@@ -171,7 +175,7 @@
                 item.spec,
                 item.status,
                 item.revision,
-                item.created_revision,
+                item.created_number,
             )
         except exceptions.InvalidFieldError as error:
             logger.error(
@@ -242,6 +246,7 @@
                 share is not None
                 and _is_share_of_order(share, order)
                 and share.state is not model.RolloutState.RUNNING
+                and not self._is_unstored(order, share)
             )
         return (
             order.state
@@ -261,9 +266,14 @@
             return
         if share.holder != self.host_name:
             self._progress_by_key.pop(order.key, None)
-            if self._is_lease_expired(share):
+            if self._is_lease_expired(share) or self._must_restore(share):
                 await self._acquire(order, share)
             return
+        if self._is_unstored(order, share):
+            await self._write_share(
+                attrs.evolve(share, order_revision=order.identity)
+            )
+            share = self.directory.share_by_key[order.key]
         if share.state is not model.RolloutState.RUNNING:
             await self._report_state(order, share.state)
             return
@@ -287,6 +297,39 @@
             share.key
         )
 
+    def _is_unstored(
+        self, order: model.RolloutOrder, share: model.VersionShare
+    ) -> bool:
+        """Returns whether the store lacks the known state of a rollout.
+
+        It came back from a copy with an earlier state of the share or without
+        it, or without its order, which has been written again since.
+        """
+        return (
+            share.key in self.directory.unstored_share_keys
+            or share.order_revision != order.identity
+            or revisions.is_of_earlier_era(share.revision, order.revision)
+        )
+
+    def _must_restore(self, share: model.VersionShare) -> bool:
+        """Returns whether this daemon has to store a decision that was lost.
+
+        That is first up to the daemon that decided. The stored state may have
+        another holder by now, which renews its lease and does not know of the
+        decision, so the lease does not tell whether that daemon still runs.
+        """
+        if (
+            share.state is model.RolloutState.RUNNING
+            or share.key not in self.directory.unstored_share_keys
+        ):
+            self._lost_decision_at_by_key.pop(share.key, None)
+            return False
+        now = self.clock()
+        known_at = self._lost_decision_at_by_key.setdefault(share.key, now)
+        return now - known_at > LEASE_RENEWAL_INTERVAL_S + (
+            self._candidate_delay_s(share.key)
+        )
+
     def _candidate_delay_s(self, key: str) -> float:
         """Returns how long this daemon waits before it acquires a rollout.
 
@@ -331,6 +374,7 @@
                 share,
                 holder=self.host_name,
                 epoch=share.epoch + 1,
+                order_revision=order.identity,
             )
         else:
             new = model.VersionShare(
@@ -342,7 +386,7 @@
                 holder=self.host_name,
                 epoch=1 if share is None else share.epoch + 1,
                 finish_by=time.time() + order.duration_s - (now - ordered_at),
-                order_revision=order.created_revision,
+                order_revision=order.identity,
                 revision=0 if share is None else share.revision,
             )
         await self._write_share(new)
@@ -358,6 +402,8 @@
     async def _write_share(self, share: model.VersionShare):
         """Writes a share if the store still has the revision it is based on.
 
+        Creates it if the store has none.
+
         Raises:
             object_store.RevisionConflictError: The stored share has changed.
                 If the error contains the stored share, it has been applied to
@@ -366,14 +412,7 @@
         key = object_codec.key_of(share)
         spec = object_codec.encode(share)
         try:
-            if share.revision:
-                item = await self.store.replace(
-                    object_codec.MESH_KIND, key, spec, share.revision
-                )
-            else:
-                item = await self.store.create(
-                    object_codec.MESH_KIND, key, spec
-                )
+            item = await self._replace_or_create(key, spec, share.revision)
         except object_store.RevisionConflictError as error:
             if error.current is not None:
                 value = object_codec.decode_item_or_log(error.current)
@@ -395,9 +434,32 @@
             attrs.evolve(share, revision=item.revision), 'own'
         )
 
+    async def _replace_or_create(
+        self, key: str, spec: dict[str, Any], revision: int
+    ) -> object_store.StoredItem:
+        if revision:
+            try:
+                return await self.store.replace(
+                    object_codec.MESH_KIND, key, spec, revision
+                )
+            except exceptions.NotFoundError:
+                logger.warning(
+                    'event=share_lost name={} revision={}', key, revision
+                )
+        return await self.store.create(object_codec.MESH_KIND, key, spec)
+
     async def _report_state(
         self, order: model.RolloutOrder, state: model.RolloutState
     ):
+        """Writes the state of a rollout to the status of its order.
+
+        Does nothing while the store, after its return from a copy, lacks the
+        order.
+        """
+        if revisions.is_of_earlier_era(
+            order.revision, self.directory.table_revision
+        ):
+            return
         item = await self.store.replace_status(
             platform_codec.ROLLOUT_KIND,
             order.service,
@@ -673,16 +735,13 @@
 def _is_same_order(
     order: model.RolloutOrder, other: model.RolloutOrder
 ) -> bool:
-    return (order.version, order.created_revision) == (
+    return (order.version, order.created_number) == (
         other.version,
-        other.created_revision,
+        other.created_number,
     )
 
 
 def _is_share_of_order(
     share: model.VersionShare, order: model.RolloutOrder
 ) -> bool:
-    return (share.version, share.order_revision) == (
-        order.version,
-        order.created_revision,
-    )
+    return share.is_of_order(order.version, order.identity, time.time())
--- a/hemlockgrade/selectors.py
+++ b/hemlockgrade/selectors.py
@@ -12,6 +12,7 @@
 from hemlockgrade import exceptions
 from hemlockgrade import identifiers
 from hemlockgrade import model
+from hemlockgrade import revisions
 from hemlockgrade import serialization
 
 T = TypeVar('T')
@@ -78,7 +79,9 @@
         share = self.share_by_key.get(
             SELECTOR_ORDER_PREFIX + definition.value.name
         )
-        if share is None or share.order_revision != definition.revision:
+        if share is None or not revisions.is_same_number(
+            share.order_revision, definition.revision
+        ):
             return None
         return share
 
@@ -180,7 +183,7 @@
             version=definition.new_version,
             duration_s=max(0.0, agreed_by - now),
             revision=definition.revision,
-            created_revision=definition.revision,
+            created_number=revisions.number_of(definition.revision),
             stores_outcome=False,
         )
 
--- a/hemlockgrade/store_feed.py
+++ b/hemlockgrade/store_feed.py
@@ -15,6 +15,7 @@
 from hemlockgrade import object_codec
 from hemlockgrade import object_store
 from hemlockgrade import publisher as publisher_module
+from hemlockgrade import revisions
 from hemlockgrade import rollout_task
 from hemlockgrade import watcher
 from hemlockgrade.platform import codec as platform_codec
@@ -61,6 +62,7 @@
     _watchers: tuple[watcher.Watcher, ...] = ()
     _configuration_watcher: watcher.Watcher | None = None
     _mesh_watcher: watcher.Watcher | None = None
+    _era: int = 0
 
     @property
     def gets_configurations(self) -> bool:
@@ -108,6 +110,32 @@
         for each in self._watchers:
             each.restart()
 
+    def handle_era(self, era: int) -> None:
+        """Handles a response of the store, or the word of a peer, of an era.
+
+        Watches of an earlier era may wait for revisions that the store gives
+        out again to other changes, on connections that stayed open.
+
+        Args:
+            era: Era of the store; ignored if it is not higher than all before.
+        """
+        if era <= self._era:
+            return
+        self._era = era
+        for each in self._watchers:
+            if not each.revision:
+                # Its first list is still to come.
+                continue
+            if revisions.era_of(each.revision) < era:
+                each.list_again()
+            else:
+                each.restart()
+
+    def _configuration_confirmed(self, revision: int):
+        assert self._configuration_watcher is not None
+        self._configuration_watcher.advance(revision)
+        self.handle_era(revisions.era_of(revision))
+
     def _configuration_current(self, revision: int, started_at: float):
         self.freshness.confirm(
             freshness_module.Confirmation(
@@ -133,7 +161,7 @@
             batch_delay_s=CONFIGURATION_BATCH_DELAY_S,
             skips_versions=True,
         )
-        self.freshness.on_confirmed = self._configuration_watcher.advance
+        self.freshness.on_confirmed = self._configuration_confirmed
         self._mesh_watcher = watcher.Watcher(
             store=self.store,
             kind=object_codec.MESH_KIND,
--- a/hemlockgrade/watcher.py
+++ b/hemlockgrade/watcher.py
@@ -123,6 +123,11 @@
             self._restarting = True
             self._request.cancel()
 
+    def list_again(self) -> None:
+        """Ends the request that waits and lists the objects."""
+        self._revision = None
+        self.restart()
+
     @property
     def revision(self) -> int:
         """Returns the revision up to which all changes were handled."""
