Write a member again that a list of the store lacks

Callers saw: a server that joined shortly before the store came back from a copy got no request from then on, or only after some seconds, although it ran.

Cause: a daemon heard of the deletion of its member only from a watch. After a drill there is a list and no such event, so it took its member for stored. A daemon whose history was lost for another reason had the same fault.

Ruled out: removing members at once that the first list of the new era lacks: until their daemons have written them again, running servers get no requests.

Change: a list without the own member has it written again, unless the write came after the list. Other daemons keep the members that the list lacks for 2 s, the time in which the users expect them back, and then take them as gone.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -10,6 +10,19 @@
     And that version turns bad
     Then the rollout is rolled back within 8 seconds
 
+  Scenario Outline: A server that joined after the copy was made is used again in time
+    # Guards against a member that its daemon believes to be stored, so that a
+    # running server gets no requests.
+    Given a mesh of 2 hosts
+    When another host joins
+    And the store comes back from a copy without it, and open connections <connections>
+    Then its member is stored again within 2 seconds and its server gets requests
+
+    Examples:
+      | connections |
+      | are cut     |
+      | stay open   |
+
   Scenario Outline: Responses are ordered by the era that they name
     # Guards against old objects that pass for newer ones, and against a header
     # that makes the store unusable.
@@ -92,3 +105,8 @@
     Given a rollout that the first of two daemons has decided as rolled_back
     When the store comes back from a copy without its order, and another version is ordered
     Then the rollout of that version begins with 0 permille
+
+  Scenario: Members that are not written again are taken as gone
+    # Guards against requests to hosts that failed while the store was away.
+    When a daemon reads a list of the next era without two members, of which one is written again
+    Then the other one is removed 2 seconds later and not before
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -25,6 +25,7 @@
 from hemlockgrade.plugins import binomial_judge
 from standins import cluster
 from standins import metadata_store
+from standins import virtual_time
 
 SHARE_KEY = 'share.booking'
 ORDER = {'Service': 'booking', 'TargetVersion': 'v2', 'DurationS': 60}
@@ -94,6 +95,43 @@
     assert stored_share(context)['permille'] == 0
 
 
+@when('another host joins')
+def join_host(context):
+    time.sleep(1.0)
+    context.joining_at = time.monotonic()
+    context.mesh.start_host('further', 'a')
+    wait_for_ready_member(context, 'further')
+
+
+@when('the store comes back from a copy without it, and open connections {are}')
+def restore_store_without_host(context, are):
+    age_s = time.monotonic() - context.joining_at
+    context.mesh.set_store_faults(
+        restore_s=age_s, keep_connections=are == 'stay open'
+    )
+    context.restored_at = time.monotonic()
+
+
+@then(
+    'its member is stored again within {seconds:d} seconds and its server gets requests'
+)
+def check_stored_again(context, seconds):
+    mesh = context.mesh
+    cluster.wait_until(
+        lambda: mesh.call_store('GET', 'mesh/member.further') is not None,
+        'the member is stored again',
+    )
+    elapsed_s = time.monotonic() - context.restored_at
+    assert elapsed_s < seconds, elapsed_s
+    # Those that miss it at the end of that time have removed it.
+    time.sleep(store_feed.REWRITE_LIMIT_S)
+    before = len(mesh.executed_request_ids('further'))
+    for _ in range(30):
+        for name in context.host_names:
+            assert mesh.call(name, '/shop/x')[0] == 200
+    assert len(mesh.executed_request_ids('further')) > before
+
+
 class EraPool:
     """Responds to each call with the next body and values of the era header."""
 
@@ -498,3 +536,42 @@
     assert (share.version, share.permille) == ('v3', permille), share
     assert share.state is model.RolloutState.RUNNING, share
     assert status['TargetVersion'] == 'v3', status
+
+
+@when(
+    'a daemon reads a list of the next era without two members, of which one is written again'
+)
+def read_list_without_members(context):
+    stored = metadata_store.Store()
+    copied = stored.revision
+
+    def put_member(name):
+        member = model.Member(
+            name=name, address='10.0.0.2:90', zone='a', boot_id='x'
+        )
+        put(stored, 'mesh', f'member.{name}', object_codec.encode(member))
+
+    async def run():
+        context.stored = stored
+        daemon = build_daemon(context, 'a')
+        put_member('kept')
+        put_member('gone')
+        await daemon.read()
+        stored.restore(copied)
+        await daemon.read()
+        put_member('kept')
+        members = daemon.known.member_by_name
+        await asyncio.sleep(store_feed.REWRITE_LIMIT_S - 0.1)
+        context.before = set(members)
+        await daemon.read()
+        await asyncio.sleep(0.2)
+        context.after = set(members)
+
+    virtual_time.run(run())
+
+
+@then('the other one is removed 2 seconds later and not before')
+def check_removed_members(context):
+    assert store_feed.REWRITE_LIMIT_S == 2.0
+    assert context.before == {'kept', 'gone'}, context.before
+    assert context.after == {'kept'}, context.after
--- a/hemlockgrade/directory.py
+++ b/hemlockgrade/directory.py
@@ -405,6 +405,16 @@
             ):
                 self.remove(key, revision)
 
+    def remove_members_before(self, revision: int) -> None:
+        """Removes the members that nobody has written again in an era.
+
+        Args:
+            revision: A revision of that era.
+        """
+        for member in list(self.member_by_name.values()):
+            if revisions.is_of_earlier_era(member.revision, revision):
+                self.remove(object_codec.key_of(member), revision)
+
     def _objects_by_prefix(self) -> dict[str, dict[str, Any]]:
         return {
             'member': self.member_by_name,
--- a/hemlockgrade/publisher.py
+++ b/hemlockgrade/publisher.py
@@ -82,6 +82,21 @@
             self._stored = None
             self.schedule_update()
 
+    def handle_missing(self, revision: int) -> None:
+        """Handles a list without the member, which is written again.
+
+        Args:
+            revision: Revision of the list. The member may have been written
+                after it.
+        """
+        if self._revision is not None and self._revision <= revision:
+            logger.warning(
+                'event=entry_lost revision={} listed={}',
+                self._revision,
+                revision,
+            )
+            self.handle_deleted()
+
     def handle_deleted(self) -> None:
         """Handles the deletion of the member; it is written again."""
         self._revision = None
--- a/hemlockgrade/store_feed.py
+++ b/hemlockgrade/store_feed.py
@@ -34,6 +34,10 @@
 # The same for the configuration, in seconds. A configuration of 800 routes
 # takes 0.3 s on a link of 5.5 Mbit/s, which is free for requests in between.
 CONFIGURATION_BATCH_DELAY_S = 0.25
+# Time in which daemons write their members again after the store came back
+# from a copy without them, in seconds. The hosts of members that are missing
+# after it are gone.
+REWRITE_LIMIT_S = 2.0
 
 
 @attrs.define(eq=False, kw_only=True)
@@ -238,6 +242,13 @@
     def _objects_listed(self, listing: object_store.Listing):
         names = {item.name for item in listing.items}
         self.directory.remove_missing(names, listing.revision)
+        if object_codec.MEMBER_PREFIX + self._own_name not in names:
+            self.publisher.handle_missing(listing.revision)
+        asyncio.get_running_loop().call_later(
+            REWRITE_LIMIT_S,
+            self.directory.remove_members_before,
+            listing.revision,
+        )
 
     @property
     def _own_name(self) -> str:
