Count a silent child of the usage tree by its part of the cap

Cause, as shown by a simulation of the exchange: a daemon whose exchanges fail changes its parent, and each former parent counts it for 5 s more, from the second second on as if all that it asks were admitted. A few such children use up the cap for everybody, the level falls to its lowest value and all daemons refuse.

Ruled out: to repeat the notice to a former parent until it arrives.

Change: such a child counts as admitting the part of its demand that the cap admits of the demand of all, as other failure domains that are not heard of do.

--- a/features/steps/usage_caps_steps.py
+++ b/features/steps/usage_caps_steps.py
@@ -237,6 +237,18 @@
     system.run(11, hot)
 
 
+@when(
+    '{percent:d}% of the exchanges fail while its callers ask {usual:g} a second for {calm:d} seconds and {hot:g} for {long:d} more'
+)
+def press_with_lost_exchanges(context, percent, usual, calm, hot, long):
+    system = context.system
+    system.run(calm, usual)
+    losses = random.Random(percent)
+    system.is_cut = lambda a, b: losses.random() < percent / 100
+    system.run(long, hot)
+    context.hot_s = (calm, calm + long)
+
+
 def start_fault(system, fault):
     if fault == 'a failure domain is cut off':
         system.is_cut = lambda a, b: (
--- a/features/usage_caps.feature
+++ b/features/usage_caps.feature
@@ -44,6 +44,18 @@
       | the first daemon of each domain is killed   |
       | half of the daemons is killed and restarted |
 
+  Scenario Outline: Exchanges between daemons fail while an organisation presses
+    # Guards against usage that several daemons count as admitted, so that all
+    # of them refuse nearly everything.
+    Given 75 daemons in 3 failure domains and a cap of 50 a second with a burst of 50
+    When <percent>% of the exchanges fail while its callers ask 30 a second for 8 seconds and 300 for 30 more
+    Then at least 80% of the cap is admitted in the hot time
+
+    Examples:
+      | percent |
+      | 10      |
+      | 30      |
+
   Scenario: Daemons are replaced while callers stay below the cap
     # Guards against demand that is counted at the former and the new parent.
     Given 74 daemons in 3 failure domains and a cap of 100 a second with a burst of 0
--- a/hemlockgrade/usage_caps.py
+++ b/hemlockgrade/usage_caps.py
@@ -340,9 +340,9 @@
             growth = max(1.0, present / then) if then else 1.0
             asked = usage.asked_per_s * growth
             demand = asked + present
-            rate_per_s = self._rate_of(name)
-            fraction = min(1.0, rate_per_s / demand) if demand else 1.0
-            assumed[name] = usage_cap.Usage(asked, asked * fraction)
+            assumed[name] = usage_cap.Usage(
+                asked, asked * self._fraction(name, demand)
+            )
         return assumed
 
     def _forget_old_children(self, now: float):
@@ -351,17 +351,31 @@
                 del self._news_by_child[name]
 
     def _usage_of_child(self, name: str, now: float) -> usage_cap.UsageByName:
-        """Returns the usage of a child's subtree, which may be assumed."""
+        """Returns the usage of a child's subtree, which may be assumed.
+
+        A child that is not heard of admits the same part of what it is asked
+        as all others, wherever it hears of the cap. It may have another parent
+        meanwhile and be counted there, too: if all that it asks counted as
+        admitted, a few such children would use up the cap for everybody.
+        """
         news = self._news_by_child[name]
         if now - news.heard_at <= MAX_NEWS_AGE_S:
             return news.usage_by_name
-        return {
-            organisation: usage_cap.Usage(
-                usage.asked_per_s,
-                min(
-                    usage.asked_per_s,
-                    self._rate_of(organisation),
-                ),
+        assumed = {}
+        for organisation, usage in news.usage_by_name.items():
+            known = [
+                each.get(organisation, usage_cap.Usage()).asked_per_s
+                for each in (self._own, self._others)
+            ]
+            asked = usage.asked_per_s
+            assumed[organisation] = usage_cap.Usage(
+                asked,
+                asked * self._fraction(organisation, max(asked, sum(known))),
             )
-            for organisation, usage in news.usage_by_name.items()
-        }
+        return assumed
+
+    def _fraction(self, name: str, demand_per_s: float) -> float:
+        """Returns the fraction of a demand of all daemons that a cap admits."""
+        if not demand_per_s:
+            return 1.0
+        return min(1.0, self._rate_of(name) / demand_per_s)
