Let the check of an ended request's identifier wait for such a request

Cause: the step takes the latest of them, but the callers' daemons choose among two servers, and all three requests before it may run at the other one. It depends on chance and not on the code under test.

Change: it sends requests until the first host's server has run one, within the usual limit of a wait. What is checked is the same: a client that names an ended request of this server gets 401.

--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -414,6 +414,14 @@
     assert status == 200, status
     for name in context.names:
         context.mesh.set_server(name, calls=None)
+    # The requests so far may all have run at the other hosts.
+    cluster.wait_until(
+        lambda: (
+            send(context, KEYS[0])[0] == 200
+            and context.mesh.executed_request_ids(context.names[0])
+        ),
+        'a request has run at the first host',
+    )
     ended_id = context.mesh.executed_request_ids(context.names[0])[-1]
     status, _, _ = send(context, **{'X-Request-Id': f'{ended_id}.1'})
     assert status == 401, status
