Ask peers before own reads of a daemon that has just started confirm anything

Cause: a read of the store without lag counted as proof that the configuration is the newest one. After a return from a copy it is not, and peers know it.

Ruled out: that the fault is mended by the order by era. The daemon is new and has seen one era only.

Change: a daemon that has just started asks three peers for their versions before its own reads confirm the configuration; and a read that began after a peer had told of a newer version, and lacks it, confirms nothing.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -110,3 +110,28 @@
     # Guards against requests to hosts that failed while the store was away.
     When a daemon reads a list of the next era without two members, of which one is written again
     Then the other one is removed 2 seconds later and not before
+
+  Scenario: A withdrawn key stays withdrawn at a daemon that starts after the return
+    # Guards against a daemon that has nothing but a copy with the key, while its
+    # peers know that the key was withdrawn.
+    Given a mesh of 3 hosts with the organisation acme and its keys k-first and k-second
+    When the operator withdraws the key k-first
+    And the first daemon restarts while the store comes back from a copy with the key
+    Then for 3 seconds no request with k-first is served at it, and those with k-second are within 2 seconds
+
+  Scenario Outline: A read that lacks what a peer had before confirms nothing
+    # Guards against an old copy that counts as the newest configuration.
+    Given a daemon with version <own> of the configuration
+    When a peer tells of version 17 and <seconds> seconds later the store is read
+    Then the read <confirms> the configuration
+
+    Examples:
+      | own | seconds | confirms         |
+      | 16  | 0.1     | does not confirm |
+      | 16  | -0.1    | confirms         |
+      | 17  | 0.1     | confirms         |
+      | 16  | 11      | confirms         |
+
+  Scenario: The own reads of a daemon that waits for its peers confirm nothing
+    When a daemon that waits for its peers lists the configuration
+    Then it is not confirmed until its peers were asked
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import time
 
 import attrs
@@ -575,3 +576,89 @@
     assert store_feed.REWRITE_LIMIT_S == 2.0
     assert context.before == {'kept', 'gone'}, context.before
     assert context.after == {'kept'}, context.after
+
+
+@when(
+    'the first daemon restarts while the store comes back from a copy with the key'
+)
+def restart_in_return(context):
+    mesh, name = context.mesh, context.names[0]
+    for each in context.names:
+        cluster.wait_until(
+            lambda each=each: call_with_key(context, each, 'k-first') == 401,
+            'the key is withdrawn',
+        )
+    age_s = time.monotonic() - context.withdrawn_at + 0.3
+    mesh.daemon_by_name[name].kill()
+    mesh.set_store_faults(restore_s=age_s)
+    # The links to the store are those of the former process.
+    mesh.start_mesh_daemon(
+        name,
+        'a',
+        store_address=context.links.address_by_domain['a'],
+        revocation_limit_ms=5000,
+    )
+    cluster.wait_until(
+        lambda: mesh.is_serving(name, '/open/x'), 'the daemon serves'
+    )
+
+
+def call_with_key(context, name, key):
+    """Returns the status of a request with a key."""
+    return context.mesh.call(name, '/shop/x', Authorization=f'Bearer {key}')[0]
+
+
+@then(
+    'for {seconds:d} seconds no request with k-first is served at it, and those with k-second are within {limit_s:d} seconds'
+)
+def check_key_withdrawn(context, seconds, limit_s):
+    name = context.names[0]
+    started_at = time.monotonic()
+    served_after_s = None
+    while (elapsed_s := time.monotonic() - started_at) < seconds:
+        assert call_with_key(context, name, 'k-first') != 200, elapsed_s
+        if call_with_key(context, name, 'k-second') == 200:
+            served_after_s = served_after_s or elapsed_s
+    assert served_after_s is not None and served_after_s < limit_s, (
+        served_after_s
+    )
+
+
+@when(
+    'a peer tells of version {version:d} and {seconds:g} seconds later the store is read'
+)
+def confirm_after_peer(context, version, seconds):
+    context.freshness.hear_version(version)
+    context.now += max(0.0, seconds)
+    context.freshness.confirm(
+        freshness.Confirmation(
+            version=context.freshness.directory.configuration_version,
+            revision=1,
+            confirmed_at=100.0 + seconds,
+        )
+    )
+
+
+@then('the read {confirms} the configuration')
+def check_confirmed(context, confirms):
+    is_confirmed = math.isfinite(context.freshness.confirmed_at)
+    assert is_confirmed == (confirms == 'confirms')
+
+
+@when('a daemon that waits for its peers lists the configuration')
+def list_while_waiting(context):
+    context.stored = metadata_store.Store()
+    daemon = build_daemon(context, 'a')
+    freshness_of_daemon = daemon.feed.freshness
+    freshness_of_daemon.waits_for_peers = True
+    asyncio.run(daemon.read())
+    context.before = freshness_of_daemon.confirmed_at
+    freshness_of_daemon.waits_for_peers = False
+    asyncio.run(daemon.read())
+    context.after = freshness_of_daemon.confirmed_at
+
+
+@then('it is not confirmed until its peers were asked')
+def check_waits_for_peers(context):
+    assert not math.isfinite(context.before)
+    assert math.isfinite(context.after)
--- a/hemlockgrade/configuration_check.py
+++ b/hemlockgrade/configuration_check.py
@@ -40,6 +40,10 @@
 # daemon asks the store for it, in seconds. After a change the watch pauses for
 # up to 0.4 s, and a large configuration takes 0.3 s on a link of 5.5 Mbit/s.
 WATCH_GRACE_S = 0.7
+# Longest wait of a daemon that has just started for the list of the members, in
+# seconds, and the number of them that it then asks for their versions.
+FIRST_LIST_TIMEOUT_S = 1.0
+FIRST_PEERS = 3
 # Longest time for a peer of the same failure domain to send its versions, in
 # seconds.
 PEER_TIMEOUT_S = 0.25
@@ -101,12 +105,30 @@
 
     async def run(self) -> None:
         """Confirms the configuration again and again until it is cancelled."""
+        if self.freshness.waits_for_peers:
+            await self._ask_peers_first()
         async with asyncio.TaskGroup() as group:
             while True:
                 await self._wait(self._interval_s())
                 await self._confirm(group)
                 self._log_age()
 
+    async def _ask_peers_first(self):
+        """Compares versions with some peers before own reads confirm anything.
+
+        The store may have come back from a copy without the newest version,
+        which peers then still have.
+        """
+        try:
+            async with asyncio.timeout(FIRST_LIST_TIMEOUT_S):
+                await self.feed.members_listed.wait()
+            await self.sync.compare_with_some(FIRST_PEERS, PEER_TIMEOUT_S)
+        except TimeoutError:
+            # Peers that get to know this daemon tell it their versions.
+            pass
+        self.freshness.waits_for_peers = False
+        await self._read_store(newest_only=False)
+
     def want(self, version: int) -> None:
         """Asks the store for a version that a peer has, unless it arrives."""
         if self._wanted and version <= self._wanted[-1][0]:
--- a/hemlockgrade/daemon.py
+++ b/hemlockgrade/daemon.py
@@ -123,6 +123,7 @@
             directory=self.directory,
             clock=self._clock,
             suspended_s=_suspended_s,
+            waits_for_peers=True,
         )
         self.directory.on_configuration.append(
             self.freshness.handle_configuration
--- a/hemlockgrade/freshness.py
+++ b/hemlockgrade/freshness.py
@@ -18,6 +18,9 @@
 # Shortest suspension of the host that is noticed, in seconds. Two clocks that
 # are read one after the other differ by less.
 MIN_SUSPENSION_S = 0.1
+# Time in which a version of which a peer has told arrives from the store or
+# from that peer, in seconds. After it the version counts as unknown again.
+HEARD_VERSION_S = 10.0
 # Confirmations of versions that are not in force yet: during quick changes a
 # daemon hears of the next version before it has the former one.
 MAX_PENDING_CONFIRMATIONS = 32
@@ -57,6 +60,9 @@
             before the first confirmation.
         revision: Revision of the store that belongs to this time.
         read_s: Time that the store needed for that read, in seconds.
+        waits_for_peers: True until a daemon that has just started has asked its
+            peers for their versions. Until then its own reads confirm nothing:
+            the store may have come back from a copy without the newest one.
     """
 
     directory: directory_module.Directory
@@ -66,6 +72,10 @@
     confirmed_at: float = -math.inf
     revision: int = 0
     read_s: float = 0.0
+    waits_for_peers: bool = False
+    # Highest version of which a peer has told, and when it did so first.
+    _heard_version: int = 0
+    _heard_at: float = math.inf
     _pending: list[Confirmation] = attrs.field(factory=list)
     _known_suspended_s: float = 0.0
     # Confirmations from before this time have an unknown age.
@@ -94,6 +104,27 @@
         self.confirmed_at = -math.inf
         self._pending.clear()
 
+    def hear_version(self, version: int) -> None:
+        """Handles the version that a peer has in force."""
+        if version > self._heard_version:
+            self._heard_version, self._heard_at = version, self.clock()
+
+    def _is_refuted(self, new: Confirmation) -> bool:
+        """Returns whether the store lacked a version that it had before.
+
+        A peer had a newer one in force before the read began, so the store has
+        come back from an older copy.
+        """
+        if (
+            new.version >= self._heard_version
+            or new.confirmed_at <= self._heard_at
+        ):
+            return False
+        if new.confirmed_at > self._heard_at + HEARD_VERSION_S:
+            self._heard_version = 0
+            return False
+        return True
+
     def confirm(self, new: Confirmation) -> None:
         """Applies a confirmation of an own read of the store or of a peer.
 
@@ -101,7 +132,7 @@
         version comes into force.
         """
         self._check_suspension()
-        if new.confirmed_at < self._valid_from:
+        if new.confirmed_at < self._valid_from or self._is_refuted(new):
             return
         if new.version > self.directory.configuration_version:
             self._pending.append(new)
--- a/hemlockgrade/state_sync.py
+++ b/hemlockgrade/state_sync.py
@@ -85,10 +85,13 @@
         was unavailable, gets the current state from its peers this way.
         """
         address = self._random_peer()
-        if address is None:
-            return
+        if address is not None:
+            await self._try_to_compare(address, PEER_TIMEOUT_S)
+
+    async def _try_to_compare(self, address: str, timeout_s: float):
+        """Compares versions with a peer; logs if it does not respond."""
         try:
-            await self.compare(address, PEER_TIMEOUT_S)
+            await self.compare(address, timeout_s)
         except exceptions.HemlockError as error:
             logger.debug(
                 'event=peer_not_compared peer={} problem={!r}',
@@ -96,6 +99,27 @@
                 str(error),
             )
 
+    async def compare_with_some(self, count: int, timeout_s: float) -> None:
+        """Compares versions with random peers at once.
+
+        Args:
+            count: Largest number of peers.
+            timeout_s: Longest time for their responses, in seconds.
+        """
+        addresses = [
+            member.address
+            for member in self.directory.member_by_name.values()
+            if member.address != self.address and not member.leaving
+        ]
+        await asyncio.gather(
+            *(
+                self._try_to_compare(address, timeout_s)
+                for address in self.random.sample(
+                    addresses, min(count, len(addresses))
+                )
+            )
+        )
+
     async def compare(self, address: str, timeout_s: float) -> None:
         """Compares versions with a peer, and uses its confirmation.
 
@@ -201,6 +225,8 @@
             address: `ip:port` of the peer.
             versions: Highest versions that the peer has received.
         """
+        if self.freshness is not None:
+            self.freshness.hear_version(versions.configuration_version)
         if self._needs(_Need.CONFIGURATION, versions):
             self.on_newer_configuration(versions.configuration_version)
         for need in _Need:
--- a/hemlockgrade/store_feed.py
+++ b/hemlockgrade/store_feed.py
@@ -54,6 +54,7 @@
         freshness: Gets the time and the revision of each read of the
             configuration that does not lag.
         watches_evacuations: True if operators evacuate failure domains here.
+        members_listed: Set once all mesh objects have been listed.
     """
 
     store: object_store.ObjectStore
@@ -63,6 +64,7 @@
     restore_server: Callable[[model.Member], None]
     freshness: freshness_module.Freshness
     watches_evacuations: bool = False
+    members_listed: asyncio.Event = attrs.field(factory=asyncio.Event)
     _watchers: tuple[watcher.Watcher, ...] = ()
     _configuration_watcher: watcher.Watcher | None = None
     _mesh_watcher: watcher.Watcher | None = None
@@ -141,6 +143,8 @@
         self.handle_era(revisions.era_of(revision))
 
     def _configuration_current(self, revision: int, started_at: float):
+        if self.freshness.waits_for_peers:
+            return
         self.freshness.confirm(
             freshness_module.Confirmation(
                 version=self.directory.configuration_version,
@@ -242,6 +246,7 @@
     def _objects_listed(self, listing: object_store.Listing):
         names = {item.name for item in listing.items}
         self.directory.remove_missing(names, listing.revision)
+        self.members_listed.set()
         if object_codec.MEMBER_PREFIX + self._own_name not in names:
             self.publisher.handle_missing(listing.revision)
         asyncio.get_running_loop().call_later(
