Let the soak draw returns of the store from an older copy

Cause: no run of the soak had one; the drills of the review were all that played them.

The operator writes the latest configuration again 1 s later. They are drawn by themselves, so that the events of earlier seeds stay the same.

--- a/standins/soak.py
+++ b/standins/soak.py
@@ -26,10 +26,10 @@
 MAX_RUN_S = 90.0
 
 
-def run_seed(seed: int, seconds: float) -> bool:
+def run_seed(seed: int, seconds: float, restores: int) -> bool:
     """Runs one seed, prints its line and returns whether it is in order."""
     directory = pathlib.Path(tempfile.mkdtemp(prefix=f'hemlock-soak-{seed}-'))
-    schedule = soak_schedule.draw_schedule(seed, seconds)
+    schedule = soak_schedule.draw_schedule(seed, seconds, restores)
     soak = soak_run.Soak(schedule, directory)
 
     async def run():
@@ -97,6 +97,12 @@
         default=20.0,
         help='time during which events start',
     )
+    parser.add_argument(
+        '--restores',
+        type=int,
+        default=0,
+        help='returns of the store from an older copy in each run with faults',
+    )
     options = parser.parse_args()
     # Without the handler, SIGTERM would leave the started processes behind.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(1))
@@ -105,7 +111,8 @@
         first, _, last = part.partition('-')
         seeds += range(int(first), int(last or first) + 1)
     if len(seeds) == 1:
-        return 0 if run_seed(seeds[0], options.seconds) else 1
+        succeeded = run_seed(seeds[0], options.seconds, options.restores)
+        return 0 if succeeded else 1
     with concurrent.futures.ThreadPoolExecutor(options.jobs) as pool:
         codes = list(pool.map(lambda seed: _run_process(seed, options), seeds))
     print(f'{codes.count(0)} of {len(codes)} seeds without a violation')
@@ -115,7 +122,8 @@
 def _run_process(seed: int, options: argparse.Namespace) -> int:
     return subprocess.run(
         [sys.executable, '-m', 'standins.soak', '--seeds', str(seed)]
-        + ['--seconds', str(options.seconds)],
+        + ['--seconds', str(options.seconds)]
+        + ['--restores', str(options.restores)],
         cwd=cluster.ROOT,
     ).returncode
 
--- a/standins/soak_run.py
+++ b/standins/soak_run.py
@@ -22,6 +22,9 @@
 RESTART_DELAY_S = 1.0
 # A killed process counts as a fault until this time after its restart.
 START_S = 2.0
+# Time after the return of the store from a copy until the operator writes the
+# configuration again.
+REWRITE_DELAY_S = 1.0
 SLOTS = 8
 READINESS_INTERVAL_S = 1.0
 FAILED_CHECKS_BEFORE_REMOVAL = 2
@@ -336,16 +339,29 @@
         self._has_extra_route = not self._has_extra_route
         await self._configure()
 
-    async def _configure(self):
-        """Writes a new version of the configuration."""
-        self._version += 1
+    def _routes(self):
+        """Returns the routes of the latest configuration that callers use."""
         routes = list(soak_callers.ROUTES)
         if self._has_extra_route:
             routes.append(soak_callers.EXTRA_ROUTE)
+        return routes
+
+    async def _configure(self):
+        """Writes a new version of the configuration."""
+        self._version += 1
+        routes = self._routes()
         now = asyncio.get_running_loop().time
         spans = self.history.extra_route_spans
         state = 'present' if self._has_extra_route else 'missing'
         spans.append(soak_checks.Span(state, '', now()))
+        if not await self._write_configuration(routes):
+            # The configuration may be in force or not.
+            return
+        for span in spans[:-1]:
+            span.end = min(span.end, now() + soak_checks.APPLY_S)
+
+    async def _write_configuration(self, routes) -> bool:
+        """Writes the latest version; returns False if the store is down."""
         try:
             await asyncio.to_thread(
                 self.mesh.configure,
@@ -370,10 +386,22 @@
                 ),
             )
         except AssertionError:
-            # The store is down; the configuration may be in force or not.
-            return
-        for span in spans[:-1]:
-            span.end = min(span.end, now() + soak_checks.APPLY_S)
+            return False
+        return True
+
+    async def _play_restore(self, event: soak_schedule.Event):
+        """Takes the store away and lets it come back from a copy.
+
+        The operator writes the latest configuration again.
+        """
+        span = self._add_fault(event)
+        await self._set_store_faults(down=True)
+        await asyncio.sleep(event.duration_s)
+        await self._set_store_faults(**event.detail)
+        await asyncio.sleep(REWRITE_DELAY_S)
+        while not await self._write_configuration(self._routes()):
+            await asyncio.sleep(REWRITE_DELAY_S)
+        span.end = asyncio.get_running_loop().time()
 
     async def _play_drain_server(self, event: soak_schedule.Event):
         """Drains a server, which then ends and starts again."""
--- a/standins/soak_schedule.py
+++ b/standins/soak_schedule.py
@@ -21,6 +21,10 @@
     {'lag_s': 3.0, 'lag_counter': True},
     {'lag_s': 3.0, 'lag_counter': True, 'lag_lists_only': True},
 )
+# Times in which the store is away before it comes back from a copy, and ages of
+# the copy, in seconds.
+AWAY_S = (0.0, 3.0)
+COPY_AGE_S = (1.0, 10.0)
 # Rate of the link between one of the hosts and the store during a whole run, in
 # Mbit/s, and the number of further routes of the configuration, which then
 # takes a second. The platform has such hosts, so it is no fault.
@@ -34,10 +38,12 @@
 
     Attributes:
         at_s: Start, in seconds after the start of the schedule.
-        kind: One of `PLANNED_KINDS` or `UNPLANNED_KINDS`.
+        kind: One of `PLANNED_KINDS` or `UNPLANNED_KINDS`, or `restore` for a
+            return of the store from a copy.
         host: Host that is concerned; empty if all are.
         duration_s: Duration in seconds; 0 for an event without a duration.
-        detail: The fault of the store or of the link.
+        detail: The fault of the store or of the link, or how the store comes
+            back.
     """
 
     at_s: float
@@ -74,12 +80,14 @@
     events: tuple[Event, ...]
 
 
-def draw_schedule(seed: int, seconds: float) -> Schedule:
+def draw_schedule(seed: int, seconds: float, restores: int = 0) -> Schedule:
     """Draws a schedule; that of an odd seed has planned work only.
 
     Args:
-        seed: Seed; the same seed and duration give the same schedule.
+        seed: Seed; the same arguments give the same schedule.
         seconds: Time during which events start, in seconds.
+        restores: Number of returns of the store from a copy, beside the other
+            events; none with planned work only.
     """
     rng = random.Random(seed)
     planned_only = seed % 2 == 1
@@ -102,6 +110,9 @@
         ]
         events += _draw_events(rng, kind, at_s, domain_by_host, linked_hosts)
         at_s += rng.uniform(0.2, 3.0)
+    if not planned_only:
+        restore_rng = random.Random(f'restore {seed}')
+        events += [_draw_restore(restore_rng, seconds) for _ in range(restores)]
     # Drawn by themselves, so that the events of earlier seeds stay the same.
     link_rng = random.Random(f'small link {seed}')
     small_link_mbps, further_routes = link_rng.choice(SMALL_LINKS)
@@ -119,6 +130,16 @@
     )
 
 
+def _draw_restore(rng: random.Random, seconds: float) -> Event:
+    detail = {
+        'restore_s': rng.uniform(*COPY_AGE_S),
+        'keep_connections': rng.random() < 0.5,
+    }
+    return Event(
+        rng.uniform(0.0, seconds), 'restore', '', rng.uniform(*AWAY_S), detail
+    )
+
+
 def _draw_events(rng, kind, at_s, domain_by_host, linked_hosts) -> list[Event]:
     """Draws the events of one kind that begin at a time."""
     hosts = sorted(domain_by_host)
