Keep the own member when nobody has written it again after a drill

Cause: two seconds after the first list of a new era a daemon removes the members of an earlier era. If the store refuses its own write for that long, it removed its own member, too, and no longer sent requests to its own server.

Change: the own member stays. Beside it, names: the fraction of a demand that a cap admits.

Evidence: restored_store "Members that are not written again are taken as gone" has the own member now; without the change it is removed.

--- a/features/restored_store.feature
+++ b/features/restored_store.feature
@@ -108,8 +108,8 @@
 
   Scenario: Members that are not written again are taken as gone
     # Guards against requests to hosts that failed while the store was away.
-    When a daemon reads a list of the next era without two members, of which one is written again
-    Then the other one is removed 2 seconds later and not before
+    When a daemon reads a list of the next era without its own member and two others, of which one is written again
+    Then only the third one is removed, 2 seconds later and not before
 
   Scenario: A withdrawn key stays withdrawn at a daemon that starts after the return
     # Guards against a daemon that has nothing but a copy with the key, while its
--- a/features/steps/restored_store_steps.py
+++ b/features/steps/restored_store_steps.py
@@ -255,6 +255,10 @@
     assert context.changes == count, context.changes
 
 
+def build_member(name):
+    return model.Member(name=name, address='10.0.0.2:90', zone='a', boot_id='x')
+
+
 class UnreachablePool:
     """Connections to peers, of which none responds."""
 
@@ -300,7 +304,7 @@
             publisher=publisher.Publisher(
                 store=self.client,
                 directory=self.known,
-                build_member=lambda: None,
+                build_member=lambda: build_member(self.name),
                 restore_server=lambda member: None,
             ),
             rollouts=self.task,
@@ -540,23 +544,21 @@
 
 
 @when(
-    'a daemon reads a list of the next era without two members, of which one is written again'
+    'a daemon reads a list of the next era without its own member and two others, of which one is written again'
 )
 def read_list_without_members(context):
     stored = metadata_store.Store()
     copied = stored.revision
 
     def put_member(name):
-        member = model.Member(
-            name=name, address='10.0.0.2:90', zone='a', boot_id='x'
-        )
-        put(stored, 'mesh', f'member.{name}', object_codec.encode(member))
+        member = object_codec.encode(build_member(name))
+        put(stored, 'mesh', f'member.{name}', member)
 
     async def run():
         context.stored = stored
         daemon = build_daemon(context, 'a')
-        put_member('kept')
-        put_member('gone')
+        for name in ('a', 'kept', 'gone'):
+            put_member(name)
         await daemon.read()
         stored.restore(copied)
         await daemon.read()
@@ -571,11 +573,11 @@
     virtual_time.run(run())
 
 
-@then('the other one is removed 2 seconds later and not before')
+@then('only the third one is removed, 2 seconds later and not before')
 def check_removed_members(context):
     assert store_feed.REWRITE_LIMIT_S == 2.0
-    assert context.before == {'kept', 'gone'}, context.before
-    assert context.after == {'kept'}, context.after
+    assert context.before == {'a', 'kept', 'gone'}, context.before
+    assert context.after == {'a', 'kept'}, context.after
 
 
 @when(
--- a/hemlockgrade/directory.py
+++ b/hemlockgrade/directory.py
@@ -408,11 +408,15 @@
     def remove_members_before(self, revision: int) -> None:
         """Removes the members that nobody has written again in an era.
 
+        The own member stays: this daemon runs.
+
         Args:
             revision: A revision of that era.
         """
         for member in list(self.member_by_name.values()):
-            if revisions.is_of_earlier_era(member.revision, revision):
+            if member.name != self.name and revisions.is_of_earlier_era(
+                member.revision, revision
+            ):
                 self.remove(object_codec.key_of(member), revision)
 
     def _objects_by_prefix(self) -> dict[str, dict[str, Any]]:
--- a/hemlockgrade/platform/store.py
+++ b/hemlockgrade/platform/store.py
@@ -1,8 +1,8 @@
 """Client of the platform's metadata store.
 
 Every response of the store names its era; see `revisions`. This client reads
-the era and gives out revisions that contain it, so that the rest of the daemon
-orders by it without knowing of it.
+the era and gives out revisions that contain it, so that all that compares
+revisions orders by it.
 """
 
 import asyncio
--- a/hemlockgrade/usage_caps.py
+++ b/hemlockgrade/usage_caps.py
@@ -341,7 +341,7 @@
             asked = usage.asked_per_s * growth
             demand = asked + present
             assumed[name] = usage_cap.Usage(
-                asked, asked * self._fraction(name, demand)
+                asked, asked * self._admitted_fraction(name, demand)
             )
         return assumed
 
@@ -363,18 +363,16 @@
             return news.usage_by_name
         assumed = {}
         for organisation, usage in news.usage_by_name.items():
-            known = [
+            asked = usage.asked_per_s
+            known = sum(
                 each.get(organisation, usage_cap.Usage()).asked_per_s
                 for each in (self._own, self._others)
-            ]
-            asked = usage.asked_per_s
-            assumed[organisation] = usage_cap.Usage(
-                asked,
-                asked * self._fraction(organisation, max(asked, sum(known))),
             )
+            fraction = self._admitted_fraction(organisation, max(asked, known))
+            assumed[organisation] = usage_cap.Usage(asked, asked * fraction)
         return assumed
 
-    def _fraction(self, name: str, demand_per_s: float) -> float:
+    def _admitted_fraction(self, name: str, demand_per_s: float) -> float:
         """Returns the fraction of a demand of all daemons that a cap admits."""
         if not demand_per_s:
             return 1.0
