--- a/features/soak.feature
+++ b/features/soak.feature
@@ -4,6 +4,11 @@
     When soaks of 8 seconds run with the seeds 2,3
     Then every request and every shutdown kept the promises
 
+  Scenario: No promise is broken while the store comes back from older copies
+    # Guards against knowledge of the store that is lost or undone by a copy.
+    When soaks of 8 seconds with 2 returns of the store run with the seeds 2,4,6
+    Then every request and every shutdown kept the promises
+
   Scenario Outline: No promise is broken with seeds that failed
     When soaks of 12 seconds run with the seeds <seeds>
     Then every request and every shutdown kept the promises
