--- a/features/mesh_processes.feature
+++ b/features/mesh_processes.feature
@@ -92,6 +92,19 @@
     And the store responds again
     Then 40 requests at each host succeed and none reaches the first server
 
+  @known_red
+  Scenario: A late heartbeat does not undo a leave that was never stored
+    # Guards against a leave that only the killed process of the daemon knew.
+    Given a mesh of 2 hosts
+    When the first server sends heartbeats every 20 seconds
+    And the store sends no responses
+    And the first server leaves without draining
+    And the health check of the first server fails
+    And the first daemon is killed and restarted
+    And the store responds again
+    And 2 late heartbeats of the first server arrive
+    Then the first server gets no request after 0.5 seconds
+
   Scenario: A stopping daemon serves peers until callers stop sending to it
     Given a mesh of 2 hosts
     When the server of the first host drains
--- a/features/steps/mesh_processes_steps.py
+++ b/features/steps/mesh_processes_steps.py
@@ -271,6 +271,17 @@
         assert status == 200, status
 
 
+@when('the health check of the first server fails')
+def fail_health_check(context):
+    context.mesh.set_server('h1', healthy=False)
+
+
+@then('the first server gets no request after {seconds:f} seconds')
+def check_unused_after(context, seconds):
+    time.sleep(seconds)
+    check_drained_server_unused(context, 40)
+
+
 @when('the store loses its history')
 def drop_store_history(context):
     context.mesh.set_store_faults(forget=True)
--- a/standins/mesh_server.py
+++ b/standins/mesh_server.py
@@ -11,8 +11,8 @@
 
 `POST /.control/set` changes these keys, and the following ones, while the
 server runs (null removes a key): `state`, `fail` (responds with status 500),
-`heartbeat_s`, `extra` (writes the response to an earlier request once more
-before each response),
+`healthy` (result of the health check), `heartbeat_s`, `extra` (writes the
+response to an earlier request once more before each response),
 `silent` (writes no response), `body_bytes` (smallest size of a body),
 `refused_share` (fraction of the requests that are refused), `limit` and
 `leaving` (named in the headers of each response) and `calls` (paths
@@ -69,6 +69,7 @@
             'fail': False,
             'state': 'ready',
             'heartbeat_s': 0.3,
+            'healthy': True,
             **options,
         }
         self.born = int(time.time() * 1000)
@@ -169,7 +170,7 @@
         if options.get('endless'):
             await self.send_endless(options['endless'], options['server_id'])
         if request.path == '/health':
-            ready = self.server.options['state'] == 'ready'
+            ready = options['state'] == 'ready' and options['healthy']
             headers = [('x-instance-id', self.server.options['server_id'])]
             self.send(200 if ready else 503, b'', headers)
             return
